--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Build, test, lint and run. Needs Go 1.26 or newer; the race detector needs a C compiler.
+export CGO_ENABLED ?= 1
+
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+lint:
+	@unformatted="$$(gofmt -l .)"; test -z "$$unformatted" || { echo "gofmt would change: $$unformatted" >&2; exit 1; }
+	go vet ./...
+
+# A fixed seed: every run checks the same random steps and gives the same verdict.
+test: lint build
+	go test -race -count=1 ./... -rapid.seed=20261201
+
+# One dispatcher, as the NODE_ variables say.
+run: build
+	exec bin/gladepick
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,397 @@
+// Package config is the one place where settings come in. It reads the
+// environment, the platform's NODE_CONFIG file and the operator's TOML files,
+// checks every value, fills in the defaults and derives Limits, the one type
+// that holds all sizes, counts and times of the program. Its errors name the
+// faulty key. It must never open a socket, start anything or decide anything
+// about a job.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"ivyfold"
+	"ivyfold/internal/wire"
+)
+
+// Limits holds every size, count and time that the parts work with. It is
+// filled once at the start and handed down by value; no part has its own.
+type Limits struct {
+	Cores    float64 // processor share
+	MemoryMB int     // memory at which the platform ends the process
+	Sockets  int     // descriptors in all; split into the three that follow
+
+	PortalConns int // client connections open at a time
+	FloorConns  int // worker connections open at a time, idle ones included
+	RosterConns int // calls to discovery open at a time
+
+	Body      int64 // bytes of a job's body or of a worker's answer
+	Head      int   // bytes of a message's head
+	Line      int   // bytes of one line of an answer or of the roster
+	Roster    int   // bytes of one line or whole list of the roster
+	Workers   int   // workers listed at a time
+	OpenJobs  int   // jobs taken and not answered at a time
+	Mailbox   int   // events that wait for the core
+	LateReads int   // bytes read at most of what follows a last line
+
+	AnswerRoom   time.Duration // kept free before a client's deadline for the answer's way back
+	RetryAfter   time.Duration // told to a refused client where the module names no figure
+	MostPatience time.Duration // the longest deadline that a client may ask for
+	Connect      time.Duration // a worker's connection comes up within it
+	WorkerIdle   time.Duration // idle worker connections are closed after it
+	ClientIdle   time.Duration // idle client connections are closed after it
+	ReadHead     time.Duration // a client finishes its head and body within it
+	TailWait     time.Duration // how long the end of a finished answer may take
+	RosterCall   time.Duration // a call to discovery is answered within it
+	RosterSilent time.Duration // a watch that says nothing for so long has broken
+	DrainGrace   time.Duration // no byte of a new send goes to a leaving worker later than this
+	Farewell     time.Duration // after SIGTERM the listener stays open so long
+	Remember     time.Duration // outcomes of keyed jobs are kept so long
+	Remembered   int           // and so many of them at most
+	Reconnect    time.Duration // first pause before a broker is called again; doubles up to
+	ReconnectMax time.Duration // this
+	Confirm      time.Duration // a broker confirms an answer within it
+}
+
+// AMQP sets up the second front and the workers that take jobs from queues.
+type AMQP struct {
+	URL      string       `toml:"url"`
+	Jobs     string       `toml:"jobs"`     // the queue that portals put jobs into
+	Prefetch int          `toml:"prefetch"` // deliveries out at a time
+	Workers  []AMQPWorker `toml:"worker"`
+}
+
+// AMQPWorker is a worker that takes its jobs from a queue.
+type AMQPWorker struct {
+	ID    string `toml:"id"`
+	Queue string `toml:"queue"`
+	Zone  string `toml:"zone"`
+	Kind  string `toml:"kind"`
+	Cell  int    `toml:"cell"`
+}
+
+// Worker is one line of the roster as discovery words it.
+type Worker struct {
+	ID          string  `json:"instanceId"`
+	Address     string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	Kind        string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	State       string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+	Queue       string  `json:"-"` // set where the worker takes its jobs over AMQP
+}
+
+// Roster is a list of workers, whole (Reset) or only what changed.
+type Roster struct {
+	Generation int64    `json:"generation"`
+	Reset      bool     `json:"reset"`
+	Workers    []Worker `json:"instances"`
+}
+
+// Node is all that one dispatcher is told.
+type Node struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Known                   Roster
+	Module                  ivyfold.Settings
+	Classes, Tenants        []string
+	Zones, Kinds            []string
+	LoadFields              []string // as workers word them, in the module's order
+	Limits                  Limits
+	AMQP                    *AMQP // nil: the front is off
+}
+
+type nodeFile struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    *float64 `json:"cores"`
+		MemoryMB *int     `json:"memory_mb"`
+		Sockets  *int     `json:"sockets"`
+	} `json:"limits"`
+	Known    Roster         `json:"known"`
+	Settings map[string]any `json:"settings"`
+}
+
+// wordOf gives the workers' own word for a load figure that the settings name otherwise.
+var wordOf = map[string]string{"fail_rate": "eps", "rate": "qps", "q": "queue", "rif": "inflight", "busy": "util", "lat_ms": "latency_ms"}
+
+// Load reads what one dispatcher is told, from the environment and the file
+// that NODE_CONFIG names. The environment wins over the file.
+func Load(getenv func(string) string) (*Node, error) {
+	var f nodeFile
+	if path := getenv("NODE_CONFIG"); path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("NODE_CONFIG: %w", err)
+		}
+		dec := json.NewDecoder(strings.NewReader(string(text)))
+		dec.UseNumber() // nanoseconds keep their digits
+		if err := dec.Decode(&f); err != nil {
+			var wrong *json.UnmarshalTypeError
+			if errors.As(err, &wrong) {
+				return nil, fmt.Errorf("NODE_CONFIG: key %s: a %s is not valid", wrong.Field, wrong.Value)
+			}
+			return nil, fmt.Errorf("NODE_CONFIG: %s: %w", path, err)
+		}
+	}
+	for key, to := range map[string]*string{"NODE_NAME": &f.Name, "NODE_LISTEN": &f.Listen, "NODE_DISCOVERY": &f.Discovery} {
+		if v := getenv(key); v != "" {
+			*to = v
+		}
+	}
+	n := &Node{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known}
+	if _, err := netip.ParseAddrPort(n.Listen); err != nil {
+		return nil, fmt.Errorf("listen (NODE_LISTEN): %q is not an address and port", n.Listen)
+	}
+	if n.Discovery != "" {
+		if _, err := netip.ParseAddrPort(n.Discovery); err != nil {
+			return nil, fmt.Errorf("discovery (NODE_DISCOVERY): %q is not an address and port", n.Discovery)
+		}
+	}
+	if f.Seed != "" {
+		seed, err := strconv.ParseUint(f.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed: %q is not a hexadecimal number of 64 bits", f.Seed)
+		}
+		n.Seed = seed
+	} else {
+		n.Seed = uint64(time.Now().UnixNano())
+	}
+	var lines strings.Builder
+	flatten(&lines, "", f.Settings)
+	var err error
+	if n.Module, err = wire.ParseSettings(lines.String()); err != nil {
+		return nil, err
+	}
+	if n.Classes, err = names(f.Settings, "classes"); err != nil {
+		return nil, err
+	}
+	if n.Tenants, err = names(f.Settings, "tenants"); err != nil {
+		return nil, err
+	}
+	n.Zones, n.Kinds = words(f.Settings["zones"]), words(f.Settings["kinds"])
+	if report, ok := f.Settings["report"].(map[string]any); ok {
+		n.LoadFields = words(report["fields"])
+	}
+	cores, memory, sockets := 1.0, 192, 1024
+	if v := f.Limits.Cores; v != nil {
+		cores = *v
+	}
+	if v := f.Limits.MemoryMB; v != nil {
+		memory = *v
+	}
+	if v := f.Limits.Sockets; v != nil {
+		sockets = *v
+	}
+	if n.Limits, err = derive(cores, memory, sockets, &n.Module); err != nil {
+		return nil, err
+	}
+	n.Limits.Connect = span(f.Settings, n.Limits.Connect, "limits", "connect_timeout")
+	if path := getenv("NODE_AMQP"); path != "" {
+		if n.AMQP, err = loadAMQP(path, n); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// derive fills Limits from what the platform grants and the settings say.
+func derive(cores float64, memory, sockets int, s *ivyfold.Settings) (Limits, error) {
+	switch {
+	case !(cores > 0 && cores <= 1024):
+		return Limits{}, fmt.Errorf("limits.cores: %v is out of range", cores)
+	case memory < 32 || memory > 1<<20:
+		return Limits{}, fmt.Errorf("limits.memory_mb: %d is out of range (32 and more)", memory)
+	case sockets < 64:
+		return Limits{}, fmt.Errorf("limits.sockets: %d is too few (64 and more)", sockets)
+	}
+	// A tenth stays for the listener, standard streams, the poller and what is just being closed.
+	usable := sockets - sockets/10
+	l := Limits{
+		Cores: cores, MemoryMB: memory, Sockets: sockets,
+		RosterConns: 4, PortalConns: (usable - 4) * 5 / 9, FloorConns: (usable - 4) * 4 / 9,
+		Body: 64 << 10, Head: 16 << 10, Line: 128 << 10, Roster: 4 << 20, Workers: 20000, LateReads: 4 << 10,
+		AnswerRoom: 40 * time.Millisecond, RetryAfter: 250 * time.Millisecond, MostPatience: 5 * time.Minute,
+		Connect: 250 * time.Millisecond, WorkerIdle: 4 * time.Second, ClientIdle: 60 * time.Second,
+		ReadHead: 5 * time.Second, TailWait: 250 * time.Millisecond,
+		RosterCall: 3 * time.Second, RosterSilent: 5 * time.Second,
+		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
+		Remember: 10 * time.Second, Remembered: 4096,
+		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
+	}
+	// Bodies of all open jobs, and their answers, must fit into a third of the memory at their largest.
+	l.OpenJobs = max(min(l.PortalConns, memory<<20/3/int(2*l.Body)), 16)
+	l.Mailbox = 8 * l.OpenJobs
+	if s.MaxRetryAfter > 0 {
+		l.RetryAfter = min(l.RetryAfter, s.MaxRetryAfter)
+	}
+	if s.ConnIdle > 0 { // a fifth earlier than the machine at the other end
+		l.WorkerIdle = s.ConnIdle - s.ConnIdle/5
+	}
+	if s.DrainGrace > 0 {
+		l.DrainGrace = s.DrainGrace - s.DrainGrace/5
+	}
+	if s.AskWithin > 0 { // a watch must be known to be broken well before its silence counts as told
+		l.RosterSilent = min(l.RosterSilent, s.AskWithin/2)
+	}
+	for _, c := range s.Classes {
+		l.Remember = max(l.Remember, c.Window)
+	}
+	return l, nil
+}
+
+// Apply makes the runtime keep to the limits. A memory limit set under the
+// platform's own makes the collector work harder before the process is killed.
+func (l *Limits) Apply() {
+	runtime.GOMAXPROCS(max(int(math.Ceil(l.Cores)), 1))
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 * 3 / 4)
+}
+
+// flatten writes nested settings as the path=value lines that the simulator's wire has.
+func flatten(out *strings.Builder, path string, v any) {
+	under := func(k string) string {
+		if path == "" {
+			return k
+		}
+		return path + "." + k
+	}
+	plain := func(v any) string {
+		return strings.NewReplacer(" ", "_", ",", "_", "\n", "_").Replace(fmt.Sprint(v))
+	}
+	switch v := v.(type) {
+	case nil:
+	case map[string]any:
+		for k, e := range v {
+			flatten(out, under(k), e)
+		}
+	case []any:
+		if slices.ContainsFunc(v, func(e any) bool { _, ok := e.(map[string]any); return ok }) {
+			fmt.Fprintf(out, "%s=%d\n", under("count"), len(v))
+			for i, e := range v {
+				flatten(out, under(strconv.Itoa(i)), e)
+			}
+			return
+		}
+		parts := make([]string, len(v))
+		for i, e := range v {
+			parts[i] = plain(e)
+		}
+		fmt.Fprintf(out, "%s=%s\n", path, strings.Join(parts, ","))
+	default:
+		fmt.Fprintf(out, "%s=%s\n", path, plain(v))
+	}
+}
+
+func words(v any) (out []string) {
+	list, _ := v.([]any)
+	for _, e := range list {
+		out = append(out, fmt.Sprint(e))
+	}
+	return out
+}
+
+// names reads the names of a list of objects; each needs one of its own.
+func names(settings map[string]any, key string) (out []string, err error) {
+	list, _ := settings[key].([]any)
+	for i, e := range list {
+		m, _ := e.(map[string]any)
+		name, _ := m["name"].(string)
+		if name == "" || slices.Contains(out, name) {
+			return nil, fmt.Errorf("setting %s.%d.name: %q is missing or double", key, i, name)
+		}
+		out = append(out, name)
+	}
+	return out, nil
+}
+
+// span reads a time in nanoseconds from nested settings.
+func span(v any, otherwise time.Duration, path ...string) time.Duration {
+	for _, key := range path {
+		m, _ := v.(map[string]any)
+		v = m[key]
+	}
+	if n, ok := v.(json.Number); ok {
+		if f, err := n.Float64(); err == nil && f > 0 && f < float64(time.Hour) {
+			return time.Duration(f)
+		}
+	}
+	return otherwise
+}
+
+// Index finds the places of the values that a name stands for, -1 where there is none.
+func Index(list []string, name string) int { return slices.Index(list, name) }
+
+// Figure finds the place of a load figure by the settings' word or by the workers' own, -1 where there is none.
+func (n *Node) Figure(word string) int {
+	return slices.IndexFunc(n.LoadFields, func(f string) bool { return f == word || wordOf[f] == word })
+}
+
+// decodeTOML reads an operator's file strictly: a key that nobody reads is an error that names it.
+func decodeTOML(path string, into any) error {
+	meta, err := toml.DecodeFile(path, into)
+	if err != nil {
+		var parse toml.ParseError
+		if errors.As(err, &parse) {
+			return fmt.Errorf("%s: key %s: %s", path, parse.LastKey, parse.Error())
+		}
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return fmt.Errorf("%s: key %s is unknown", path, extra[0])
+	}
+	return nil
+}
+
+func loadAMQP(path string, n *Node) (*AMQP, error) {
+	var f struct {
+		AMQP AMQP `toml:"amqp"`
+	}
+	if err := decodeTOML(path, &f); err != nil {
+		return nil, err
+	}
+	a := &f.AMQP
+	if !strings.HasPrefix(a.URL, "amqp://") {
+		return nil, fmt.Errorf("%s: key amqp.url: %q does not begin with amqp://", path, a.URL)
+	}
+	if a.Jobs == "" {
+		return nil, fmt.Errorf("%s: key amqp.jobs: the name of a queue is missing", path)
+	}
+	if a.Prefetch == 0 {
+		a.Prefetch = n.Limits.OpenJobs / 2
+	}
+	if a.Prefetch < 1 || a.Prefetch > n.Limits.OpenJobs {
+		return nil, fmt.Errorf("%s: key amqp.prefetch: %d is not in 1 to %d", path, a.Prefetch, n.Limits.OpenJobs)
+	}
+	seen := map[string]bool{}
+	for i, w := range a.Workers {
+		switch at := fmt.Sprintf("%s: key amqp.worker.%d", path, i); {
+		case w.ID == "" || seen[w.ID]:
+			return nil, fmt.Errorf("%s.id: %q is missing or double", at, w.ID)
+		case w.Queue == "":
+			return nil, fmt.Errorf("%s.queue: the name of a queue is missing", at)
+		case Index(n.Zones, w.Zone) < 0:
+			return nil, fmt.Errorf("%s.zone: %q is none of %v", at, w.Zone, n.Zones)
+		case Index(n.Kinds, w.Kind) < 0:
+			return nil, fmt.Errorf("%s.kind: %q is none of %v", at, w.Kind, n.Kinds)
+		}
+		seen[w.ID] = true
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/portal/portal.go
@@ -0,0 +1,252 @@
+// Package portal is the front for clients that speak the platform's HTTP/1.1
+// protocol. It checks what they send, makes a Job of it and writes the one
+// answer that the core gives. It must never send anything to a worker, choose
+// an answer of its own for a job that the core has taken, or keep a given-up
+// job waiting.
+package portal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"maps"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"ivyfold"
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+)
+
+// Portal serves clients over HTTP/1.1.
+type Portal struct {
+	core    *dispatch.Core
+	node    *config.Node
+	lim     config.Limits
+	server  *http.Server
+	conns   atomic.Int64
+	leaving atomic.Bool
+}
+
+// New makes a portal in front of a core.
+func New(n *config.Node, core *dispatch.Core) *Portal {
+	p := &Portal{core: core, node: n, lim: n.Limits}
+	p.server = &http.Server{
+		Handler: p, ReadTimeout: p.lim.ReadHead, IdleTimeout: p.lim.ClientIdle, MaxHeaderBytes: p.lim.Head,
+		ErrorLog: log.Default(),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				p.conns.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				p.conns.Add(-1)
+			}
+		},
+	}
+	return p
+}
+
+// Serve takes connections until the portal has said farewell.
+func (p *Portal) Serve(l net.Listener) error {
+	err := p.server.Serve(netutil.LimitListener(l, p.lim.PortalConns))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Leave begins the end: the front is told no, and every answer closes its connection. New ones are still taken.
+func (p *Portal) Leave() { p.leaving.Store(true) }
+
+// Farewell closes the listener and idle connections and waits for the open answers.
+func (p *Portal) Farewell(ctx context.Context) error {
+	p.Leave()
+	return p.server.Shutdown(ctx)
+}
+
+func (p *Portal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// Few connections may be left when clients hold many idle ones: from three quarters on each answer closes its own.
+	if p.leaving.Load() || p.conns.Load() > int64(p.lim.PortalConns)*3/4 {
+		w.Header().Set("Connection", "close")
+	}
+	rc := http.NewResponseController(w)
+	rc.SetWriteDeadline(time.Now().Add(2 * p.lim.ReadHead))
+	if r.Method == http.MethodGet {
+		p.tell(w, r)
+		return
+	}
+	job, status, err := p.read(w, r)
+	if err != nil {
+		p.core.Counters.Malformed.Add(1)
+		say(w, status, err.Error())
+		return
+	}
+	// The body is read: from here on only the client's going away ends the request early.
+	rc.SetReadDeadline(time.Time{})
+	answers := make(chan dispatch.Answer, 1)
+	job.Reply = func(a dispatch.Answer) { answers <- a }
+	if err := p.core.Take(job); err != nil {
+		refuse(w, p.lim.RetryAfter)
+		return
+	}
+	select {
+	case a := <-answers:
+		rc.SetWriteDeadline(time.Now().Add(p.lim.ReadHead))
+		switch a.Verdict {
+		case dispatch.Served:
+			w.Header().Set("Content-Type", "application/octet-stream")
+			w.Header().Set("Content-Length", strconv.Itoa(len(a.Result)))
+			w.Write(a.Result)
+		case dispatch.Refused:
+			refuse(w, a.RetryAfter)
+		default:
+			say(w, http.StatusBadGateway, "the job failed")
+		}
+	case <-r.Context().Done():
+		p.core.Leave(job)
+	}
+}
+
+// tell answers what is not a job.
+func (p *Portal) tell(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/up":
+		if p.leaving.Load() {
+			say(w, http.StatusServiceUnavailable, "leaving")
+			return
+		}
+		say(w, http.StatusOK, "up")
+	case "/counters":
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(p.core.Counts())
+	default:
+		say(w, http.StatusNotFound, "jobs come by POST")
+	}
+}
+
+func say(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
+	w.WriteHeader(status)
+	io.WriteString(w, text+"\n")
+}
+
+func refuse(w http.ResponseWriter, after time.Duration) {
+	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	say(w, http.StatusServiceUnavailable, "refused: try again later")
+}
+
+// dropped are the header lines that are this connection's own or are worded anew for the worker.
+var dropped = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Expect", "Content-Length", "X-Timeout", "X-Request-Id", "Idempotency-Key"}
+
+// read makes a job of a request, or says what is wrong with it.
+func (p *Portal) read(w http.ResponseWriter, r *http.Request) (*dispatch.Job, int, error) {
+	bad := func(format string, v ...any) (*dispatch.Job, int, error) {
+		return nil, http.StatusBadRequest, fmt.Errorf(format, v...)
+	}
+	if r.Method != http.MethodPost {
+		return nil, http.StatusMethodNotAllowed, errors.New("jobs come by POST")
+	}
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return bad("the request target must be a path")
+	}
+	for _, name := range []string{"X-Request-ID", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "Idempotency-Key"} {
+		if len(r.Header.Values(name)) > 1 {
+			return bad("%s stands more than once", name)
+		}
+	}
+	j := &dispatch.Job{Target: r.RequestURI, ID: r.Header.Get("X-Request-ID"), Key: r.Header.Get("Idempotency-Key"),
+		Repeat: r.Header.Get("X-Retried") == "1"}
+	if j.ID == "" || len(j.ID) > 256 {
+		return bad("X-Request-ID is missing or too long")
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	parts := strings.Split(path[1:], "/")
+	class := r.Header.Get("X-Priority-Class")
+	if class != parts[0] {
+		return bad("X-Priority-Class %q is not the first part of the path", class)
+	}
+	var err error
+	if err = Admit(p.node, j, class, r.Header.Get("X-Tenant-Id")); err != nil {
+		return bad("%v", err)
+	}
+	if last := parts[len(parts)-1]; len(parts) > 1 && last != "" {
+		j.Subject = dispatch.Subject(last)
+	}
+	if j.Patience, err = Patience(r.Header.Get("X-Timeout"), time.Second, p.lim.MostPatience); err != nil {
+		return bad("X-Timeout: %v", err)
+	}
+	for part := range strings.SplitSeq(r.Header.Get("X-Attrs"), ",") {
+		name, value, _ := strings.Cut(part, "=")
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		switch strings.TrimSpace(name) {
+		case "":
+			continue
+		case "slots":
+			j.Slots = v
+		case "memory", "ram_units":
+			j.Memory = v
+		default:
+			continue // figures that this module does not ask for
+		}
+		if err != nil || !(v >= 0 && v < math.MaxInt32) {
+			return bad("X-Attrs: %q is not a figure", part)
+		}
+	}
+	j.Head = append(j.Head, dispatch.Field{Name: "Host", Value: r.Host})
+	own := strings.Split(r.Header.Get("Connection"), ",")
+	for _, name := range slices.Sorted(maps.Keys(r.Header)) {
+		mine := slices.ContainsFunc(own, func(s string) bool { return strings.EqualFold(strings.TrimSpace(s), name) })
+		if !mine && !slices.Contains(dropped, name) {
+			for _, v := range r.Header[name] {
+				j.Head = append(j.Head, dispatch.Field{Name: name, Value: v})
+			}
+		}
+	}
+	if j.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, p.lim.Body)); err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("a body holds %d bytes at most", p.lim.Body)
+		}
+		return bad("the body broke off")
+	}
+	return j, 0, nil
+}
+
+// Admit finds the job's class and university by their names, whichever front it came through.
+func Admit(n *config.Node, j *dispatch.Job, class, tenant string) error {
+	if j.Class = config.Index(n.Classes, class); j.Class < 0 {
+		return fmt.Errorf("class %q is unknown", class)
+	}
+	if j.Tenant = config.Index(n.Tenants, tenant); j.Tenant < 0 && len(n.Tenants) > 0 {
+		return fmt.Errorf("university %q is unknown", tenant)
+	}
+	if n.Module.Classes[j.Class].Effect == ivyfold.Keyed && j.Key == "" {
+		return fmt.Errorf("a job of class %q needs a key", class)
+	}
+	if len(j.Key) > 256 {
+		return errors.New("the key is too long")
+	}
+	return nil
+}
+
+// Patience reads how long a client waits, in a unit.
+func Patience(text string, unit, most time.Duration) (time.Duration, error) {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v > 0) {
+		return 0, fmt.Errorf("%q is not a time above zero", text)
+	}
+	return max(time.Duration(min(v*float64(unit), float64(most))), time.Millisecond), nil
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,123 @@
+// Package roster keeps the watch on discovery's list of workers. It owns the
+// one call that is under way, the version last heard of, and the watchdog that
+// ends a watch gone silent. When to call is the module's decision; this
+// package must never call on its own, judge a worker, or hide that a call has
+// failed.
+package roster
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"ivyfold"
+	"ivyfold/internal/config"
+)
+
+// Roster watches discovery.
+type Roster struct {
+	// Listed gets what discovery says, and ListFailed once for each call that ends.
+	Listed func(ivyfold.ListKind, []config.Worker)
+
+	address    string
+	lim        config.Limits
+	client     *http.Client
+	asked      chan struct{}
+	generation int64
+}
+
+// New makes a roster; the list that the node knows gives the version to go on from.
+func New(n *config.Node) *Roster {
+	return &Roster{address: n.Discovery, lim: n.Limits, generation: n.Known.Generation, asked: make(chan struct{}, 1),
+		// Each call has a connection of its own: nothing is left for a library to send again.
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: n.Limits.RosterConns,
+			DialContext:            (&net.Dialer{Timeout: n.Limits.RosterCall, KeepAlive: -1}).DialContext,
+			MaxResponseHeaderBytes: int64(n.Limits.Head)}}}
+}
+
+// Watch asks for a watch. While one is up or being called, asking again changes nothing.
+func (r *Roster) Watch(on bool) {
+	if on {
+		select {
+		case r.asked <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run serves the calls until ctx ends.
+func (r *Roster) Run(ctx context.Context) {
+	if r.address == "" { // no discovery: the list is what the operator's file says
+		r.Listed(ivyfold.ListFull, nil)
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.asked:
+		}
+		err := r.watch(ctx)
+		select { // what was asked for while the call was out was that same call
+		case <-r.asked:
+		default:
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		log.Printf("the watch on the roster has ended: %v", err)
+		r.Listed(ivyfold.ListFailed, nil)
+	}
+}
+
+var errSilent = errors.New("discovery has gone silent")
+
+// watch makes one call and follows it to its end.
+func (r *Roster) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// A machine that is cut off says nothing and closes nothing: without this a watch would stand for ever.
+	dog := time.AfterFunc(r.lim.RosterCall, func() { cancel(errSilent) })
+	defer dog.Stop()
+	url := fmt.Sprintf("http://%s/discovery/hosts?watch=1&after=%d", r.address, r.generation)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery answered %d", resp.StatusCode)
+	}
+	in := bufio.NewScanner(resp.Body)
+	in.Buffer(make([]byte, 0, 4<<10), r.lim.Roster)
+	for in.Scan() {
+		dog.Reset(r.lim.RosterSilent)
+		text := bytes.TrimSpace(in.Bytes())
+		if len(text) == 0 {
+			continue
+		}
+		var list config.Roster
+		if err := json.Unmarshal(text, &list); err != nil {
+			r.generation = 0 // what changed is unknown now: the next call asks for everything
+			return err
+		}
+		r.generation = list.Generation
+		kind := ivyfold.ListDelta
+		if list.Reset {
+			kind = ivyfold.ListFull
+		}
+		r.Listed(kind, list.Workers)
+	}
+	return in.Err()
+}
