--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"ivyfold/internal/amqp"
 	"ivyfold/internal/config"
 	"ivyfold/internal/dispatch"
 	"ivyfold/internal/floor"
@@ -50,7 +51,14 @@
 
 	list := roster.New(n)
 	counters := new(dispatch.Counters)
-	core, err := dispatch.New(n, counters, floor.New(n, counters), nil, list, nil)
+	var desk *amqp.Desk
+	var queues dispatch.Floor
+	var fixed []config.Worker
+	if n.AMQP != nil {
+		desk = amqp.New(n, counters)
+		queues, fixed = desk, desk.Workers()
+	}
+	core, err := dispatch.New(n, counters, floor.New(n, counters), queues, list, fixed)
 	if err != nil {
 		return err
 	}
@@ -64,6 +72,10 @@
 	defer cancel()
 	go core.Run(ctx)
 	go list.Run(ctx)
+	if desk != nil {
+		desk.Core = core
+		go desk.Run(ctx)
+	}
 	broken := make(chan error, 1)
 	go func() { broken <- front.Serve(listener) }()
 	log.Printf("%s serves on %s", n.Name, n.Listen)
@@ -80,12 +92,20 @@
 	}
 	// New connections keep coming for a while after SIGTERM: they are served, and told to go elsewhere afterwards.
 	front.Leave()
+	if desk != nil {
+		desk.Leave()
+	}
 	time.Sleep(n.Limits.Farewell)
 	late, done := context.WithTimeout(context.Background(), n.Limits.MostPatience)
 	defer done()
 	if err := front.Farewell(late); err != nil {
 		return err
 	}
+	if desk != nil {
+		if err := desk.Settled(late); err != nil {
+			return err
+		}
+	}
 	log.Print(core.Line())
 	return nil
 }
--- /dev/null
+++ b/internal/amqp/amqp.go
@@ -0,0 +1,494 @@
+// Package amqp is the second front and the second floor: it takes jobs from a
+// broker's queue, answers them to their reply queues, and carries attempts to
+// workers that take theirs from queues. It owns the connection to the broker
+// and the ledger of keyed outcomes. A delivery is acked only once the broker
+// has confirmed its answer. This package must never send a key's effect twice
+// because a broker delivered twice, take a lost channel as proof that nothing
+// ran, or let what comes late change an answer that was given.
+package amqp
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	amqp "github.com/rabbitmq/amqp091-go"
+
+	"ivyfold"
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+	"ivyfold/internal/floor"
+	"ivyfold/internal/portal"
+)
+
+// The answer's type property, one for each verdict and one for messages that are no job.
+const (
+	typeServed    = "served"
+	typeRefused   = "refused"
+	typeFailed    = "failed"
+	typeMalformed = "malformed"
+)
+
+// Desk holds both sides that speak to one broker.
+type Desk struct {
+	Core *dispatch.Core                                  // set before Run
+	Dial func(network, address string) (net.Conn, error) // tests put their own in its place
+
+	node     *config.Node
+	conf     *config.AMQP
+	lim      config.Limits
+	counters *dispatch.Counters
+	ledger   ledger
+	busy     sync.WaitGroup // deliveries that are not settled
+	leaving  chan struct{}
+	leave    sync.Once
+
+	mu      sync.Mutex
+	now     *session
+	pending map[string]*dispatch.Attempt // attempts at workers, by their correlation id
+	sends   atomic.Uint64
+}
+
+// session is one connection to the broker, with a channel for each direction so that none blocks another.
+type session struct {
+	conn          *amqp.Connection
+	in, out, back *amqp.Channel
+	replies       string // the queue that workers answer to
+}
+
+// New makes a desk for a node whose settings have one.
+func New(n *config.Node, counters *dispatch.Counters) *Desk {
+	d := &Desk{node: n, conf: n.AMQP, lim: n.Limits, counters: counters, pending: map[string]*dispatch.Attempt{},
+		leaving: make(chan struct{}), Dial: amqp.DefaultDial(n.Limits.RosterCall)}
+	d.ledger = ledger{keep: d.lim.Remember, most: d.lim.Remembered, bytes: d.lim.RememberedBytes,
+		pages: map[string]*page{}, done: list.New()}
+	return d
+}
+
+// Workers are the operator's workers in the form of the roster.
+func (d *Desk) Workers() (out []config.Worker) {
+	for _, w := range d.conf.Workers {
+		out = append(out, config.Worker{ID: w.ID, Address: "amqp:" + w.Queue, Queue: w.Queue, Zone: w.Zone, Kind: w.Kind,
+			Cell: w.Cell, State: "ready", Weight: 1})
+	}
+	return out
+}
+
+// Run keeps a session with the broker until ctx ends.
+func (d *Desk) Run(ctx context.Context) {
+	for pause := d.lim.Reconnect; ctx.Err() == nil; {
+		began := time.Now()
+		err := d.serve(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(began) > d.lim.ReconnectMax { // it had come up and held
+			pause = d.lim.Reconnect
+		}
+		log.Printf("the session with the broker has ended: %v", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, d.lim.ReconnectMax)
+	}
+}
+
+// Leave stops taking jobs. What was taken is still answered; Settled waits for that.
+func (d *Desk) Leave() { d.leave.Do(func() { close(d.leaving) }) }
+
+// Settled waits until every delivery that was taken has been answered and acked, or ctx ends.
+func (d *Desk) Settled(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() { d.busy.Wait(); close(done) }()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.New("deliveries are left unanswered")
+	}
+}
+
+// serve opens one session and runs it to its end.
+func (d *Desk) serve(ctx context.Context) error {
+	conn, err := amqp.DialConfig(d.conf.URL, amqp.Config{Heartbeat: d.lim.RosterSilent, Dial: d.Dial,
+		Properties: amqp.Table{"product": "gladepick", "connection_name": d.node.Name}})
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	s := &session{conn: conn}
+	lost := make(chan *amqp.Error, 4)
+	for _, ch := range []**amqp.Channel{&s.in, &s.out, &s.back} {
+		if *ch, err = conn.Channel(); err != nil {
+			return err
+		}
+		(*ch).NotifyClose(lost)
+	}
+	if err = s.in.Qos(d.conf.Prefetch, 0, false); err != nil {
+		return err
+	}
+	if err = s.out.Confirm(false); err != nil {
+		return err
+	}
+	returned := s.back.NotifyReturn(make(chan amqp.Return, d.lim.OpenJobs))
+	queue, err := s.back.QueueDeclare("", false, true, true, false, nil)
+	if err != nil {
+		return err
+	}
+	s.replies = queue.Name
+	replies, err := s.back.Consume(queue.Name, "", true, true, false, false, nil)
+	if err != nil {
+		return err
+	}
+	const tag = "jobs"
+	jobs, err := s.in.Consume(d.conf.Jobs, tag, false, false, false, false, nil)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.now = s
+	d.mu.Unlock()
+	defer d.drop(s)
+	leaving := d.leaving
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-lost:
+			if e == nil {
+				return errors.New("closed")
+			}
+			return e
+		case <-leaving:
+			leaving = nil
+			go s.in.Cancel(tag, false)
+		case m, ok := <-jobs:
+			if !ok {
+				jobs = nil // cancelled, by us or by the broker when the queue was deleted
+				if leaving != nil {
+					return errors.New("the broker has cancelled the consumer")
+				}
+				continue
+			}
+			d.busy.Add(1)
+			d.take(s, m)
+		case m, ok := <-replies:
+			if !ok {
+				return errors.New("the broker has cancelled the reply queue")
+			}
+			d.hear(m)
+		case r, ok := <-returned:
+			if a := d.resolve(r.CorrelationId); ok && a != nil { // no queue took it: no worker can have seen it
+				a.End(ivyfold.ConnectFailed, ivyfold.Load{}, nil)
+			}
+		}
+	}
+}
+
+// drop ends a session. What it had published and not heard of may have run.
+func (d *Desk) drop(s *session) {
+	d.mu.Lock()
+	d.now = nil
+	lost := d.pending
+	d.pending = map[string]*dispatch.Attempt{}
+	d.mu.Unlock()
+	for _, a := range lost {
+		a.End(ivyfold.Reset, ivyfold.Load{}, nil)
+	}
+}
+
+// parcel is a delivery and the session that its ack belongs to.
+type parcel struct {
+	amqp.Delivery
+	from *session
+}
+
+// take makes a job of a delivery, or joins it to the one of its key, or says what is wrong with it.
+func (d *Desk) take(s *session, m amqp.Delivery) {
+	p := parcel{m, s}
+	j, err := d.read(&m)
+	if err != nil {
+		d.counters.Malformed.Add(1)
+		if m.ReplyTo == "" || m.CorrelationId == "" { // nobody can be told
+			m.Reject(false)
+			d.busy.Done()
+			return
+		}
+		go d.settle(p, typeMalformed, amqp.Table{"reason": err.Error()}, nil)
+		return
+	}
+	keyed := d.node.Module.Classes[j.Class].Effect != ivyfold.Safe
+	name := m.Type + "\x00" + j.Key
+	if j.Key == "" {
+		name = "\x00" + j.ID
+	}
+	past := d.ledger.enter(name, keyed, p)
+	switch {
+	case past.joined:
+		d.counters.Redelivered.Add(1)
+		return
+	case past.answer != nil:
+		d.counters.Redelivered.Add(1)
+		go d.answer(p, *past.answer)
+		return
+	case past.unknown: // it came before and may have run, but what became of it is not known here any more
+		d.counters.Redelivered.Add(1)
+		go d.answer(p, dispatch.Answer{Verdict: dispatch.Failed})
+		return
+	}
+	j.Reply = func(a dispatch.Answer) {
+		for _, p := range d.ledger.close(name, a) {
+			go d.answer(p, a)
+		}
+	}
+	if err := d.Core.Take(j); err != nil { // never sent anywhere: trying again is harmless
+		j.Reply(dispatch.Answer{Verdict: dispatch.Refused, RetryAfter: d.lim.RetryAfter})
+	}
+}
+
+// plain tells whether a word can stand in any wire's head as it is.
+func plain(s string) bool {
+	return len(s) <= 256 && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+// read checks a message and takes out what decisions need.
+func (d *Desk) read(m *amqp.Delivery) (*dispatch.Job, error) {
+	text := func(key string) string { s, _ := m.Headers[key].(string); return s }
+	j := &dispatch.Job{ID: m.CorrelationId, Key: m.MessageId, Target: "/" + m.Type, Body: m.Body, Repeat: text("x-retried") == "1"}
+	if j.ID == "" || !plain(j.ID) || !plain(j.Key) || !plain(m.Type) {
+		return nil, errors.New("correlation-id is missing, or it, message-id or type cannot pass on as it is")
+	}
+	if int64(len(m.Body)) > d.lim.Body {
+		return nil, fmt.Errorf("a body holds %d bytes at most", d.lim.Body)
+	}
+	if err := portal.Admit(d.node, j, m.Type, text("x-tenant-id")); err != nil {
+		return nil, err
+	}
+	if subject := text("x-subject"); subject != "" {
+		if !plain(subject) || strings.ContainsAny(subject, "/?#") {
+			return nil, errors.New("x-subject cannot pass on as it is")
+		}
+		j.Target += "/" + subject
+		j.Subject = dispatch.Subject(subject)
+	}
+	for key, to := range map[string]*float64{"x-slots": &j.Slots, "x-memory": &j.Memory} {
+		if s := text(key); s != "" {
+			v, err := strconv.ParseFloat(s, 64)
+			if err != nil || !(v >= 0 && v < math.MaxInt32) {
+				return nil, fmt.Errorf("%s: %q is not a figure", key, s)
+			}
+			*to = v
+		}
+	}
+	var err error
+	if j.Patience, err = portal.Patience(m.Expiration, time.Millisecond, d.lim.MostPatience); err != nil {
+		return nil, fmt.Errorf("expiration: %w", err)
+	}
+	if !m.Timestamp.IsZero() { // it counts from when the client sent it; the stamp has whole seconds only
+		left := time.Until(m.Timestamp.Add(time.Second)) + j.Patience
+		j.Patience = min(j.Patience, max(left, time.Millisecond))
+	}
+	j.Head = []dispatch.Field{{Name: "X-Priority-Class", Value: m.Type}, {Name: "X-Tenant-Id", Value: text("x-tenant-id")}}
+	return j, nil
+}
+
+// answer words a final answer.
+func (d *Desk) answer(p parcel, a dispatch.Answer) {
+	switch a.Verdict {
+	case dispatch.Served:
+		d.settle(p, typeServed, nil, a.Result)
+	case dispatch.Refused:
+		d.settle(p, typeRefused, amqp.Table{"retry-after": strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64)}, nil)
+	default:
+		d.settle(p, typeFailed, nil, nil)
+	}
+}
+
+// settle publishes an answer and acks the delivery once the broker has confirmed it. Where that fails the broker
+// delivers again, and the ledger gives the same answer.
+func (d *Desk) settle(p parcel, kind string, head amqp.Table, body []byte) {
+	defer d.busy.Done()
+	if p.ReplyTo == "" {
+		p.Ack(false)
+		return
+	}
+	sent, err := p.from.out.PublishWithDeferredConfirm("", p.ReplyTo, false, false, amqp.Publishing{
+		CorrelationId: p.CorrelationId, MessageId: p.MessageId, Type: kind, Headers: head, Body: body})
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), d.lim.Confirm)
+		defer cancel()
+		var ok bool
+		if ok, err = sent.WaitContext(ctx); err == nil && ok {
+			p.Ack(false) // a late or lost ack changes nothing: a redelivery meets the ledger
+			return
+		}
+	}
+	log.Printf("job %s: its answer is not confirmed (%v); the broker will deliver it again", p.CorrelationId, err)
+	p.Nack(false, true)
+}
+
+// Send publishes an attempt to its worker's queue.
+func (d *Desk) Send(a *dispatch.Attempt) { go d.carry(a) }
+
+// CloseIdle has nothing to close: queues have no connections of their own.
+func (d *Desk) CloseIdle(config.Worker) {}
+
+func (d *Desk) carry(a *dispatch.Attempt) {
+	id := a.Job.ID + "#" + strconv.FormatUint(d.sends.Add(1), 36)
+	if !a.MayStart() {
+		a.End(ivyfold.Moot, ivyfold.Load{}, nil)
+		return
+	}
+	d.mu.Lock()
+	s := d.now
+	if s != nil {
+		d.pending[id] = a
+	}
+	d.mu.Unlock()
+	if s == nil {
+		a.End(ivyfold.ConnectFailed, ivyfold.Load{}, nil)
+		return
+	}
+	left := strconv.FormatInt(max(time.Until(a.Until).Milliseconds(), 1), 10)
+	err := s.back.PublishWithContext(a.Ctx, "", a.Worker.Queue, true, false, amqp.Publishing{
+		CorrelationId: id, MessageId: a.Job.Key, ReplyTo: s.replies, Expiration: left, Type: d.node.Classes[a.Job.Class],
+		Headers: amqp.Table{"x-request-id": a.Job.ID, "x-target": a.Job.Target}, Body: a.Job.Body})
+	if err != nil {
+		if a := d.resolve(id); a != nil {
+			o := ivyfold.Reset // part of it, or all, may have gone out
+			if errors.Is(err, amqp.ErrClosed) {
+				o = ivyfold.ConnectFailed // the channel was closed before anything was written
+			}
+			a.End(o, ivyfold.Load{}, nil)
+		}
+		return
+	}
+	context.AfterFunc(a.Ctx, func() {
+		if a := d.resolve(id); a != nil { // given up: what comes later finds nobody waiting
+			a.End(ivyfold.Cancelled, ivyfold.Load{}, nil)
+		}
+	})
+}
+
+// resolve takes an attempt out of those that wait, so that it ends once.
+func (d *Desk) resolve(id string) *dispatch.Attempt {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.pending[id]
+	delete(d.pending, id)
+	return a
+}
+
+// hear takes a worker's message: lines as the floor knows them.
+func (d *Desk) hear(m amqp.Delivery) {
+	d.mu.Lock()
+	a := d.pending[m.CorrelationId]
+	d.mu.Unlock()
+	if a == nil { // late, or nobody's
+		return
+	}
+	if len(m.Body) > d.lim.Line {
+		m.Body = nil
+	}
+	for line := range strings.Lines(string(m.Body)) {
+		if line = strings.TrimSpace(line); line == "" {
+			continue
+		}
+		if o, load, result := floor.Read(d.node, a, []byte(line)); o != 0 {
+			if d.resolve(m.CorrelationId) != nil {
+				a.End(o, load, result)
+			}
+			return
+		}
+	}
+}
+
+// ledger remembers, for a while and in bounded memory, what became of each key.
+type ledger struct {
+	mu    sync.Mutex
+	keep  time.Duration
+	most  int
+	bytes int
+	held  int
+	pages map[string]*page
+	done  *list.List // pages with an answer, oldest first
+}
+
+type page struct {
+	name    string
+	waiting []parcel
+	answer  *dispatch.Answer
+	at      time.Time
+	place   *list.Element
+}
+
+// past is what the ledger knows of a delivery's key. All fields empty: it is new, and its page is open now.
+type past struct {
+	joined, unknown bool
+	answer          *dispatch.Answer
+}
+
+// enter looks a key up. A broker's second delivery gets the first one's outcome, whatever it is; a client's own new
+// try gets it only where it is a served one, since the others invite it to try.
+func (l *ledger) enter(name string, keyed bool, p parcel) past {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.trim()
+	e := l.pages[name]
+	switch {
+	case e != nil && e.answer == nil:
+		e.waiting = append(e.waiting, p)
+		return past{joined: true}
+	case e != nil && (p.Redelivered || keyed && e.answer.Verdict == dispatch.Served):
+		return past{answer: e.answer}
+	case e == nil && p.Redelivered && keyed:
+		return past{unknown: true}
+	case e != nil:
+		l.forget(e)
+	}
+	l.pages[name] = &page{name: name, waiting: []parcel{p}}
+	return past{}
+}
+
+// close writes an outcome down and gives the deliveries that wait for it.
+func (l *ledger) close(name string, a dispatch.Answer) []parcel {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.pages[name]
+	if e == nil || e.answer != nil {
+		return nil
+	}
+	waiting := e.waiting
+	e.waiting, e.answer, e.at = nil, &a, time.Now()
+	e.place = l.done.PushBack(e)
+	l.held += len(a.Result)
+	l.trim()
+	return waiting
+}
+
+func (l *ledger) forget(e *page) {
+	l.done.Remove(e.place)
+	l.held -= len(e.answer.Result)
+	delete(l.pages, e.name)
+}
+
+// trim forgets what is too old, and the oldest where there is too much.
+func (l *ledger) trim() {
+	for e := l.done.Front(); e != nil; e = l.done.Front() {
+		if p := e.Value.(*page); time.Since(p.at) > l.keep || l.done.Len() > l.most || l.held > l.bytes {
+			l.forget(p)
+			continue
+		}
+		break
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,23 +46,24 @@
 	Mailbox   int   // events that wait for the core
 	LateReads int   // bytes read at most of what follows a last line
 
-	AnswerRoom   time.Duration // kept free before a client's deadline for the answer's way back
-	RetryAfter   time.Duration // told to a refused client where the module names no figure
-	MostPatience time.Duration // the longest deadline that a client may ask for
-	Connect      time.Duration // a worker's connection comes up within it
-	WorkerIdle   time.Duration // idle worker connections are closed after it
-	ClientIdle   time.Duration // idle client connections are closed after it
-	ReadHead     time.Duration // a client finishes its head and body within it
-	TailWait     time.Duration // how long the end of a finished answer may take
-	RosterCall   time.Duration // a call to discovery is answered within it
-	RosterSilent time.Duration // a watch that says nothing for so long has broken
-	DrainGrace   time.Duration // no byte of a new send goes to a leaving worker later than this
-	Farewell     time.Duration // after SIGTERM the listener stays open so long
-	Remember     time.Duration // outcomes of keyed jobs are kept so long
-	Remembered   int           // and so many of them at most
-	Reconnect    time.Duration // first pause before a broker is called again; doubles up to
-	ReconnectMax time.Duration // this
-	Confirm      time.Duration // a broker confirms an answer within it
+	AnswerRoom      time.Duration // kept free before a client's deadline for the answer's way back
+	RetryAfter      time.Duration // told to a refused client where the module names no figure
+	MostPatience    time.Duration // the longest deadline that a client may ask for
+	Connect         time.Duration // a worker's connection comes up within it
+	WorkerIdle      time.Duration // idle worker connections are closed after it
+	ClientIdle      time.Duration // idle client connections are closed after it
+	ReadHead        time.Duration // a client finishes its head and body within it
+	TailWait        time.Duration // how long the end of a finished answer may take
+	RosterCall      time.Duration // a call to discovery is answered within it
+	RosterSilent    time.Duration // a watch that says nothing for so long has broken
+	DrainGrace      time.Duration // no byte of a new send goes to a leaving worker later than this
+	Farewell        time.Duration // after SIGTERM the listener stays open so long
+	Remember        time.Duration // outcomes of keyed jobs are kept so long
+	Remembered      int           // and so many of them at most
+	RememberedBytes int           // holding so many bytes together at most
+	Reconnect       time.Duration // first pause before a broker is called again; doubles up to
+	ReconnectMax    time.Duration // this
+	Confirm         time.Duration // a broker confirms an answer within it
 }
 
 // AMQP sets up the second front and the workers that take jobs from queues.
@@ -233,7 +234,7 @@
 		ReadHead: 5 * time.Second, TailWait: 250 * time.Millisecond,
 		RosterCall: 3 * time.Second, RosterSilent: 5 * time.Second,
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
-		Remember: 10 * time.Second, Remembered: 4096,
+		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
 	}
 	// Bodies of all open jobs, and their answers, must fit into a third of the memory at their largest.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -412,9 +412,15 @@
 	default:
 		c.Counters.RosterChanges.Add(1)
 		workers = append(workers[:len(workers):len(workers)], c.fixed...)
+		there := map[string]bool{}
+		for _, w := range workers {
+			there[w.ID] = true
+		}
 		for _, s := range c.seats { // who is missing has left
-			s.state = ivyfold.Gone
-			s.leaving.Store(true)
+			if !there[s.ID] {
+				s.state = ivyfold.Gone
+				s.leaving.Store(true)
+			}
 		}
 	}
 	for _, w := range workers {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -25,6 +25,8 @@
 type Roster struct {
 	// Listed gets what discovery says, and ListFailed once for each call that ends.
 	Listed func(ivyfold.ListKind, []config.Worker)
+	// Dial opens a connection; tests put their own in its place.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	address    string
 	lim        config.Limits
@@ -35,11 +37,15 @@
 
 // New makes a roster; the list that the node knows gives the version to go on from.
 func New(n *config.Node) *Roster {
-	return &Roster{address: n.Discovery, lim: n.Limits, generation: n.Known.Generation, asked: make(chan struct{}, 1),
-		// Each call has a connection of its own: nothing is left for a library to send again.
-		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: n.Limits.RosterConns,
-			DialContext:            (&net.Dialer{Timeout: n.Limits.RosterCall, KeepAlive: -1}).DialContext,
-			MaxResponseHeaderBytes: int64(n.Limits.Head)}}}
+	r := &Roster{address: n.Discovery, lim: n.Limits, generation: n.Known.Generation, asked: make(chan struct{}, 1),
+		Dial: (&net.Dialer{Timeout: n.Limits.RosterCall, KeepAlive: -1}).DialContext}
+	// Each call has a connection of its own: nothing is left for a library to send again.
+	r.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: n.Limits.RosterConns,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return r.Dial(ctx, network, address)
+		},
+		MaxResponseHeaderBytes: int64(n.Limits.Head)}}
+	return r
 }
 
 // Watch asks for a watch. While one is up or being called, asking again changes nothing.
