Test both fronts against stand-in workers, roster and broker in moved time

Seen while testing: the AMQP library closes each close notice, so one shared by three channels panicked the process when a connection broke; each channel has its own now. A job that had outlived its client in the queue was still sent; it is refused at once now. Both have a test.

--- a/internal/amqp/amqp.go
+++ b/internal/amqp/amqp.go
@@ -127,12 +127,14 @@
 	}
 	defer conn.Close()
 	s := &session{conn: conn}
-	lost := make(chan *amqp.Error, 4)
+	lost := make(chan *amqp.Error, 3)
 	for _, ch := range []**amqp.Channel{&s.in, &s.out, &s.back} {
 		if *ch, err = conn.Channel(); err != nil {
 			return err
 		}
-		(*ch).NotifyClose(lost)
+		// The library closes each notice: one shared by several channels would be closed twice, which panics.
+		notice := (*ch).NotifyClose(make(chan *amqp.Error, 1))
+		go func() { lost <- <-notice }()
 	}
 	if err = s.in.Qos(d.conf.Prefetch, 0, false); err != nil {
 		return err
@@ -251,7 +253,8 @@
 			go d.answer(p, a)
 		}
 	}
-	if err := d.Core.Take(j); err != nil { // never sent anywhere: trying again is harmless
+	// A client that left while its job waited in the queue, or no room: it is sent nowhere, so trying again is harmless.
+	if j.Patience <= 0 || d.Core.Take(j) != nil {
 		j.Reply(dispatch.Answer{Verdict: dispatch.Refused, RetryAfter: d.lim.RetryAfter})
 	}
 }
@@ -296,7 +299,7 @@
 	}
 	if !m.Timestamp.IsZero() { // it counts from when the client sent it; the stamp has whole seconds only
 		left := time.Until(m.Timestamp.Add(time.Second)) + j.Patience
-		j.Patience = min(j.Patience, max(left, time.Millisecond))
+		j.Patience = min(j.Patience, left)
 	}
 	j.Head = []dispatch.Field{{Name: "X-Priority-Class", Value: m.Type}, {Name: "X-Tenant-Id", Value: text("x-tenant-id")}}
 	return j, nil
--- /dev/null
+++ b/internal/standin/fronts_test.go
@@ -0,0 +1,634 @@
+// These tests drive both fronts against the stand-ins, in time that the test
+// itself moves on. They own no rule: what a job must come to is said case by
+// case, and what must hold for all jobs is checked in the yard.
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	amqp "github.com/rabbitmq/amqp091-go"
+
+	"ivyfold"
+	desk "ivyfold/internal/amqp"
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+	"ivyfold/internal/floor"
+	"ivyfold/internal/portal"
+	"ivyfold/internal/roster"
+)
+
+const (
+	here   = "127.0.0.1:5000"
+	broker = "127.0.0.1:5672"
+)
+
+var names = []string{"s-0badcafe", "s-1ce9565e", "s-3f2d6233", "s-9adcbe7d"}
+
+// rig is a whole dispatcher on the network in memory.
+type rig struct {
+	t      *testing.T
+	net    *Net
+	yard   *Yard
+	broker *Broker
+	list   *Roster
+	node   *config.Node
+	core   *dispatch.Core
+	floor  *floor.Floor
+	portal *portal.Portal
+	desk   *desk.Desk
+	stop   func()
+	client *http.Client
+}
+
+type options struct{ queues, amqp, lostQueue bool }
+
+// world makes the surroundings: four workers over HTTP, or as many at queues, a roster and a broker.
+func world(t *testing.T) *rig {
+	r := &rig{t: t, net: &Net{Silent: map[string]bool{}}, yard: &Yard{}, broker: &Broker{}, list: &Roster{Changes: make(chan string)}}
+	r.broker.Queue("jobs")
+	bl, dl := r.net.Listen(broker), r.net.Listen("127.0.0.1:8500")
+	go r.broker.Serve(bl)
+	srv := &http.Server{Handler: r.list}
+	go srv.Serve(dl)
+	var open []net.Listener
+	for i, name := range names {
+		l := r.net.Listen(fmt.Sprintf("127.0.1.%d:5000", i))
+		open = append(open, l)
+		go r.yard.Worker(l, name)
+	}
+	r.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return r.net.Dial(ctx, address)
+	}}}
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		srv.Close()
+		bl.Close()
+		for _, l := range open {
+			l.Close()
+		}
+		r.broker.Drop("jobs")
+		for _, name := range names {
+			r.broker.Drop(name)
+		}
+		time.Sleep(time.Minute) // whatever still waits comes to its end
+	})
+	return r
+}
+
+// start brings a dispatcher up in it.
+func (r *rig) start(o options) *rig {
+	text := ""
+	var listed []config.Worker
+	if o.amqp || o.queues {
+		text = "[amqp]\nurl = \"amqp://guest:guest@" + broker + "/\"\njobs = \"jobs\"\n"
+	}
+	for i, name := range names {
+		if !o.queues {
+			listed = append(listed, Listing(name, fmt.Sprintf("127.0.1.%d:5000", i), "ready"))
+			continue
+		}
+		text += fmt.Sprintf("[[amqp.worker]]\nid = %q\nqueue = %q\nzone = \"montreal\"\nkind = \"std-2c\"\n", name, name)
+		if o.lostQueue {
+			continue
+		}
+		r.broker.Queue(name)
+		c, err := Connect(r.net, broker)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		if err := r.yard.QueueWorker(c, name, name); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+	r.list.Whole = config.Roster{Generation: 8, Reset: true, Workers: listed}
+	n := Node(r.t, listed, text)
+	counters := new(dispatch.Counters)
+	r.node, r.floor = n, floor.New(n, counters)
+	r.floor.Dial = r.net.Dial
+	watch := roster.New(n)
+	watch.Dial = func(ctx context.Context, _, address string) (net.Conn, error) { return r.net.Dial(ctx, address) }
+	var queues dispatch.Floor
+	var fixed []config.Worker
+	if text != "" {
+		r.desk = desk.New(n, counters)
+		r.desk.Dial = Dialer(r.net)
+		queues, fixed = r.desk, r.desk.Workers()
+	}
+	var err error
+	if r.core, err = dispatch.New(n, counters, r.floor, queues, watch, fixed); err != nil {
+		r.t.Fatal(err)
+	}
+	watch.Listed = r.core.Listed
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.core.Run(ctx)
+	go watch.Run(ctx)
+	if r.desk != nil {
+		r.desk.Core = r.core
+		go r.desk.Run(ctx)
+	}
+	r.portal = portal.New(n, r.core)
+	l := r.net.Listen(here)
+	go r.portal.Serve(l)
+	r.stop = func() {
+		cancel()
+		done, over := context.WithCancel(context.Background())
+		over()
+		r.portal.Farewell(done)
+		l.Close()
+		r.client.CloseIdleConnections()
+		for _, w := range listed {
+			r.floor.CloseIdle(w)
+		}
+	}
+	r.t.Cleanup(r.stop)
+	time.Sleep(time.Millisecond)
+	return r
+}
+
+type task struct {
+	id, class, key, script string
+	wait                   time.Duration
+}
+
+// came is what a client sees of a job.
+type came struct {
+	verdict, body, after string
+	took                 time.Duration
+}
+
+// post hands a job in over HTTP/1.1.
+func (r *rig) post(k task) came {
+	req, _ := http.NewRequest("POST", "http://"+here+"/"+k.class+"/x?y=%20z", strings.NewReader(k.script))
+	req.Header.Set("X-Request-ID", k.id)
+	req.Header.Set("X-Priority-Class", k.class)
+	req.Header.Set("X-Tenant-Id", "univ-laurentie")
+	req.Header.Set("X-Timeout", fmt.Sprint(k.wait.Seconds()))
+	req.Header.Set("X-Attrs", "slots=1")
+	if k.key != "" {
+		req.Header.Set("Idempotency-Key", k.key)
+	}
+	began := time.Now()
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return came{verdict: err.Error()}
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	c := came{verdict: "failed", after: resp.Header.Get("Retry-After"), took: time.Since(began)}
+	switch resp.StatusCode {
+	case 200:
+		c.verdict, c.body = "served", string(body)
+	case 429, 503:
+		c.verdict = "refused"
+	}
+	return c
+}
+
+// university is a client that puts jobs into a queue.
+type university struct {
+	r       *rig
+	conn    *amqp.Connection
+	ch      *amqp.Channel
+	answers <-chan amqp.Delivery
+}
+
+func (r *rig) queue() *university {
+	c, err := Connect(r.net, broker)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	ch, err := c.Channel()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.broker.Queue("answers")
+	answers, err := ch.Consume("answers", "", true, false, false, false, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return &university{r, c, ch, answers}
+}
+
+func (q *university) put(k task) {
+	q.publish(amqp.Publishing{CorrelationId: k.id, MessageId: k.key, Type: k.class, ReplyTo: "answers",
+		Expiration: fmt.Sprint(k.wait.Milliseconds()), Headers: amqp.Table{"x-tenant-id": "univ-laurentie", "x-slots": "1"}, Body: []byte(k.script)})
+}
+
+func (q *university) publish(p amqp.Publishing) {
+	if err := q.ch.Publish("", "jobs", false, false, p); err != nil {
+		q.r.t.Fatal(err)
+	}
+}
+
+// answer waits for the next answer; none within a minute is one that never comes.
+func (q *university) answer() came {
+	began := time.Now()
+	select {
+	case m := <-q.answers:
+		after, _ := m.Headers["retry-after"].(string)
+		reason, _ := m.Headers["reason"].(string)
+		body := string(m.Body)
+		if reason != "" {
+			body = reason
+		}
+		return came{m.Type, body, after, time.Since(began)}
+	case <-time.After(time.Minute):
+		return came{verdict: "none"}
+	}
+}
+
+func (q *university) none(t *testing.T) {
+	t.Helper()
+	if c := q.answer(); c.verdict != "none" {
+		t.Errorf("a second answer came: %+v", c)
+	}
+}
+
+// sequence is one fixed row of jobs that both fronts serve. Scripts only use what both wires have.
+var sequence = []struct {
+	task
+	verdict string
+	sends   int
+}{
+	{task{"a1", "seat-check", "", "done/100ms", 5 * time.Second}, "served", 1},
+	{task{"a2", "enrol", "k2", "done/50ms", 5 * time.Second}, "served", 1},
+	{task{"a3", "seat-check", "", "returned,done", 5 * time.Second}, "served", 2},
+	{task{"a4", "seat-check", "", "failed,done", 5 * time.Second}, "served", 2},
+	{task{"a5", "enrol", "k5", "returned,done", 5 * time.Second}, "served", 2},
+	{task{"a6", "seat-check", "", "lost,truncated,done", 5 * time.Second}, "served", 3},
+	{task{"a7", "seat-check", "", "failed,failed,failed,done", 5 * time.Second}, "refused", 3},
+	{task{"a8", "seat-check", "", "silent", 2 * time.Second}, "refused", 1},
+	{task{"a9", "enrol", "k9", "foreign,done", 5 * time.Second}, "served", 2},
+	{task{"b1", "seat-check", "", "done/900ms", 5 * time.Second}, "served", 1},
+	{task{"b2", "seat-check", "", "done/3s", 500 * time.Millisecond}, "refused", 1},
+}
+
+func TestBothFrontsServeOneSequenceAlike(t *testing.T) {
+	for _, o := range []options{{}, {amqp: true}, {amqp: true, queues: true}} {
+		t.Run(fmt.Sprintf("amqp=%v queues=%v", o.amqp, o.queues), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := world(t).start(o)
+				var q *university
+				if o.amqp {
+					q = r.queue()
+				}
+				for _, k := range sequence {
+					time.Sleep(2 * time.Second)
+					var c came
+					if q == nil {
+						c = r.post(k.task)
+					} else {
+						q.put(k.task)
+						c = q.answer()
+					}
+					if c.verdict != k.verdict || len(r.yard.Sent(k.id)) != k.sends {
+						t.Errorf("%s: %+v after sends to %v, wanted %s after %d", k.id, c, r.yard.Sent(k.id), k.verdict, k.sends)
+					}
+					if c.verdict == "served" && c.body != Result(k.id) {
+						t.Errorf("%s: the result is %q", k.id, c.body)
+					}
+					if c.verdict == "refused" && (c.after == "" || c.after == "0.000") {
+						t.Errorf("%s: refused without a time to come back", k.id)
+					}
+					if c.took >= k.wait {
+						t.Errorf("%s: answered after %v, its client had left after %v", k.id, c.took, k.wait)
+					}
+				}
+				if len(r.yard.Broken) > 0 {
+					t.Error(r.yard.Broken)
+				}
+				if r.core.Open() != 0 {
+					t.Errorf("%d jobs are left open", r.core.Open())
+				}
+			})
+		})
+	}
+}
+
+// A broker delivers an enrol again when its channel drops while the job is out: one send, one answer.
+func TestRedeliveredEnrolJoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{amqp: true})
+		q := r.queue()
+		q.put(task{"r1", "enrol", "k1", "done/2s", 5 * time.Second})
+		time.Sleep(time.Second)
+		r.broker.Drop("jobs")
+		if c := q.answer(); c.verdict != "served" || c.body != Result("r1") {
+			t.Errorf("answered %+v", c)
+		}
+		q.none(t)
+		if n := len(r.yard.Sent("r1")); n != 1 || r.broker.Settled != 1 {
+			t.Errorf("sent %d times, %d deliveries acked", n, r.broker.Settled)
+		}
+	})
+}
+
+// The same when the drop comes between the answer's publish and its confirm: the ledger gives the outcome again.
+func TestUnconfirmedAnswerIsGivenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{amqp: true})
+		q := r.queue()
+		r.broker.Unsure = 2
+		q.put(task{"r1", "enrol", "k1", "done/100ms", 5 * time.Second})
+		if c := q.answer(); c.verdict != "served" {
+			t.Errorf("answered %+v", c)
+		}
+		q.none(t)
+		if n := len(r.yard.Sent("r1")); n != 1 || r.broker.Settled != 1 {
+			t.Errorf("sent %d times, %d deliveries acked", n, r.broker.Settled)
+		}
+	})
+}
+
+// After a restart nothing is known of a key: an enrol that was delivered before may have run and is not sent; a
+// seat-check is.
+func TestRedeliveredAfterRestart(t *testing.T) {
+	for class, want := range map[string]string{"enrol": "failed", "seat-check": "served"} {
+		synctest.Test(t, func(t *testing.T) {
+			r := world(t).start(options{amqp: true})
+			q := r.queue()
+			q.put(task{"r1", class, "k1", "silent,done", 5 * time.Second})
+			time.Sleep(time.Second)
+			r.stop()
+			r.broker.Drop("jobs")
+			time.Sleep(time.Second)
+			r.start(options{amqp: true})
+			if c := q.answer(); c.verdict != want {
+				t.Errorf("%s: answered %+v", class, c)
+			}
+			if n := len(r.yard.Sent("r1")); (n == 1) != (class == "enrol") {
+				t.Errorf("%s: sent %d times", class, n)
+			}
+		})
+	}
+}
+
+// A worker's queue that is not there proves that nothing ran; a channel that drops after a publish does not.
+func TestReturnedAndLostPublishes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{amqp: true, queues: true, lostQueue: true})
+		q := r.queue()
+		q.put(task{"r1", "enrol", "k1", "done", 5 * time.Second})
+		if c := q.answer(); c.verdict != "refused" || c.after == "" {
+			t.Errorf("answered %+v", c)
+		}
+		if n := r.core.Counters.Outcomes[ivyfold.ConnectFailed].Load(); n == 0 || len(r.yard.Sent("r1")) != 0 {
+			t.Errorf("%d attempts count as never run, %v sent", n, r.yard.Sent("r1"))
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{amqp: true, queues: true})
+		q := r.queue()
+		q.put(task{"r2", "enrol", "k2", "done/4s", 3 * time.Second})
+		time.Sleep(time.Second)
+		r.broker.Drop("jobs")
+		synctest.Wait()
+		if n := r.core.Counters.Outcomes[ivyfold.Reset].Load(); n != 1 {
+			t.Errorf("%d attempts count as lost", n)
+		}
+		if c := q.answer(); c.verdict == "none" || c.verdict == "malformed" {
+			t.Errorf("answered %+v", c)
+		}
+		q.none(t)
+	})
+}
+
+func TestMalformedMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{amqp: true})
+		q := r.queue()
+		good := amqp.Publishing{CorrelationId: "m", MessageId: "k", Type: "enrol", ReplyTo: "answers", Expiration: "5000",
+			Headers: amqp.Table{"x-tenant-id": "univ-laurentie"}, Body: []byte("done")}
+		for name, spoil := range map[string]func(*amqp.Publishing){
+			"expiration":  func(p *amqp.Publishing) { p.Expiration = "soon" },
+			"negative":    func(p *amqp.Publishing) { p.Expiration = "-1" },
+			"key":         func(p *amqp.Publishing) { p.MessageId = "" },
+			"class":       func(p *amqp.Publishing) { p.Type = "render" },
+			"university":  func(p *amqp.Publishing) { p.Headers = nil },
+			"head":        func(p *amqp.Publishing) { p.MessageId = "k\r\nX-Other: 1" },
+			"slots":       func(p *amqp.Publishing) { p.Headers = amqp.Table{"x-tenant-id": "univ-laurentie", "x-slots": "NaN"} },
+			"subject":     func(p *amqp.Publishing) { p.Headers = amqp.Table{"x-tenant-id": "univ-laurentie", "x-subject": "a/b"} },
+			"large":       func(p *amqp.Publishing) { p.Body = make([]byte, 64<<10+1) },
+			"past expiry": nil,
+		} {
+			p := good
+			want := "malformed"
+			if spoil == nil { // it waited in the queue for longer than its client did: refused, never sent
+				p.Timestamp, want = time.Now().Add(-time.Minute), "refused"
+			} else {
+				spoil(&p)
+			}
+			q.publish(p)
+			if c := q.answer(); c.verdict != want || want == "malformed" && c.body == "" {
+				t.Errorf("%s: answered %+v", name, c)
+			}
+		}
+		bad := good
+		bad.ReplyTo, bad.Type = "", "render"
+		q.publish(bad)
+		synctest.Wait()
+		if r.broker.Rejected != 1 || len(r.yard.Sent("m")) != 0 {
+			t.Errorf("%d rejected, %d sent", r.broker.Rejected, len(r.yard.Sent("m")))
+		}
+	})
+}
+
+// What the HTTP/1.1 floor alone can meet, and what passes through as it came.
+func TestWorkersOverHTTP(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{})
+		for _, k := range []struct {
+			script, verdict string
+			sends           int
+		}{
+			{"done-odd", "served", 1}, {"500,done", "served", 2}, {"503,done", "served", 2}, {"503-maybe,done", "served", 2},
+			{"break,done", "served", 2}, {"truncated,done", "served", 2},
+		} {
+			time.Sleep(2 * time.Second)
+			c := r.post(task{k.script, "enrol", "key " + k.script, k.script, 5 * time.Second})
+			if sent := r.yard.Sent(k.script); c.verdict != k.verdict || len(sent) != k.sends {
+				t.Errorf("%s: %+v after %v", k.script, c, sent)
+			}
+			if c.verdict == "served" && c.body != Result(k.script) {
+				t.Errorf("%s: the result is %q", k.script, c.body)
+			}
+			h := r.yard.Heads[k.script]
+			if h.Get("Idempotency-Key") != "key "+k.script || r.yard.Target[k.script] != "/enrol/x?y=%20z" || h.Get("X-Attrs") != "slots=1" {
+				t.Errorf("%s: what passed on is %q with %v", k.script, r.yard.Target[k.script], h)
+			}
+			if h.Get("X-Timeout") == "" || len(h["X-Request-Id"]) != 1 {
+				t.Errorf("%s: head %v", k.script, h)
+			}
+		}
+		if len(r.yard.Broken) > 0 {
+			t.Error(r.yard.Broken)
+		}
+	})
+}
+
+// raw sends bytes on a connection of its own and gives the status line and what follows.
+func (r *rig) raw(text string) (string, string) {
+	conn, err := r.net.Dial(context.Background(), here)
+	if err != nil {
+		return err.Error(), ""
+	}
+	defer conn.Close()
+	go io.WriteString(conn, text)
+	conn.SetReadDeadline(time.Now().Add(time.Minute))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err.Error(), ""
+	}
+	body, _ := io.ReadAll(resp.Body)
+	return resp.Status[:3], string(body)
+}
+
+func TestPortalRejectsWhatIsNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{})
+		good := "POST /enrol HTTP/1.1\r\nHost: b\r\nX-Request-ID: p1\r\nX-Priority-Class: enrol\r\nX-Tenant-Id: univ-gaspesie\r\n" +
+			"X-Timeout: 2.5\r\nIdempotency-Key: k\r\nContent-Length: 4\r\n\r\ndone"
+		for name, k := range map[string]struct{ from, to, status string }{
+			"good":             {"", "", "200"},
+			"no id":            {"X-Request-ID: p1\r\n", "", "400"},
+			"two ids":          {"X-Request-ID: p1\r\n", "X-Request-ID: p1\r\nX-Request-ID: p2\r\n", "400"},
+			"class and path":   {"/enrol", "/seat-check", "400"},
+			"unknown class":    {"enrol", "render", "400"},
+			"unknown univ":     {"univ-gaspesie", "univ-x", "400"},
+			"no univ":          {"X-Tenant-Id: univ-gaspesie\r\n", "", "400"},
+			"no timeout":       {"X-Timeout: 2.5\r\n", "", "400"},
+			"bad timeout":      {"2.5", "soon", "400"},
+			"nan timeout":      {"2.5", "NaN", "400"},
+			"negative timeout": {"2.5", "-1", "400"},
+			"no key":           {"Idempotency-Key: k\r\n", "", "400"},
+			"large":            {"Content-Length: 4", "Content-Length: 65537", "413"},
+			"bad attrs":        {"X-Timeout", "X-Attrs: slots=many\r\nX-Timeout", "400"},
+			"method":           {"POST", "PUT", "405"},
+			"absolute target":  {"POST /enrol", "POST http://h/enrol", "400"},
+			"bad length":       {"Content-Length: 4", "Content-Length: x", "400"},
+			"head too large":   {"Host: b", "Host: b\r\nX-Long: " + strings.Repeat("x", 40<<10), "431"},
+			"cut off":          {"Content-Length: 4", "Content-Length: 5", "400"}, // the rest never comes
+		} {
+			text := strings.ReplaceAll(good, k.from, k.to)
+			if k.from == "" {
+				text = good
+			}
+			if name == "large" {
+				text += strings.Repeat("x", 65533)
+			}
+			if status, _ := r.raw(text); status != k.status {
+				t.Errorf("%s: answered %s", name, status)
+			}
+		}
+		for path, want := range map[string]string{"/up": "200", "/counters": "200", "/other": "404"} {
+			if status, _ := r.raw("GET " + path + " HTTP/1.1\r\nHost: b\r\n\r\n"); status != want {
+				t.Errorf("GET %s: answered %s", path, status)
+			}
+		}
+		if r.core.Open() != 0 || r.core.Counters.Taken.Load() != 1 {
+			t.Errorf("%d open, %d taken", r.core.Open(), r.core.Counters.Taken.Load())
+		}
+	})
+}
+
+// A client that goes away ends its job: the attempt is given up, and nothing is sent again.
+func TestClientGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{})
+		ctx, cancel := context.WithCancel(context.Background())
+		req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+here+"/seat-check", strings.NewReader("silent"))
+		for k, v := range map[string]string{"X-Request-ID": "g1", "X-Priority-Class": "seat-check", "X-Tenant-Id": "univ-gaspesie", "X-Timeout": "5"} {
+			req.Header.Set(k, v)
+		}
+		time.AfterFunc(time.Second, cancel)
+		if _, err := r.client.Do(req); err == nil {
+			t.Error("an answer came")
+		}
+		synctest.Wait()
+		if c := r.core.Counters; r.core.Open() != 0 || c.Left.Load() != 1 || c.Outcomes[ivyfold.Cancelled].Load() != 1 || len(r.yard.Sent("g1")) != 1 {
+			t.Errorf("after it left: %s", r.core.Line())
+		}
+	})
+}
+
+// On leaving, new connections are still served, answers close theirs, and what was taken is answered.
+func TestLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{})
+		slow := make(chan came)
+		go func() { slow <- r.post(task{"l1", "seat-check", "", "done/4s", 5 * time.Second}) }()
+		time.Sleep(time.Second)
+		r.portal.Leave()
+		if status, _ := r.raw("GET /up HTTP/1.1\r\nHost: b\r\n\r\n"); status != "503" {
+			t.Errorf("/up answers %s", status)
+		}
+		dials := r.net.Dials
+		for _, id := range []string{"l2", "l3"} {
+			if c := r.post(task{id, "seat-check", "", "done", 5 * time.Second}); c.verdict != "served" {
+				t.Errorf("%s: %+v", id, c)
+			}
+		}
+		if r.net.Dials < dials+2 {
+			t.Error("an answer did not close its connection")
+		}
+		done := make(chan error)
+		go func() { done <- r.portal.Farewell(context.Background()) }()
+		if c := <-slow; c.verdict != "served" {
+			t.Errorf("the job that was out: %+v", c)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Nothing new goes to a worker once it drains, and a watch that breaks or goes silent is asked for again.
+func TestDrainsAndBrokenWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{})
+		time.Sleep(5 * time.Second)
+		if calls := r.list.Calls(); len(calls) != 1 || calls[0] != "/discovery/hosts?watch=1&after=7" {
+			t.Fatalf("calls %v", calls)
+		}
+		r.list.Changes <- `{"generation":9,"reset":false,"instances":[{"instanceId":"s-0badcafe","lifecycle":"gone"},` +
+			`{"instanceId":"s-1ce9565e","hostPort":"127.0.1.1:5000","zone":"montreal","machineType":"std-2c","lifecycle":"draining","weight":1}]}`
+		synctest.Wait()
+		if w := r.core.Workers(); w != [3]int{0, 2, 1} {
+			t.Errorf("workers by state: %v", w)
+		}
+		for i := range 30 {
+			id := fmt.Sprint("d", i)
+			r.post(task{id, "seat-check", "", "done/30ms", 5 * time.Second})
+			for _, to := range r.yard.Sent(id) {
+				if to == names[0] || to == names[1] {
+					t.Errorf("%s was sent to %s", id, to)
+				}
+			}
+		}
+		r.list.mu.Lock()
+		r.list.Status, r.list.Mute = http.StatusServiceUnavailable, true
+		r.list.mu.Unlock()
+		time.Sleep(20 * time.Second) // no line for so long: silent, and the next calls fail
+		failed := len(r.list.Calls())
+		if failed < 3 || !strings.HasSuffix(r.list.Calls()[1], "after=9") {
+			t.Errorf("calls %v", r.list.Calls())
+		}
+		r.list.mu.Lock()
+		r.list.Status, r.list.Mute = 0, false
+		r.list.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if len(r.list.Calls()) <= failed || r.core.Workers() != [3]int{0, 4, 0} {
+			t.Errorf("calls %v, workers %v", r.list.Calls(), r.core.Workers())
+		}
+	})
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -253,7 +253,8 @@
 	Changes chan string // raw lines of the watch; closing it ends the watch
 	mu      sync.Mutex
 	calls   []string
-	Status  int // 0: 200
+	Status  int  // 0: 200
+	Mute    bool // no line tells that the watch is up
 }
 
 // Calls are the targets asked for so far.
@@ -275,8 +276,18 @@
 	text, _ := json.Marshal(r.Whole)
 	fmt.Fprintf(w, "%s\n", text)
 	w.(http.Flusher).Flush()
+	beat := time.NewTicker(2 * time.Second)
+	defer beat.Stop()
 	for {
 		select {
+		case <-beat.C:
+			r.mu.Lock()
+			mute := r.Mute
+			r.mu.Unlock()
+			if !mute {
+				io.WriteString(w, "\n")
+				w.(http.Flusher).Flush()
+			}
 		case s, ok := <-changes:
 			if !ok {
 				return
