--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -109,7 +109,9 @@
 			r.t.Fatal(err)
 		}
 	}
+	r.list.mu.Lock()
 	r.list.Whole = config.Roster{Generation: 8, Reset: true, Workers: listed}
+	r.list.mu.Unlock()
 	n := Node(r.t, listed, text)
 	counters := new(dispatch.Counters)
 	r.node, r.floor = n, floor.New(n, counters)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -267,13 +267,13 @@
 func (r *Roster) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
 	r.calls = append(r.calls, req.URL.String())
-	changes, status := r.Changes, r.Status
+	changes, status, whole := r.Changes, r.Status, r.Whole
 	r.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
 		return
 	}
-	text, _ := json.Marshal(r.Whole)
+	text, _ := json.Marshal(whole)
 	fmt.Fprintf(w, "%s\n", text)
 	w.(http.Flusher).Flush()
 	beat := time.NewTicker(2 * time.Second)
