--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -1,12 +1,15 @@
-// Command gladepick is the dispatcher. Without arguments it runs one, as the
-// NODE_ variables say. This file holds flags and wiring only: it must never
-// decide anything about a job, a worker or a message.
+// Command gladepick is the dispatcher and its operator's tool. Without
+// arguments it runs one dispatcher, as the NODE_ variables say; with them it
+// runs an agent or asks one. This file holds flags and wiring only: it must
+// never decide anything about a job, a worker or a message.
 package main
 
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"os"
@@ -14,27 +17,55 @@
 	"syscall"
 	"time"
 
+	"ivyfold/internal/agent"
 	"ivyfold/internal/amqp"
 	"ivyfold/internal/config"
 	"ivyfold/internal/dispatch"
 	"ivyfold/internal/floor"
 	"ivyfold/internal/portal"
 	"ivyfold/internal/roster"
+	"ivyfold/internal/snmp"
 )
 
+const usage = `usage:
+  gladepick                                  run one dispatcher, as the NODE_ variables say
+  gladepick agent FILE                       keep the instances of an operator's file running; serve SNMP
+  gladepick status   [-agent ADDR] [NAME...] what the instances do
+  gladepick counters [-agent ADDR] [NAME...] what they count
+  gladepick drain    [-agent ADDR] NAME...   tell instances to answer what they have, leave and stay away
+  gladepick start    [-agent ADDR] NAME...   bring drained instances back
+`
+
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(os.Args[1:]); err != nil {
+	if err := run(os.Args[1:], os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "gladepick:", err)
 		os.Exit(1)
 	}
 }
 
-func run(args []string) error {
+func run(args []string, out io.Writer) error {
 	if len(args) == 0 {
 		return node()
 	}
-	return fmt.Errorf("unknown command %q", args[0])
+	switch args[0] {
+	case "agent":
+		if len(args) != 2 {
+			return errors.New("agent needs one file")
+		}
+		return supervise(args[1])
+	case "status", "counters", "drain", "start":
+		flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
+		address := flags.String("agent", config.DefaultControl, "where the agent listens for questions")
+		if err := flags.Parse(args[1:]); err != nil {
+			return err
+		}
+		return agent.Command(context.Background(), out, *address, args[0], flags.Args())
+	case "help", "-h", "-help", "--help":
+		fmt.Fprint(out, usage)
+		return nil
+	}
+	return fmt.Errorf("unknown command %q; gladepick help lists them", args[0])
 }
 
 // node runs one dispatcher until SIGTERM has been served.
@@ -79,16 +110,15 @@
 	broken := make(chan error, 1)
 	go func() { broken <- front.Serve(listener) }()
 	log.Printf("%s serves on %s", n.Name, n.Listen)
-	for {
+	for leaving := false; !leaving; {
 		select {
 		case err := <-broken:
 			return errors.Join(errors.New("the portal has ended"), err)
 		case <-asked:
 			log.Print(core.Line())
-			continue
 		case <-stopped:
+			leaving = true
 		}
-		break
 	}
 	// New connections keep coming for a while after SIGTERM: they are served, and told to go elsewhere afterwards.
 	front.Leave()
@@ -98,14 +128,46 @@
 	time.Sleep(n.Limits.Farewell)
 	late, done := context.WithTimeout(context.Background(), n.Limits.MostPatience)
 	defer done()
-	if err := front.Farewell(late); err != nil {
+	err = front.Farewell(late)
+	if desk != nil {
+		err = errors.Join(err, desk.Settled(late))
+	}
+	log.Print(core.Line())
+	return err
+}
+
+// supervise runs an agent until SIGTERM, and then until its instances have left.
+func supervise(path string) error {
+	conf, err := config.LoadAgent(path)
+	if err != nil {
 		return err
 	}
-	if desk != nil {
-		if err := desk.Settled(late); err != nil {
-			return err
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	a := agent.New(conf)
+	control, err := net.Listen("tcp", conf.Control)
+	if err != nil {
+		return fmt.Errorf("agent.control: %w", err)
+	}
+	// Questions are answered until the last instance has left.
+	serving, over := context.WithCancel(context.Background())
+	defer over()
+	failed := make(chan error, 2)
+	go func() { failed <- a.Serve(serving, control) }()
+	if conf.SNMP != "" {
+		conn, err := net.ListenPacket("udp", conf.SNMP)
+		if err != nil {
+			return fmt.Errorf("snmp.listen: %w", err)
 		}
+		go func() { failed <- snmp.New(a, conf).Serve(serving, conn) }()
 	}
-	log.Print(core.Line())
+	log.Printf("the agent keeps %d instances and answers on %s", len(conf.Instances), conf.Control)
+	go func() {
+		if err := <-failed; err != nil {
+			log.Printf("a listener of the agent has ended: %v", err)
+			stop()
+		}
+	}()
+	a.Run(ctx)
 	return nil
 }
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,125 @@
+// These tests hold that every fault in a setting is named by its key, and that
+// limits follow from what the platform grants.
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"ivyfold"
+	"ivyfold/internal/config"
+	"ivyfold/internal/standin"
+)
+
+func write(t *testing.T, name, text string) string {
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const whole = `{"name":"n1","listen":"127.0.0.1:5000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"generation":0,"reset":true,"instances":[]},"settings":` + standin.Settings + `}`
+
+func load(t *testing.T, text string, more map[string]string) (*config.Node, error) {
+	path := write(t, "node.json", text)
+	return config.Load(func(key string) string {
+		if key == "NODE_CONFIG" {
+			return path
+		}
+		return more[key]
+	})
+}
+
+func TestNode(t *testing.T) {
+	n, err := load(t, whole, map[string]string{"NODE_NAME": "n2"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, l := n.Module, n.Limits
+	if n.Name != "n2" || n.Seed != 0x8c1f30d27a5be964 || len(m.Classes) != 2 || m.Classes[1].Effect != ivyfold.Keyed ||
+		m.Classes[1].Group != ivyfold.GroupAll || m.Classes[1].Stretch != 2.5 || m.Classes[1].Window != 7500*time.Millisecond ||
+		m.Classes[0].Kind != -1 || m.Tenants[1].PerSec != 17 || m.Discovery != ivyfold.Ask || m.Kinds != 2 || !m.TellsStart ||
+		m.Report.Queue != 3 || !m.ReportByWord || m.MaxAttempts != 3 || m.Progress != time.Second {
+		t.Errorf("settings: %+v", m)
+	}
+	if n.Figure("q") != 3 || n.Figure("queue") != 3 || n.Figure("eps") != 1 || n.Figure("other") != -1 {
+		t.Errorf("load figures %v", n.LoadFields)
+	}
+	if l.PortalConns+l.FloorConns+l.RosterConns+l.Sockets/10 > l.Sockets || l.OpenJobs > l.PortalConns ||
+		int64(l.OpenJobs)*2*l.Body > int64(l.MemoryMB)<<20/2 || l.WorkerIdle >= m.ConnIdle || l.DrainGrace >= m.DrainGrace ||
+		l.RetryAfter > m.MaxRetryAfter || l.Remember < 7500*time.Millisecond || l.Connect != 250*time.Millisecond {
+		t.Errorf("limits: %+v", l)
+	}
+}
+
+func TestFaultyKeysAreNamed(t *testing.T) {
+	for _, k := range []struct{ from, to, key string }{
+		{`"listen":"127.0.0.1:5000"`, `"listen":"here"`, "NODE_LISTEN"},
+		{`"discovery":"127.0.0.1:8500"`, `"discovery":"there"`, "NODE_DISCOVERY"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"xyz"`, "seed"},
+		{`"cores":1.0`, `"cores":0`, "limits.cores"},
+		{`"cores":1.0`, `"cores":"one"`, "limits.cores"},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets"},
+		{`"aim":150000000`, `"aim":"soon"`, "classes.0.aim"},
+		{`"name":"enrol"`, `"name":"seat-check"`, "classes.1.name"},
+		{`"name":"univ-gaspesie"`, `"name":""`, "tenants.1.name"},
+		{`"max_attempts":3`, `"max_attempts":"x"`, "limits.max_attempts"},
+		{`"known":{`, `"known":{{`, "NODE_CONFIG"},
+	} {
+		if _, err := load(t, strings.Replace(whole, k.from, k.to, 1), nil); err == nil || !strings.Contains(err.Error(), k.key) {
+			t.Errorf("%s: the error does not name %s: %v", k.to, k.key, err)
+		}
+	}
+}
+
+func TestAMQPFile(t *testing.T) {
+	const good = "[amqp]\nurl = \"amqp://127.0.0.1/\"\njobs = \"jobs\"\n[[amqp.worker]]\nid = \"s-1\"\nqueue = \"q\"\nzone = \"montreal\"\nkind = \"std-2c\"\n"
+	for _, k := range []struct{ from, to, key string }{
+		{"", "", ""},
+		{"amqp://", "http://", "amqp.url"},
+		{`"jobs"`, `""`, "amqp.jobs"},
+		{"jobs =", "prefetch = -1\njobs =", "amqp.prefetch"},
+		{"jobs =", "speed = 1\njobs =", "amqp.speed"},
+		{`id = "s-1"`, `id = ""`, "amqp.worker.0.id"},
+		{`queue = "q"`, `queue = ""`, "amqp.worker.0.queue"},
+		{"montreal", "paris", "amqp.worker.0.zone"},
+		{"std-2c", "huge", "amqp.worker.0.kind"},
+	} {
+		_, err := load(t, whole, map[string]string{"NODE_AMQP": write(t, "amqp.toml", strings.Replace(good, k.from, k.to, 1))})
+		if (err == nil) != (k.key == "") || err != nil && !strings.Contains(err.Error(), k.key) {
+			t.Errorf("%s: wanted an error that names %q: %v", k.to, k.key, err)
+		}
+	}
+}
+
+func TestAgentFile(t *testing.T) {
+	const good = "[agent]\ncontrol = \"127.0.0.1:7470\"\n[snmp]\nlisten = \"127.0.0.1:1161\"\n[[instance]]\nname = \"n0\"\nlisten = \"127.0.0.1:5000\"\nconfig = \"x\"\n"
+	for _, k := range []struct{ from, to, key string }{
+		{"", "", ""},
+		{`"127.0.0.1:7470"`, `"10.0.0.1:7470"`, "agent.control"},
+		{`"127.0.0.1:1161"`, `"0.0.0.0:1161"`, "snmp.listen"},
+		{"[snmp]", "poll_ms = 1\n[snmp]", "agent.poll_ms"},
+		{`name = "n0"`, `name = ""`, "instance.0.name"},
+		{`listen = "127.0.0.1:5000"`, `listen = "x"`, "instance.0.listen"},
+		{`config = "x"`, `config = ""`, "instance.0.config"},
+		{`config = "x"`, "config = \"x\"\ndiscovery = \"x\"", "instance.0.discovery"},
+		{`config = "x"`, "config = \"x\"\ncolour = 1", "colour"},
+		{"[[instance]]", "[[instance]]\nname = \"n0\"\nlisten = \"127.0.0.1:6000\"\nconfig = \"x\"\n[[instance]]", "instance.1.name"},
+	} {
+		_, err := config.LoadAgent(write(t, "agent.toml", strings.Replace(good, k.from, k.to, 1)))
+		if (err == nil) != (k.key == "") || err != nil && !strings.Contains(err.Error(), k.key) {
+			t.Errorf("%s: wanted an error that names %q: %v", k.to, k.key, err)
+		}
+	}
+	for _, path := range []string{"../../deploy/agent.toml"} {
+		if _, err := config.LoadAgent(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/floor/floor_test.go
@@ -0,0 +1,236 @@
+// These tests model what a worker connection can be (none, busy, idle, closed
+// by the other end, with bytes pending) and check random steps against it.
+package floor_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ivyfold"
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+	"ivyfold/internal/floor"
+	"ivyfold/internal/standin"
+)
+
+func init() { flag.Set("rapid.seed", "20261201") } // the same steps in every run
+
+type quiet struct{}
+
+func (quiet) Watch(bool) {}
+
+const address = "127.0.1.0:5000"
+
+// bench is a floor under a core that has one worker, so that each job is one send to it or none.
+type bench struct {
+	floor    *floor.Floor
+	core     *dispatch.Core
+	counters *dispatch.Counters
+	stop     func()
+}
+
+func set(t testing.TB, n *config.Node, dial func(context.Context, string) (net.Conn, error)) *bench {
+	b := &bench{counters: new(dispatch.Counters)}
+	b.floor = floor.New(n, b.counters)
+	if dial != nil {
+		b.floor.Dial = dial
+	}
+	var err error
+	if b.core, err = dispatch.New(n, b.counters, b.floor, nil, quiet{}, nil); err != nil {
+		t.Fatal(err)
+	}
+	var ctx context.Context
+	ctx, b.stop = context.WithCancel(context.Background())
+	go b.core.Run(ctx)
+	return b
+}
+
+func (b *bench) serve(id, script string) dispatch.Answer {
+	answers := make(chan dispatch.Answer, 1)
+	b.core.Take(&dispatch.Job{ID: id, Target: "/seat-check", Body: []byte(script), Patience: 2 * time.Second, Slots: 1,
+		Reply: func(a dispatch.Answer) { answers <- a }})
+	return <-answers
+}
+
+func TestConnectionStates(t *testing.T) {
+	n := standin.Node(t, []config.Worker{standin.Listing("s-00000001", address, "ready")}, "")
+	type word struct {
+		verdict dispatch.Verdict
+		outcome ivyfold.Outcome
+		kept    bool
+	}
+	words := map[string]word{
+		"done":      {dispatch.Served, ivyfold.OK, true},
+		"done-odd":  {dispatch.Served, ivyfold.OK, true},
+		"failed":    {dispatch.Refused, ivyfold.Error, true},
+		"returned":  {dispatch.Refused, ivyfold.Full, true},
+		"503":       {dispatch.Refused, ivyfold.Full, true},
+		"500":       {dispatch.Refused, ivyfold.Error, true},
+		"503-maybe": {dispatch.Refused, ivyfold.Error, true},
+		"break":     {dispatch.Refused, ivyfold.Reset, false},
+		"truncated": {dispatch.Refused, ivyfold.Reset, false},
+		"foreign":   {dispatch.Refused, ivyfold.Reset, false},
+		"lost":      {dispatch.Refused, ivyfold.Reset, false},
+		"silent":    {dispatch.Refused, ivyfold.TimedOut, false},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) { // a bubble has no deadline to ask for
+			world, yard := &standin.Net{}, &standin.Yard{}
+			l := world.Listen(address)
+			go yard.Worker(l, "s-00000001")
+			b := set(t, n, world.Dial)
+			idle, dials := false, 0
+			for i := range rapid.IntRange(1, 12).Draw(rt, "steps") {
+				name := rapid.SampledFrom([]string{"done", "done-odd", "failed", "returned", "503", "500", "503-maybe", "break",
+					"truncated", "foreign", "lost", "silent", "wait", "close"}).Draw(rt, "word")
+				switch w, ok := words[name]; {
+				case name == "wait":
+					ms := time.Duration(rapid.IntRange(1, 6000).Draw(rt, "ms")) * time.Millisecond
+					time.Sleep(ms)
+					idle = idle && ms < n.Limits.WorkerIdle
+				case name == "close":
+					b.floor.CloseIdle(config.Worker{Address: address})
+					idle = false
+				case ok:
+					id := fmt.Sprint("c", i)
+					before := b.counters.Outcomes[w.outcome].Load()
+					a := b.serve(id, name)
+					synctest.Wait()
+					sent := len(yard.Sent(id))
+					if sent == 0 { // the module held it back: nothing may have touched a connection
+						break
+					}
+					if !idle {
+						dials++
+					}
+					idle = w.kept
+					if sent != 1 || a.Verdict != w.verdict || b.counters.Outcomes[w.outcome].Load() != before+1 {
+						rt.Errorf("%s: answer %v after %d sends; %s", name, a, sent, b.core.Line())
+					}
+					if a.Verdict == dispatch.Served && string(a.Result) != standin.Result(id) {
+						rt.Errorf("%s: the result is %q", name, a.Result)
+					}
+				}
+				synctest.Wait()
+				want := 0
+				if idle {
+					want = 1
+				}
+				if have, open := b.floor.Idle(); have != want || open != want || world.Dials != dials {
+					rt.Fatalf("after %s: %d idle of %d open, %d dialled; the model has %d and %d", name, have, open, world.Dials, want, dials)
+				}
+				time.Sleep(1200 * time.Millisecond) // a trial of a suspect worker may come
+				idle = idle && func() bool { have, _ := b.floor.Idle(); return have == 1 }()
+			}
+			b.floor.CloseIdle(config.Worker{Address: address})
+			b.stop()
+			l.Close()
+			time.Sleep(time.Minute)
+		})
+	})
+}
+
+// A connection that never comes up, or is refused, proves that nothing ran.
+func TestNoConnection(t *testing.T) {
+	n := standin.Node(t, []config.Worker{standin.Listing("s-00000001", address, "ready")}, "")
+	for _, silent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			world := &standin.Net{Silent: map[string]bool{address: silent}}
+			b := set(t, n, world.Dial)
+			began := time.Now()
+			a := b.serve("n1", "done")
+			if a.Verdict != dispatch.Refused || b.counters.Outcomes[ivyfold.ConnectFailed].Load() != 1 {
+				t.Errorf("silent %v: %v; %s", silent, a, b.core.Line())
+			}
+			if took := time.Since(began); silent && took != n.Limits.Connect {
+				t.Errorf("it took %v", took)
+			}
+			if _, open := b.floor.Idle(); open != 0 {
+				t.Errorf("%d connections count as open", open)
+			}
+			b.stop()
+		})
+	}
+}
+
+// The request breaks before its last byte: it never ran.
+func TestBreakWhileWriting(t *testing.T) {
+	n := standin.Node(t, []config.Worker{standin.Listing("s-00000001", address, "ready")}, "")
+	synctest.Test(t, func(t *testing.T) {
+		b := set(t, n, func(context.Context, string) (net.Conn, error) {
+			here, there := net.Pipe()
+			go func() { io.ReadFull(there, make([]byte, 40)); there.Close() }()
+			return here, nil
+		})
+		if a := b.serve("n1", "done"); a.Verdict != dispatch.Refused || b.counters.Outcomes[ivyfold.ConnectFailed].Load() != 1 {
+			t.Errorf("%v; %s", a, b.core.Line())
+		}
+		b.stop()
+	})
+}
+
+// On sockets: a kept connection that was closed, or has bytes pending, is seen before anything is written to it.
+func TestStaleConnectionsAreNotUsed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n := standin.Node(t, []config.Worker{standin.Listing("s-00000001", l.Addr().String(), "ready")}, "")
+	b := set(t, n, nil)
+	defer b.stop()
+	conns := make(chan net.Conn)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+		}
+	}()
+	answer := func(c net.Conn, id string) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil || r.Header.Get("X-Request-ID") != id {
+			t.Errorf("%s: the connection brought %v, %v", id, r, err)
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		line := fmt.Sprintf(`{"id":%q,"state":"done","result":"x"}`, id) + "\n"
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(line), line)
+	}
+	var last net.Conn
+	for i, spoil := range []func(net.Conn){
+		func(c net.Conn) { c.Close() },
+		func(c net.Conn) { io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\n\r\n") },
+		nil,
+	} {
+		done := make(chan dispatch.Answer, 1)
+		go func() { done <- b.serve(fmt.Sprint("s", i), "x") }()
+		last = <-conns // each of them needs a new one
+		answer(last, fmt.Sprint("s", i))
+		if a := <-done; a.Verdict != dispatch.Served {
+			t.Errorf("job %d: %v", i, a)
+		}
+		if spoil != nil {
+			spoil(last)
+		}
+	}
+	defer last.Close()
+	done := make(chan dispatch.Answer, 1)
+	go func() { done <- b.serve("s3", "x") }()
+	answer(last, "s3") // this one stood as it should: it serves again
+	if a := <-done; a.Verdict != dispatch.Served || b.counters.Dialled.Load() != 3 || b.counters.Reused.Load() != 1 {
+		t.Errorf("%v; %s", a, b.core.Line())
+	}
+}
--- /dev/null
+++ b/internal/snmp/snmp_test.go
@@ -0,0 +1,307 @@
+// These tests run an agent over processes that are not there, in time that the
+// test moves on, and ask it as the command line and an SNMP manager do.
+package snmp_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gosnmp/gosnmp"
+	"pgregory.net/rapid"
+
+	"ivyfold/internal/agent"
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+	"ivyfold/internal/snmp"
+)
+
+func init() { flag.Set("rapid.seed", "20261201") } // the same steps in every run
+
+var limits = config.AgentLimits{Poll: time.Second, Ask: 2 * time.Second, Restart: 100 * time.Millisecond, RestartMax: time.Second,
+	Steady: 10 * time.Second, Stop: 5 * time.Second, Reply: 1 << 20, Datagram: 8 << 10, Rows: 64, Body: 1 << 10}
+
+// process is one that runs until it is told to end, and then for as long as it likes.
+type process struct {
+	end    chan error
+	linger time.Duration
+	killed atomic.Bool
+}
+
+func (p *process) PID() int    { return 42 }
+func (p *process) Wait() error { return <-p.end }
+func (p *process) Kill() error { p.killed.Store(true); p.end <- errors.New("killed"); return nil }
+func (p *process) Terminate() error {
+	if p.linger >= 0 {
+		time.AfterFunc(p.linger, func() { p.end <- nil })
+	}
+	return nil
+}
+
+func keep(names ...string) *config.Agent {
+	conf := &config.Agent{Community: "public", Limits: limits}
+	for i, name := range names {
+		conf.Instances = append(conf.Instances, config.Instance{Name: name, Listen: fmt.Sprint("127.0.0.1:", 5000+i)})
+	}
+	return conf
+}
+
+func counts() (out []dispatch.Count) {
+	for i, name := range dispatch.CountNames {
+		out = append(out, dispatch.Count{Name: name, Value: int64(100 + i)})
+	}
+	return out
+}
+
+func TestAgentKeepsInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := agent.New(keep("n0"))
+		var mu sync.Mutex // guards what the agent and the test share
+		var started []*process
+		linger, answers := 3*time.Second, true
+		change := func(f func()) { mu.Lock(); f(); mu.Unlock() }
+		a.Start = func(config.Instance) (agent.Process, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			p := &process{end: make(chan error, 1), linger: linger}
+			started = append(started, p)
+			return p, nil
+		}
+		a.Look = func(context.Context, string) ([]dispatch.Count, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if !answers {
+				return nil, errors.New("refused")
+			}
+			return counts(), nil
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		over := make(chan bool)
+		go func() { a.Run(ctx); close(over) }()
+		expect := func(what string, state agent.State, restarts, processes int) {
+			t.Helper()
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			if s := a.Statuses()[0]; s.State != state || s.Restarts != restarts || len(started) != processes {
+				t.Errorf("%s: %+v with %d processes", what, s, len(started))
+			}
+		}
+		expect("started", agent.Up, 0, 1)
+		change(func() { answers = false })
+		time.Sleep(1100 * time.Millisecond)
+		expect("silent", agent.Starting, 0, 1)
+		change(func() { answers = true })
+		started[0].end <- errors.New("exit status 2")
+		expect("crashed", agent.Waiting, 1, 1)
+		if s := a.Statuses()[0]; s.Last != "exit status 2" || s.PID != 0 {
+			t.Errorf("after its crash: %+v", s)
+		}
+		time.Sleep(limits.Restart)
+		expect("again", agent.Up, 1, 2)
+		if err := a.Drain("n0"); err != nil {
+			t.Error(err)
+		}
+		expect("told to leave", agent.Draining, 1, 2)
+		time.Sleep(time.Minute)
+		expect("left", agent.Drained, 1, 2)
+		change(func() { linger = -1 }) // the next one does not listen
+		if err := errors.Join(a.Wanted("n0")); err != nil || a.Drain("n9") == nil {
+			t.Error("an instance that is there is not found, or one that is not is")
+		}
+		expect("back", agent.Up, 1, 3)
+		cancel()
+		expect("leaving", agent.Draining, 1, 3)
+		<-over
+		if !started[2].killed.Load() {
+			t.Error("an instance that does not leave was not killed")
+		}
+		expect("over", agent.Drained, 1, 3)
+	})
+}
+
+// running is an agent whose instances answer, and that is asked over real loopback sockets.
+func running(t *testing.T, names ...string) (*agent.Agent, *config.Agent) {
+	conf := keep(names...)
+	a := agent.New(conf)
+	looked := make(chan bool, 100)
+	a.Start = func(config.Instance) (agent.Process, error) { return &process{end: make(chan error, 1)}, nil }
+	a.Look = func(context.Context, string) ([]dispatch.Count, error) { looked <- true; return counts(), nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan bool)
+	go func() { a.Run(ctx); close(over) }()
+	t.Cleanup(func() { cancel(); <-over })
+	for range 2 * len(names) { // the second look begins once the first has been noted
+		<-looked
+	}
+	return a, conf
+}
+
+func TestCommandLine(t *testing.T) {
+	a, _ := running(t, "n0", "n1")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- a.Serve(ctx, l) }()
+	say := func(command string, names ...string) (string, error) {
+		var out bytes.Buffer
+		err := agent.Command(ctx, &out, l.Addr().String(), command, names)
+		return out.String(), err
+	}
+	if s, err := say("status"); err != nil || !strings.Contains(s, "n0") || !strings.Contains(s, "n1") || !strings.Contains(s, "up") {
+		t.Errorf("status: %v\n%s", err, s)
+	}
+	if s, err := say("counters", "n1"); err != nil || strings.Contains(s, "n0") || !regexp.MustCompile(`taken +100\n`).MatchString(s) {
+		t.Errorf("counters: %v\n%s", err, s)
+	}
+	if _, err := say("drain", "n1"); err != nil {
+		t.Error(err)
+	}
+	for _, wrong := range [][]string{{"drain", "n9"}, {"drain"}, {"status", "n9"}} {
+		if _, err := say(wrong[0], wrong[1:]...); err == nil {
+			t.Errorf("%v is no error", wrong)
+		}
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// A manager's own library walks the agent over UDP and must see every row in order.
+func TestManagerWalks(t *testing.T) {
+	a, conf := running(t, "n0", "n1")
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go snmp.New(a, conf).Serve(ctx, conn)
+	m := &gosnmp.GoSNMP{Target: "127.0.0.1", Port: uint16(conn.LocalAddr().(*net.UDPAddr).Port), Community: "public",
+		Version: gosnmp.Version2c, Timeout: time.Minute, MaxOids: 60, MaxRepetitions: 10}
+	if err := m.Connect(); err != nil {
+		t.Fatal(err)
+	}
+	defer m.Conn.Close()
+	got, err := m.Get([]string{snmp.Base + ".1.1.0", snmp.Base + ".1.2.1.2.2", snmp.Base + ".1.2.1.3.1", snmp.Base + ".1.3.1.1.1",
+		snmp.Base + ".1.3.1.22.2", snmp.Base + ".1.2.1.2.3", snmp.Base + ".9.0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"2", "n1", "2", "100", "121", "", ""}
+	kinds := []gosnmp.Asn1BER{gosnmp.Gauge32, gosnmp.OctetString, gosnmp.Integer, gosnmp.Counter64, gosnmp.Gauge32,
+		gosnmp.NoSuchInstance, gosnmp.NoSuchObject}
+	for i, v := range got.Variables {
+		s := ""
+		if b, ok := v.Value.([]byte); ok {
+			s = string(b)
+		} else if v.Value != nil {
+			s = fmt.Sprint(v.Value)
+		}
+		if v.Type != kinds[i] || s != want[i] {
+			t.Errorf("%s: %v %q, wanted %v %q", v.Name, v.Type, s, kinds[i], want[i])
+		}
+	}
+	next, err := m.WalkAll("." + snmp.Base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bulk, err := m.BulkWalkAll("." + snmp.Base)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := 1 + 2*(6+len(dispatch.CountNames))
+	if len(next) != rows || len(bulk) != rows {
+		t.Errorf("walks bring %d and %d variables, there are %d", len(next), len(bulk), rows)
+	}
+	for i := range min(len(next), len(bulk)) {
+		if next[i].Name != bulk[i].Name {
+			t.Errorf("variable %d is %s and %s", i, next[i].Name, bulk[i].Name)
+		}
+	}
+	set, err := m.Set([]gosnmp.SnmpPDU{{Name: "." + snmp.Base + ".1.1.0", Type: gosnmp.Integer, Value: 5}})
+	if err != nil || set.Error != gosnmp.NotWritable {
+		t.Errorf("a set is answered %v, %v", set, err)
+	}
+}
+
+// Whatever comes in, the server answers with one bounded message or not at all.
+func TestAnyDatagram(t *testing.T) {
+	a, conf := running(t, "n0", "n1")
+	s := snmp.New(a, conf)
+	rapid.Check(t, func(rt *rapid.T) {
+		p := gosnmp.SnmpPacket{Version: rapid.SampledFrom([]gosnmp.SnmpVersion{gosnmp.Version1, gosnmp.Version2c}).Draw(rt, "version"),
+			Community: rapid.SampledFrom([]string{"public", "private"}).Draw(rt, "community"), RequestID: 7,
+			PDUType:      rapid.SampledFrom([]gosnmp.PDUType{gosnmp.GetRequest, gosnmp.GetNextRequest, gosnmp.GetBulkRequest, gosnmp.SetRequest, gosnmp.GetResponse}).Draw(rt, "pdu"),
+			NonRepeaters: rapid.Uint8().Draw(rt, "once"), MaxRepetitions: uint32(rapid.IntRange(0, 1<<20).Draw(rt, "rows"))}
+		for range rapid.IntRange(0, 5).Draw(rt, "names") {
+			name := rapid.SampledFrom([]string{".1.3", ".1.3.6.1.2.1.1", "." + snmp.Base + ".1", "." + snmp.Base + ".1.3.1.25.2", ".2.5"}).Draw(rt, "name")
+			p.Variables = append(p.Variables, gosnmp.SnmpPDU{Name: name, Type: gosnmp.Null})
+		}
+		message, err := p.MarshalMsg()
+		if err != nil {
+			rt.Fatal(err)
+		}
+		whole := true
+		for range rapid.IntRange(0, 3).Draw(rt, "spoiled") {
+			i := rapid.IntRange(0, len(message)-1).Draw(rt, "at")
+			message[i] = rapid.Byte().Draw(rt, "byte")
+			whole = false
+		}
+		if rapid.Bool().Draw(rt, "cut") {
+			message = message[:rapid.IntRange(0, len(message)).Draw(rt, "to")]
+			whole = false
+		}
+		answer := s.Answer(message)
+		if len(answer) > limits.Datagram {
+			rt.Errorf("an answer of %d bytes", len(answer))
+		}
+		due := p.Version == gosnmp.Version2c && p.Community == "public" && p.PDUType != gosnmp.GetResponse
+		if whole && (answer != nil) != due {
+			rt.Errorf("%v with %d names: answered %v", p.PDUType, len(p.Variables), answer != nil)
+		}
+	})
+}
+
+// The MIB names every counter, in the order that the agent numbers them by.
+func TestMIBNamesEveryCounter(t *testing.T) {
+	text, err := os.ReadFile("../../mibs/GLADEPICK-MIB.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, name := range dispatch.CountNames {
+		words := ""
+		for part := range strings.SplitSeq(name, "_") {
+			words += strings.ToUpper(part[:1]) + part[1:]
+		}
+		kind := "Counter64"
+		if name == "open" || strings.HasPrefix(name, "workers_") {
+			kind = "Gauge32"
+		}
+		object := regexp.MustCompile(fmt.Sprintf(`(?s)\ngp%s OBJECT-TYPE\n    SYNTAX +%s\n[^:]*::= \{ gpCounterEntry %d \}`, words, kind, i+1))
+		if !object.Match(text) {
+			t.Errorf("the MIB does not have %s as object %d", name, i+1)
+		}
+	}
+	if n := strings.Count(string(text), "{ gpCounterEntry "); n != len(dispatch.CountNames) {
+		t.Errorf("the MIB has %d counters, the agent %d", n, len(dispatch.CountNames))
+	}
+	if !strings.Contains(string(text), "::= { enterprises 32473 17 }") || !strings.HasSuffix(snmp.Base, ".32473.17") {
+		t.Error("the MIB stands at another place than the agent's")
+	}
+}
