--- /dev/null
+++ b/cmd/gladepick/main_test.go
@@ -0,0 +1,167 @@
+// These tests run the program itself, as a process on loopback: start, up,
+// SIGTERM, end. What it decides and carries is tested elsewhere.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"ivyfold/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv("GLADEPICK_AS_PROGRAM") != "" { // this same file plays bin/gladepick
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// program starts the program and waits for a line that has a word.
+func program(t *testing.T, word string, env []string, args ...string) (*exec.Cmd, *bufio.Scanner) {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), append(env, "GLADEPICK_AS_PROGRAM=1")...)
+	out, err := c.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Process.Kill() })
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), word) {
+			return c, lines
+		}
+	}
+	t.Fatalf("the program ended without %q", word)
+	return nil, nil
+}
+
+// free gives a loopback address that nobody listens on.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func settings(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "node.json")
+	if err := os.WriteFile(path, []byte(`{"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":`+standin.Settings+`}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func get(t *testing.T, url string) (int, string) {
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+// Told to leave, a dispatcher says no, still takes connections, answers what it took and exits with 0.
+func TestDispatcherLeaves(t *testing.T) {
+	at, worker := free(t), &standin.Yard{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go worker.Worker(l, "s-0badcafe")
+	path := filepath.Join(t.TempDir(), "node.json")
+	text := fmt.Sprintf(`{"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]},"settings":%s}`,
+		l.Addr().String(), standin.Settings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + path, "NODE_DISCOVERY=" + free(t)})
+	if status, _ := get(t, "http://"+at+"/up"); status != 200 {
+		t.Errorf("/up answers %d", status)
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	for status := 200; status != 503; { // until the signal has arrived; then the listener is still open
+		status, _ = get(t, "http://"+at+"/up")
+	}
+	req, _ := http.NewRequest("POST", "http://"+at+"/seat-check", strings.NewReader("done"))
+	for k, v := range map[string]string{"X-Request-ID": "p1", "X-Priority-Class": "seat-check", "X-Tenant-Id": "univ-gaspesie", "X-Timeout": "5"} {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("after SIGTERM: %+v, %v", resp, err)
+	}
+	last := ""
+	for lines.Scan() {
+		last = lines.Text()
+	}
+	if err := c.Wait(); err != nil || !strings.Contains(last, "taken=1 served=1 ") || !strings.Contains(last, " open=0 ") {
+		t.Errorf("it ended with %v and %q", err, last)
+	}
+}
+
+// An agent brings its instance up, tells about it, and takes it along when it leaves.
+func TestAgentWithAnInstance(t *testing.T) {
+	control, at := free(t), free(t)
+	file := filepath.Join(t.TempDir(), "agent.toml")
+	text := fmt.Sprintf("[agent]\ncontrol = %q\npoll_ms = 50\n[[instance]]\nname = \"n0\"\nlisten = %q\nconfig = %q\n", control, at, settings(t))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, lines := program(t, "n0 serves on", nil, "agent", file)
+	tool := func(args ...string) string {
+		var out bytes.Buffer
+		if err := run(append(args[:1:1], append([]string{"-agent", control}, args[1:]...)...), &out); err != nil {
+			t.Fatal(err)
+		}
+		return out.String()
+	}
+	for s := ""; !strings.Contains(s, " up "); {
+		s = tool("status")
+	}
+	if s := tool("counters", "n0"); !strings.Contains(s, "workers_ready") {
+		t.Errorf("counters: %s", s)
+	}
+	tool("drain", "n0")
+	for s := ""; !strings.Contains(s, "drained"); {
+		s = tool("status")
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	for lines.Scan() {
+	}
+	if err := c.Wait(); err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", at); err == nil {
+		t.Error("the instance outlived its agent")
+	}
+}
+
+func TestWrongUse(t *testing.T) {
+	for _, args := range [][]string{{"fly"}, {"agent"}, {"agent", "no such file"}, {"status", "-agent", "127.0.0.1:1"}, {"drain"}} {
+		if err := run(args, io.Discard); err == nil {
+			t.Errorf("%v is no error", args)
+		}
+	}
+	var out bytes.Buffer
+	if err := run([]string{"help"}, &out); err != nil || !strings.Contains(out.String(), "gladepick agent FILE") {
+		t.Errorf("help: %v, %s", err, out.String())
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,8 @@
 import (
 	"os"
 	"path/filepath"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -123,3 +125,18 @@
 		}
 	}
 }
+
+// Over its memory the process is killed: the collector must work before that. And it has one core.
+func TestApply(t *testing.T) {
+	cores, memory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
+	defer func() { runtime.GOMAXPROCS(cores); debug.SetMemoryLimit(memory) }()
+	for share, want := range map[float64]int{0.25: 1, 1: 1, 1.5: 2} {
+		(&config.Limits{Cores: share, MemoryMB: 192}).Apply()
+		if got := runtime.GOMAXPROCS(0); got != want {
+			t.Errorf("%v cores give %d threads", share, got)
+		}
+	}
+	if got := debug.SetMemoryLimit(-1); got != 144<<20 {
+		t.Errorf("192 MB give a limit of %d", got)
+	}
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -83,6 +83,7 @@
 	number   int
 	ended    bool // it has its outcome
 	recalled bool // given up by the module
+	expired  bool // its own time-out has passed
 }
 
 // Floor carries attempts to workers. Neither method may block.
@@ -251,8 +252,11 @@
 	if a.ended { // it was overdue and has been told as such; a late answer changes nothing
 		return
 	}
-	if a.recalled && o != ivyfold.OK {
+	switch {
+	case a.recalled && o != ivyfold.OK:
 		o = ivyfold.Cancelled
+	case a.expired && o == ivyfold.Cancelled:
+		o = ivyfold.TimedOut
 	}
 	a.ended = true
 	a.cancel()
@@ -391,12 +395,8 @@
 	}
 	a.Worker = a.seat.Worker
 	c.Counters.Sent.Add(1)
-	if act.Timeout > 0 {
-		c.at(c.now()+left, func() {
-			if !a.ended {
-				c.end(a, ivyfold.TimedOut, ivyfold.Load{}, nil)
-			}
-		})
+	if act.Timeout > 0 { // the floor closes the connection first and then tells: another send may follow
+		c.at(c.now()+left, func() { a.expired = true; a.cancel() })
 	}
 	c.floorOf(a.seat).Send(a)
 }
--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -47,6 +47,7 @@
 	desk   *desk.Desk
 	stop   func()
 	client *http.Client
+	spare  int // client connections allowed, where not the usual number
 }
 
 type options struct{ queues, amqp, lostQueue bool }
@@ -113,6 +114,9 @@
 	r.list.Whole = config.Roster{Generation: 8, Reset: true, Workers: listed}
 	r.list.mu.Unlock()
 	n := Node(r.t, listed, text)
+	if r.spare > 0 {
+		n.Limits.PortalConns = r.spare
+	}
 	counters := new(dispatch.Counters)
 	r.node, r.floor = n, floor.New(n, counters)
 	r.floor.Dial = r.net.Dial
@@ -634,3 +638,90 @@
 		}
 	})
 }
+
+// Told to leave, the AMQP front takes nothing more, and what it took is answered and acked.
+func TestLeavingTheBroker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{amqp: true})
+		q := r.queue()
+		q.put(task{"v1", "enrol", "k1", "done/3s", 5 * time.Second})
+		time.Sleep(time.Second)
+		r.desk.Leave()
+		synctest.Wait()
+		q.put(task{"v2", "enrol", "k2", "done", 5 * time.Second})
+		if err := r.desk.Settled(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if c := q.answer(); c.verdict != "served" || c.body != Result("v1") {
+			t.Errorf("answered %+v", c)
+		}
+		q.none(t)
+		if len(r.yard.Sent("v2")) != 0 || r.broker.Settled != 1 {
+			t.Errorf("v2 was sent %v, %d deliveries acked", r.yard.Sent("v2"), r.broker.Settled)
+		}
+	})
+}
+
+// A client's own new try of a key: with a served one it gets the result and nothing is sent; after a refusal it runs.
+func TestNewTryOfAKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{amqp: true})
+		q := r.queue()
+		for _, k := range []struct {
+			task
+			verdict, body string
+			sends         int
+		}{
+			{task{"t1", "enrol", "k1", "done", 5 * time.Second}, "served", Result("t1"), 1},
+			{task{"t2", "enrol", "k1", "done", 5 * time.Second}, "served", Result("t1"), 0},
+			{task{"t3", "enrol", "k3", "returned,returned,returned", 5 * time.Second}, "refused", "", 3},
+			{task{"t4", "enrol", "k3", "done", 5 * time.Second}, "served", Result("t4"), 1},
+			{task{"t5", "seat-check", "k1", "done", 5 * time.Second}, "served", Result("t5"), 1},
+		} {
+			q.put(k.task)
+			if c := q.answer(); c.verdict != k.verdict || c.body != k.body || len(r.yard.Sent(k.id)) != k.sends {
+				t.Errorf("%s: %+v after %v", k.id, c, r.yard.Sent(k.id))
+			}
+			time.Sleep(2 * time.Second)
+		}
+		time.Sleep(r.node.Limits.Remember) // now the key is forgotten, and a new try is a new job
+		q.put(task{"t6", "enrol", "k1", "done", 5 * time.Second})
+		if c := q.answer(); c.body != Result("t6") {
+			t.Errorf("after the window: %+v", c)
+		}
+	})
+}
+
+// With three quarters of the client connections in use each answer closes its own; all of them in use, a client waits
+// for one and is served.
+func TestClientConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := world(t)
+		w.spare = 4
+		r := w.start(options{})
+		hold := func() net.Conn {
+			c, err := r.net.Dial(context.Background(), here)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return c
+		}
+		one := hold()
+		defer one.Close()
+		go fmt.Fprint(one, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+		if resp, err := http.ReadResponse(bufio.NewReader(one), nil); err != nil || resp.Close {
+			t.Errorf("with one connection: %+v, %v", resp, err)
+		}
+		var more []net.Conn
+		for range 3 {
+			more = append(more, hold())
+		}
+		go fmt.Fprint(one, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+		if resp, err := http.ReadResponse(bufio.NewReader(one), nil); err != nil || !resp.Close {
+			t.Errorf("with all in use: %+v, %v", resp, err)
+		}
+		for _, c := range more {
+			c.Close()
+		}
+	})
+}
