Close connections with answers to jobs taken before SIGTERM; re-ask a broken watch

Seen in a test of the program as a process: a job that was out when SIGTERM came was answered on a connection that stayed open, so its client would have used it again. Lines at fault: ServeHTTP in internal/portal looked at the leaving flag before the job had waited, not when its answer was there. Checked by reading: a broken watch was asked for again only by the module, 0.7 to 6.7 s later, while what discovery tells counts as told after 6 s. The roster calls again by itself now, after 0.3 s on average and ever more rarely, spread. Connections beyond the limit would wait unseen behind idle ones: from seven eighths on idle ones are closed. Each has a test.

--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -122,6 +122,7 @@
 	}
 	// New connections keep coming for a while after SIGTERM: they are served, and told to go elsewhere afterwards.
 	front.Leave()
+	log.Printf("%s is leaving", n.Name)
 	if desk != nil {
 		desk.Leave()
 	}
--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -49,9 +49,15 @@
 	return nil, nil
 }
 
+// host is a loopback address of this process alone: a port that is free there is not taken by another test program.
+func host() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255|1)
+}
+
 // free gives a loopback address that nobody listens on.
 func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -59,9 +65,9 @@
 	return l.Addr().String()
 }
 
-func settings(t *testing.T) string {
+func settings(t *testing.T, more string) string {
 	path := filepath.Join(t.TempDir(), "node.json")
-	if err := os.WriteFile(path, []byte(`{"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":`+standin.Settings+`}`), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(`{"limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":`+standin.Settings+more+`}`), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	return path
@@ -77,36 +83,46 @@
 	return resp.StatusCode, string(body)
 }
 
-// Told to leave, a dispatcher says no, still takes connections, answers what it took and exits with 0.
+// Told to leave with a job out, a dispatcher answers it and exits with 0; its last line counts it.
 func TestDispatcherLeaves(t *testing.T) {
-	at, worker := free(t), &standin.Yard{}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	at := free(t)
+	l, err := net.Listen("tcp", host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	go worker.Worker(l, "s-0badcafe")
-	path := filepath.Join(t.TempDir(), "node.json")
-	text := fmt.Sprintf(`{"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]},"settings":%s}`,
-		l.Addr().String(), standin.Settings)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + path, "NODE_DISCOVERY=" + free(t)})
+	has, goOn := make(chan bool), make(chan bool)
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		has <- true
+		<-goOn
+		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"seen"}`, r.Header.Get("X-Request-ID"))
+	}))
+	known := fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
+	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + settings(t, known), "NODE_DISCOVERY=" + free(t)})
 	if status, _ := get(t, "http://"+at+"/up"); status != 200 {
 		t.Errorf("/up answers %d", status)
 	}
-	c.Process.Signal(syscall.SIGTERM)
-	for status := 200; status != 503; { // until the signal has arrived; then the listener is still open
-		status, _ = get(t, "http://"+at+"/up")
-	}
-	req, _ := http.NewRequest("POST", "http://"+at+"/seat-check", strings.NewReader("done"))
-	for k, v := range map[string]string{"X-Request-ID": "p1", "X-Priority-Class": "seat-check", "X-Tenant-Id": "univ-gaspesie", "X-Timeout": "5"} {
+	req, _ := http.NewRequest("POST", "http://"+at+"/seat-check", strings.NewReader("x"))
+	for k, v := range map[string]string{"X-Request-ID": "p1", "X-Priority-Class": "seat-check", "X-Tenant-Id": "univ-gaspesie", "X-Timeout": "300"} {
 		req.Header.Set(k, v)
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil || resp.StatusCode != 200 || !resp.Close {
-		t.Errorf("after SIGTERM: %+v, %v", resp, err)
+	answered := make(chan string)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(resp.Body)
+		answered <- fmt.Sprint(resp.StatusCode, " ", string(body), " ", resp.Close)
+	}()
+	<-has
+	c.Process.Signal(syscall.SIGTERM)
+	for lines.Scan() && !strings.Contains(lines.Text(), "leaving") {
+	}
+	close(goOn)
+	if got := <-answered; got != "200 seen true" {
+		t.Errorf("the job that was out: %s", got)
 	}
 	last := ""
 	for lines.Scan() {
@@ -121,7 +137,7 @@
 func TestAgentWithAnInstance(t *testing.T) {
 	control, at := free(t), free(t)
 	file := filepath.Join(t.TempDir(), "agent.toml")
-	text := fmt.Sprintf("[agent]\ncontrol = %q\npoll_ms = 50\n[[instance]]\nname = \"n0\"\nlisten = %q\nconfig = %q\n", control, at, settings(t))
+	text := fmt.Sprintf("[agent]\ncontrol = %q\npoll_ms = 50\n[[instance]]\nname = \"n0\"\nlisten = %q\nconfig = %q\n", control, at, settings(t, ""))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,6 +56,8 @@
 	TailWait        time.Duration // how long the end of a finished answer may take
 	RosterCall      time.Duration // a call to discovery is answered within it
 	RosterSilent    time.Duration // a watch that says nothing for so long has broken
+	RosterRetry     time.Duration // first pause, on average, after a call that failed or ended; doubles up to
+	RosterRetryMax  time.Duration // this
 	DrainGrace      time.Duration // no byte of a new send goes to a leaving worker later than this
 	Farewell        time.Duration // after SIGTERM the listener stays open so long
 	Remember        time.Duration // outcomes of keyed jobs are kept so long
@@ -232,7 +234,8 @@
 		AnswerRoom: 40 * time.Millisecond, RetryAfter: 50 * time.Millisecond, MostPatience: 5 * time.Minute,
 		Connect: 250 * time.Millisecond, WorkerIdle: 4 * time.Second, ClientIdle: 60 * time.Second,
 		ReadHead: 5 * time.Second, TailWait: 250 * time.Millisecond,
-		RosterCall: 3 * time.Second, RosterSilent: 5 * time.Second,
+		RosterCall: 3500 * time.Millisecond, RosterSilent: 5 * time.Second,
+		RosterRetry: 300 * time.Millisecond, RosterRetryMax: 3 * time.Second,
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
 		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
@@ -251,6 +254,7 @@
 	}
 	if s.AskWithin > 0 { // a watch must be known to be broken well before its silence counts as told
 		l.RosterSilent = min(l.RosterSilent, s.AskWithin/2)
+		l.RosterRetryMax = min(l.RosterRetryMax, s.AskWithin/3)
 	}
 	for _, c := range s.Classes {
 		l.Remember = max(l.Remember, c.Window)
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -31,12 +31,13 @@
 
 // Portal serves clients over HTTP/1.1.
 type Portal struct {
-	core    *dispatch.Core
-	node    *config.Node
-	lim     config.Limits
-	server  *http.Server
-	conns   atomic.Int64
-	leaving atomic.Bool
+	core      *dispatch.Core
+	node      *config.Node
+	lim       config.Limits
+	server    *http.Server
+	conns     atomic.Int64
+	leaving   atomic.Bool
+	relieving atomic.Bool // idle connections are being closed
 }
 
 // New makes a portal in front of a core.
@@ -48,7 +49,15 @@
 		ConnState: func(_ net.Conn, s http.ConnState) {
 			switch s {
 			case http.StateNew:
-				p.conns.Add(1)
+				// Beyond the limit a connection waits unseen, and its request with it. Idle ones make room before: a
+				// close that crosses a request is one that the client sends again.
+				if p.conns.Add(1) >= int64(p.lim.PortalConns)*7/8 && p.relieving.CompareAndSwap(false, true) {
+					go func() {
+						p.server.SetKeepAlivesEnabled(false) // closes what is idle
+						p.server.SetKeepAlivesEnabled(true)
+						p.relieving.Store(false)
+					}()
+				}
 			case http.StateClosed, http.StateHijacked:
 				p.conns.Add(-1)
 			}
@@ -76,19 +85,17 @@
 }
 
 func (p *Portal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	// Few connections may be left when clients hold many idle ones: from three quarters on each answer closes its own.
-	if p.leaving.Load() || p.conns.Load() > int64(p.lim.PortalConns)*3/4 {
-		w.Header().Set("Connection", "close")
-	}
 	rc := http.NewResponseController(w)
 	rc.SetWriteDeadline(time.Now().Add(2 * p.lim.ReadHead))
 	if r.Method == http.MethodGet {
+		p.part(w)
 		p.tell(w, r)
 		return
 	}
 	job, status, err := p.read(w, r)
 	if err != nil {
 		p.core.Counters.Malformed.Add(1)
+		p.part(w)
 		say(w, status, err.Error())
 		return
 	}
@@ -97,11 +104,13 @@
 	answers := make(chan dispatch.Answer, 1)
 	job.Reply = func(a dispatch.Answer) { answers <- a }
 	if err := p.core.Take(job); err != nil {
+		p.part(w)
 		refuse(w, p.lim.RetryAfter)
 		return
 	}
 	select {
 	case a := <-answers:
+		p.part(w)
 		rc.SetWriteDeadline(time.Now().Add(p.lim.ReadHead))
 		switch a.Verdict {
 		case dispatch.Served:
@@ -118,6 +127,14 @@
 	}
 }
 
+// part makes an answer close its connection where that is due: on leaving, and from three quarters of the connections
+// on, when few are left to those who hold none. It looks when the answer is there: a job may have waited meanwhile.
+func (p *Portal) part(w http.ResponseWriter) {
+	if p.leaving.Load() || p.conns.Load() > int64(p.lim.PortalConns)*3/4 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // tell answers what is not a job.
 func (p *Portal) tell(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,8 +1,8 @@
 // Package roster keeps the watch on discovery's list of workers. It owns the
 // one call that is under way, the version last heard of, and the watchdog that
-// ends a watch gone silent. When to call is the module's decision; this
-// package must never call on its own, judge a worker, or hide that a call has
-// failed.
+// ends a watch gone silent. The first call comes when the module asks; after a
+// broken one this package calls again by itself, ever more rarely. It must never
+// have two calls out, judge a worker, or hide that a call has failed.
 package roster
 
 import (
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -64,12 +65,16 @@
 		r.Listed(ivyfold.ListFull, nil)
 		return
 	}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.asked:
+	pause := r.lim.RosterRetry
+	for first := true; ; first = false {
+		if first {
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.asked:
+			}
 		}
+		began := time.Now()
 		err := r.watch(ctx)
 		select { // what was asked for while the call was out was that same call
 		case <-r.asked:
@@ -80,6 +85,21 @@
 		}
 		log.Printf("the watch on the roster has ended: %v", err)
 		r.Listed(ivyfold.ListFailed, nil)
+		if time.Since(began) > r.lim.RosterSilent { // it had come up and held
+			pause = r.lim.RosterRetry
+		}
+		// Spread, lest all dispatchers call together when discovery comes back: it takes calls in turn. The module asks
+		// again by itself, but later than a drain may wait that was told meanwhile.
+		wait := time.NewTimer(pause/2 + rand.N(pause))
+		select {
+		case <-ctx.Done():
+			wait.Stop()
+			return
+		case <-r.asked:
+			wait.Stop()
+		case <-wait.C:
+		}
+		pause = min(2*pause, r.lim.RosterRetryMax)
 	}
 }
 
--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -169,6 +169,7 @@
 type came struct {
 	verdict, body, after string
 	took                 time.Duration
+	closed               bool // the answer closed its connection
 }
 
 // post hands a job in over HTTP/1.1.
@@ -189,7 +190,7 @@
 	}
 	defer resp.Body.Close()
 	body, _ := io.ReadAll(resp.Body)
-	c := came{verdict: "failed", after: resp.Header.Get("Retry-After"), took: time.Since(began)}
+	c := came{verdict: "failed", after: resp.Header.Get("Retry-After"), took: time.Since(began), closed: resp.Close}
 	switch resp.StatusCode {
 	case 200:
 		c.verdict, c.body = "served", string(body)
@@ -247,7 +248,7 @@
 		if reason != "" {
 			body = reason
 		}
-		return came{m.Type, body, after, time.Since(began)}
+		return came{verdict: m.Type, body: body, after: after, took: time.Since(began)}
 	case <-time.After(time.Minute):
 		return came{verdict: "none"}
 	}
@@ -587,11 +588,11 @@
 		if r.net.Dials < dials+2 {
 			t.Error("an answer did not close its connection")
 		}
-		done := make(chan error)
-		go func() { done <- r.portal.Farewell(context.Background()) }()
-		if c := <-slow; c.verdict != "served" {
+		if c := <-slow; c.verdict != "served" || !c.closed {
 			t.Errorf("the job that was out: %+v", c)
 		}
+		done := make(chan error)
+		go func() { done <- r.portal.Farewell(context.Background()) }()
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
@@ -692,35 +693,59 @@
 	})
 }
 
-// With three quarters of the client connections in use each answer closes its own; all of them in use, a client waits
-// for one and is served.
+// With three quarters of the client connections in use each answer closes its own; shortly before the last, idle ones
+// are closed, so that a new client need not wait for one.
 func TestClientConnectionsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := world(t)
-		w.spare = 4
+		w.spare = 16
 		r := w.start(options{})
-		hold := func() net.Conn {
+		up := func() (c net.Conn, closes bool) {
 			c, err := r.net.Dial(context.Background(), here)
 			if err != nil {
 				t.Fatal(err)
 			}
-			return c
+			go fmt.Fprint(c, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			return c, resp.Close
+		}
+		idle := func(c net.Conn) bool {
+			c.SetReadDeadline(time.Now().Add(time.Millisecond))
+			_, err := c.Read(make([]byte, 1))
+			return err != io.EOF
+		}
+		var all []net.Conn
+		for i := range 12 {
+			c, closes := up()
+			if all = append(all, c); closes || !idle(c) {
+				t.Errorf("connection %d does not stay open", i)
+			}
+		}
+		if _, closes := up(); !closes {
+			t.Error("an answer beyond three quarters does not close its connection")
 		}
-		one := hold()
-		defer one.Close()
-		go fmt.Fprint(one, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
-		if resp, err := http.ReadResponse(bufio.NewReader(one), nil); err != nil || resp.Close {
-			t.Errorf("with one connection: %+v, %v", resp, err)
+		silent, err := r.net.Dial(context.Background(), here)
+		if err != nil {
+			t.Fatal(err)
 		}
-		var more []net.Conn
-		for range 3 {
-			more = append(more, hold())
+		defer silent.Close()
+		if c, err := r.net.Dial(context.Background(), here); err == nil { // the fourteenth of sixteen
+			defer c.Close()
 		}
-		go fmt.Fprint(one, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
-		if resp, err := http.ReadResponse(bufio.NewReader(one), nil); err != nil || !resp.Close {
-			t.Errorf("with all in use: %+v, %v", resp, err)
+		synctest.Wait()
+		for i, c := range all {
+			if idle(c) {
+				t.Errorf("connection %d is still open", i)
+			}
+			c.Close()
 		}
-		for _, c := range more {
+		if c, closes := up(); closes {
+			t.Error("with room again an answer closes its connection")
+		} else {
 			c.Close()
 		}
 	})
