--- a/internal/amqp/amqp.go
+++ b/internal/amqp/amqp.go
@@ -153,15 +153,20 @@
 		return err
 	}
 	const tag = "jobs"
-	jobs, err := s.in.Consume(d.conf.Jobs, tag, false, false, false, false, nil)
-	if err != nil {
-		return err
+	var jobs <-chan amqp.Delivery
+	leaving := d.leaving
+	select {
+	case <-leaving: // a session that comes up late only brings workers' answers home
+		leaving = nil
+	default:
+		if jobs, err = s.in.Consume(d.conf.Jobs, tag, false, false, false, false, nil); err != nil {
+			return err
+		}
 	}
 	d.mu.Lock()
 	d.now = s
 	d.mu.Unlock()
 	defer d.drop(s)
-	leaving := d.leaving
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -372,8 +372,8 @@
 		return nil, err
 	}
 	a := &f.AMQP
-	if !strings.HasPrefix(a.URL, "amqp://") {
-		return nil, fmt.Errorf("%s: key amqp.url: %q does not begin with amqp://", path, a.URL)
+	if !strings.HasPrefix(a.URL, "amqp://") && !strings.HasPrefix(a.URL, "amqps://") { // not shown: it may hold a password
+		return nil, fmt.Errorf("%s: key amqp.url: it does not begin with amqp:// or amqps://", path)
 	}
 	if a.Jobs == "" {
 		return nil, fmt.Errorf("%s: key amqp.jobs: the name of a queue is missing", path)
--- a/internal/standin/broker.go
+++ b/internal/standin/broker.go
@@ -417,3 +417,21 @@
 	}()
 	return nil
 }
+
+// Doubt makes the next confirms nacks.
+func (b *Broker) Doubt(n int) {
+	b.mu.Lock()
+	b.Unsure = n
+	b.mu.Unlock()
+}
+
+// Left counts the messages in the queue of jobs and the deliveries of it that are not settled.
+func (b *Broker) Left() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := len(b.queue("jobs").waiting)
+	for k := range b.links {
+		n += len(k.unacked)
+	}
+	return n
+}
--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,7 @@
 	"time"
 
 	amqp "github.com/rabbitmq/amqp091-go"
+	"pgregory.net/rapid"
 
 	"ivyfold"
 	desk "ivyfold/internal/amqp"
@@ -33,6 +35,8 @@
 
 var names = []string{"s-0badcafe", "s-1ce9565e", "s-3f2d6233", "s-9adcbe7d"}
 
+func init() { flag.Set("rapid.seed", "20261201") } // the same steps in every run
+
 // rig is a whole dispatcher on the network in memory.
 type rig struct {
 	t      *testing.T
@@ -47,6 +51,7 @@
 	desk   *desk.Desk
 	stop   func()
 	client *http.Client
+	ends   []func()
 	spare  int // client connections allowed, where not the usual number
 }
 
@@ -69,7 +74,8 @@
 	r.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 		return r.net.Dial(ctx, address)
 	}}}
-	t.Cleanup(func() {
+	t.Cleanup(r.end)
+	r.ends = append(r.ends, func() {
 		r.client.CloseIdleConnections()
 		srv.Close()
 		bl.Close()
@@ -85,6 +91,13 @@
 	return r
 }
 
+// end closes everything, the last first.
+func (r *rig) end() {
+	for ; len(r.ends) > 0; r.ends = r.ends[:len(r.ends)-1] {
+		r.ends[len(r.ends)-1]()
+	}
+}
+
 // start brings a dispatcher up in it.
 func (r *rig) start(o options) *rig {
 	text := ""
@@ -155,7 +168,7 @@
 			r.floor.CloseIdle(w)
 		}
 	}
-	r.t.Cleanup(r.stop)
+	r.ends = append(r.ends, r.stop)
 	time.Sleep(time.Millisecond)
 	return r
 }
@@ -167,9 +180,9 @@
 
 // came is what a client sees of a job.
 type came struct {
-	verdict, body, after string
-	took                 time.Duration
-	closed               bool // the answer closed its connection
+	id, verdict, body, after string
+	took                     time.Duration
+	closed                   bool // the answer closed its connection
 }
 
 // post hands a job in over HTTP/1.1.
@@ -213,7 +226,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	r.t.Cleanup(func() { c.Close() })
+	r.ends = append(r.ends, func() { c.Close() })
 	ch, err := c.Channel()
 	if err != nil {
 		r.t.Fatal(err)
@@ -248,7 +261,7 @@
 		if reason != "" {
 			body = reason
 		}
-		return came{verdict: m.Type, body: body, after: after, took: time.Since(began)}
+		return came{id: m.CorrelationId, verdict: m.Type, body: body, after: after, took: time.Since(began)}
 	case <-time.After(time.Minute):
 		return came{verdict: "none"}
 	}
@@ -261,6 +274,13 @@
 	}
 }
 
+// runs is how long the job runs where it is served.
+func (k task) runs() time.Duration {
+	_, length, _ := strings.Cut(k.script[strings.LastIndex(k.script, ",")+1:], "/")
+	d, _ := time.ParseDuration(length)
+	return d
+}
+
 // sequence is one fixed row of jobs that both fronts serve. Scripts only use what both wires have.
 var sequence = []struct {
 	task
@@ -281,6 +301,7 @@
 }
 
 func TestBothFrontsServeOneSequenceAlike(t *testing.T) {
+	var service []float64 // of each way, as the operators count it
 	for _, o := range []options{{}, {amqp: true}, {amqp: true, queues: true}} {
 		t.Run(fmt.Sprintf("amqp=%v queues=%v", o.amqp, o.queues), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -289,6 +310,7 @@
 				if o.amqp {
 					q = r.queue()
 				}
+				earned, asked := 0.0, 0.0
 				for _, k := range sequence {
 					time.Sleep(2 * time.Second)
 					var c came
@@ -307,6 +329,13 @@
 					if c.verdict == "refused" && (c.after == "" || c.after == "0.000") {
 						t.Errorf("%s: refused without a time to come back", k.id)
 					}
+					class := r.node.Module.Classes[config.Index(r.node.Classes, k.class)]
+					asked += class.Worth
+					if aim := class.Aim + time.Duration(class.Stretch*float64(k.runs())); c.verdict == "served" && c.took <= aim {
+						earned += class.Worth
+					} else if c.verdict == "served" {
+						earned += class.Worth * class.Late
+					}
 					if c.took >= k.wait {
 						t.Errorf("%s: answered after %v, its client had left after %v", k.id, c.took, k.wait)
 					}
@@ -317,9 +346,13 @@
 				if r.core.Open() != 0 {
 					t.Errorf("%d jobs are left open", r.core.Open())
 				}
+				service = append(service, earned/asked)
 			})
 		})
 	}
+	if len(service) != 3 || service[0] != service[1] || service[1] != service[2] || service[0] < 0.5 || service[0] >= 1 {
+		t.Errorf("the ways give services of %v", service)
+	}
 }
 
 // A broker delivers an enrol again when its channel drops while the job is out: one send, one answer.
@@ -345,7 +378,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := world(t).start(options{amqp: true})
 		q := r.queue()
-		r.broker.Unsure = 2
+		r.broker.Doubt(2)
 		q.put(task{"r1", "enrol", "k1", "done/100ms", 5 * time.Second})
 		if c := q.answer(); c.verdict != "served" {
 			t.Errorf("answered %+v", c)
@@ -750,3 +783,51 @@
 		}
 	})
 }
+
+// What the connection to the broker can go through (up, dropped, confirms refused, late) in random steps, with jobs in
+// between: each job is answered, all its answers say the same, and no worker sees two attempts of one at a time or an
+// enrol again that had run to its end.
+func TestBrokerConnectionStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) { // a bubble has no deadline to ask for
+			r := world(t).start(options{amqp: true})
+			defer r.end()
+			q := r.queue()
+			jobs := map[string]task{}
+			for n, step := range rapid.SliceOfN(rapid.IntRange(0, 5), 1, 20).Draw(rt, "steps") {
+				switch step {
+				case 0, 1, 2:
+					id := fmt.Sprint("x", n)
+					class := rapid.SampledFrom([]string{"seat-check", "enrol"}).Draw(rt, "class")
+					script := rapid.SampledFrom([]string{"done", "done/300ms", "done/2s", "returned,done", "500,done", "silent"}).Draw(rt, "script")
+					jobs[id] = task{id, class, "key-" + id, script, 3 * time.Second}
+					q.put(jobs[id])
+				case 3:
+					r.broker.Drop("jobs")
+				case 4:
+					r.broker.Doubt(rapid.IntRange(1, 3).Draw(rt, "nacks"))
+				case 5:
+					time.Sleep(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
+				}
+			}
+			answers := map[string]map[string]int{}
+			for c := q.answer(); c.verdict != "none"; c = q.answer() {
+				if answers[c.id] == nil {
+					answers[c.id] = map[string]int{}
+				}
+				answers[c.id][c.verdict+" "+c.body]++
+			}
+			for id, k := range jobs {
+				if len(answers[id]) != 1 {
+					rt.Errorf("%+v: answered %v", k, answers[id])
+				}
+				if n := len(r.yard.Sent(id)); k.class == "enrol" && strings.HasPrefix(k.script, "done") && n > 1 {
+					rt.Errorf("%+v: sent %d times", k, n)
+				}
+			}
+			if len(r.yard.Broken) > 0 || r.core.Open() != 0 || r.broker.Left() != 0 {
+				rt.Errorf("%v; %d open; %d deliveries not settled", r.yard.Broken, r.core.Open(), r.broker.Left())
+			}
+		})
+	})
+}
