Test that a drain told during a handshake stops the send

Seen by breaking lines on purpose: no test failed with the worker's state unread just before the send (Attempt.MayStart); one does now.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 # The random steps of the tests have a fixed seed, set in their files: every run gives the same verdict.
 test: lint build
-	go test -race -count=1 ./...
+	go test -race -count=1 -timeout 5m ./...
 
 # One dispatcher, as the NODE_ variables say.
 run: build
--- a/internal/floor/floor_test.go
+++ b/internal/floor/floor_test.go
@@ -234,3 +234,31 @@
 		t.Errorf("%v; %s", a, b.core.Line())
 	}
 }
+
+// A worker may be told off while the connection to it comes up: nothing is written to it then, and the job never ran.
+func TestDrainWhileConnecting(t *testing.T) {
+	w := standin.Listing("s-00000001", address, "ready")
+	n := standin.Node(t, []config.Worker{w}, "")
+	synctest.Test(t, func(t *testing.T) {
+		written := false
+		var b *bench
+		b = set(t, n, func(context.Context, string) (net.Conn, error) {
+			w.State = "draining"
+			b.core.Listed(ivyfold.ListDelta, []config.Worker{w})
+			time.Sleep(10 * time.Millisecond) // the handshake
+			here, there := net.Pipe()
+			go func() {
+				n, _ := there.Read(make([]byte, 1))
+				written = n > 0
+			}()
+			return here, nil
+		})
+		a := b.serve("d1", "done")
+		b.floor.CloseIdle(w)
+		synctest.Wait()
+		if a.Verdict != dispatch.Refused || written || b.counters.Outcomes[ivyfold.Moot].Load() != 1 {
+			t.Errorf("%v, written %v; %s", a, written, b.core.Line())
+		}
+		b.stop()
+	})
+}
