--- a/internal/floor/floor_test.go
+++ b/internal/floor/floor_test.go
@@ -217,7 +217,11 @@
 	} {
 		done := make(chan dispatch.Answer, 1)
 		go func() { done <- b.serve(fmt.Sprint("s", i), "x") }()
-		last = <-conns // each of them needs a new one
+		select {
+		case last = <-conns: // each of them needs a new one
+		case a := <-done:
+			t.Fatalf("job %d: %v without a connection of its own; %s", i, a, b.core.Line())
+		}
 		answer(last, fmt.Sprint("s", i))
 		if a := <-done; a.Verdict != dispatch.Served {
 			t.Errorf("job %d: %v", i, a)
