Reread the configuration on SIGHUP and move the watch on discovery

Now SIGHUP is caught before anything else; config.Reload reads the file again, which then beats NODE_DISCOVERY; roster.Move ends the old watch and calls the new address at once with after=0. A faulty or cut-off file (also one with text behind its end) leaves the old settings. The agent passes a reload on.

--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -14,6 +14,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -34,6 +35,7 @@
   gladepick counters [-agent ADDR] [NAME...] what they count
   gladepick drain    [-agent ADDR] NAME...   tell instances to answer what they have, leave and stay away
   gladepick start    [-agent ADDR] NAME...   bring drained instances back
+  gladepick reload   [-agent ADDR] NAME...   tell instances to read their configuration again
 `
 
 func main() {
@@ -54,7 +56,7 @@
 			return errors.New("agent needs one file")
 		}
 		return supervise(args[1])
-	case "status", "counters", "drain", "start":
+	case "status", "counters", "drain", "start", "reload":
 		flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
 		address := flags.String("agent", config.DefaultControl, "where the agent listens for questions")
 		if err := flags.Parse(args[1:]); err != nil {
@@ -70,6 +72,8 @@
 
 // node runs one dispatcher until SIGTERM has been served.
 func node() error {
+	reloads := make(chan os.Signal, 1) // from the first: by itself this signal would end the program
+	signal.Notify(reloads, syscall.SIGHUP)
 	n, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -109,6 +113,11 @@
 	}
 	broken := make(chan error, 1)
 	go func() { broken <- front.Serve(listener) }()
+	go func() { // to the last moment: what has been taken is still sent on by the list, also while leaving
+		for range reloads {
+			reload(n, list)
+		}
+	}()
 	log.Printf("%s serves on %s", n.Name, n.Listen)
 	for leaving := false; !leaving; {
 		select {
@@ -137,12 +146,28 @@
 	return err
 }
 
+// reload reads the configuration again and carries over what may change while jobs are open.
+func reload(n *config.Node, list *roster.Roster) {
+	later, err := config.Reload(os.Getenv)
+	if err != nil {
+		log.Printf("reload: the old settings stay: %v", err)
+		return
+	}
+	if keys := n.Fixed(later); len(keys) > 0 {
+		log.Printf("reload: a change of %s holds from the next start on", strings.Join(keys, ", "))
+	}
+	list.Move(later.Discovery)
+	log.Printf("reload: discovery is at %s", later.Discovery)
+}
+
 // supervise runs an agent until SIGTERM, and then until its instances have left.
 func supervise(path string) error {
 	conf, err := config.LoadAgent(path)
 	if err != nil {
 		return err
 	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	a := agent.New(conf)
@@ -162,6 +187,15 @@
 		}
 		go func() { failed <- snmp.New(a, conf).Serve(serving, conn) }()
 	}
+	go func() {
+		for range reloads { // the agent's own file holds until its next start; its instances read theirs again
+			for _, s := range a.Statuses() {
+				if err := a.Reload(s.Name); err != nil {
+					log.Printf("reload: %v", err)
+				}
+			}
+		}
+	}()
 	log.Printf("the agent keeps %d instances and answers on %s", len(conf.Instances), conf.Control)
 	go func() {
 		if err := <-failed; err != nil {
--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -98,7 +98,8 @@
 		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"seen"}`, r.Header.Get("X-Request-ID"))
 	}))
 	known := fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
-	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + settings(t, known), "NODE_DISCOVERY=" + free(t)})
+	path := settings(t, known)
+	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + path, "NODE_DISCOVERY=" + free(t)})
 	if status, _ := get(t, "http://"+at+"/up"); status != 200 {
 		t.Errorf("/up answers %d", status)
 	}
@@ -117,9 +118,23 @@
 		answered <- fmt.Sprint(resp.StatusCode, " ", string(body), " ", resp.Close)
 	}()
 	<-has
-	c.Process.Signal(syscall.SIGTERM)
-	for lines.Scan() && !strings.Contains(lines.Text(), "leaving") {
+	// A reload, with a file that is good and with half a one, changes nothing for the job; and signals come in any order.
+	wait := func(word string) {
+		for lines.Scan() && !strings.Contains(lines.Text(), word) {
+		}
 	}
+	whole, _ := os.ReadFile(path)
+	moved := free(t)
+	os.WriteFile(path, append([]byte(`{"discovery":"`+moved+`",`), whole[1:]...), 0o600)
+	c.Process.Signal(syscall.SIGHUP)
+	wait("discovery is at " + moved)
+	os.WriteFile(path, whole[:len(whole)/2], 0o600)
+	c.Process.Signal(syscall.SIGHUP)
+	wait("the old settings stay")
+	c.Process.Signal(syscall.SIGTERM)
+	wait("leaving")
+	c.Process.Signal(syscall.SIGHUP)
+	wait("the old settings stay")
 	close(goOn)
 	if got := <-answered; got != "200 seen true" {
 		t.Errorf("the job that was out: %s", got)
@@ -155,6 +170,14 @@
 	if s := tool("counters", "n0"); !strings.Contains(s, "workers_ready") {
 		t.Errorf("counters: %s", s)
 	}
+	if s := tool("reload", "n0"); !strings.Contains(s, "n0: reload") {
+		t.Errorf("reload: %s", s)
+	}
+	for lines.Scan() && !strings.Contains(lines.Text(), "reload: discovery") {
+	}
+	c.Process.Signal(syscall.SIGHUP) // to the agent: it passes it on and stays
+	for lines.Scan() && !strings.Contains(lines.Text(), "reload: discovery") {
+	}
 	tool("drain", "n0")
 	for s := ""; !strings.Contains(s, "drained"); {
 		s = tool("status")
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,7 @@
 type Process interface {
 	PID() int
 	Terminate() error
+	Reload() error
 	Kill() error
 	Wait() error
 }
@@ -132,6 +133,23 @@
 // Wanted starts an instance that was drained.
 func (a *Agent) Wanted(name string) error { return a.want(name, true) }
 
+// Reload passes a reload on to an instance. One that does not answer yet may not listen for the signal, which would
+// end it.
+func (a *Agent) Reload(name string) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, in := range a.all {
+		switch {
+		case in.Status.Name != name:
+		case in.process == nil || in.Status.Counters == nil: // it has not answered yet
+			return fmt.Errorf("instance %q is %v: it reads its configuration when it starts", name, in.State)
+		default:
+			return in.process.Reload()
+		}
+	}
+	return fmt.Errorf("there is no instance %q", name)
+}
+
 func (a *Agent) want(name string, on bool) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -272,6 +290,7 @@
 
 func (c child) PID() int         { return c.Process.Pid }
 func (c child) Terminate() error { return c.Process.Signal(syscall.SIGTERM) }
+func (c child) Reload() error    { return c.Process.Signal(syscall.SIGHUP) }
 func (c child) Kill() error      { return c.Process.Kill() }
 
 func (a *Agent) spawn(in config.Instance) (Process, error) {
@@ -321,6 +340,7 @@
 	}
 	mux.HandleFunc("POST /drain", act(a.Drain))
 	mux.HandleFunc("POST /start", act(a.Wanted))
+	mux.HandleFunc("POST /reload", act(a.Reload))
 	return mux
 }
 
@@ -345,10 +365,10 @@
 	return json.Unmarshal(body, into)
 }
 
-// Command asks the agent at an address on behalf of the command line: status, counters, drain or start.
+// Command asks the agent at an address on behalf of the command line: status, counters, drain, start or reload.
 func Command(ctx context.Context, out io.Writer, address, command string, names []string) error {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
-	if command == "drain" || command == "start" {
+	if command == "drain" || command == "start" || command == "reload" {
 		if len(names) == 0 {
 			return fmt.Errorf("%s needs the names of instances", command)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,9 +10,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net/netip"
 	"os"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -146,7 +148,11 @@
 		}
 		dec := json.NewDecoder(strings.NewReader(string(text)))
 		dec.UseNumber() // nanoseconds keep their digits
-		if err := dec.Decode(&f); err != nil {
+		err = dec.Decode(&f)
+		if err == nil && dec.Decode(new(any)) != io.EOF {
+			err = errors.New("more stands behind the end of the object")
+		}
+		if err != nil {
 			var wrong *json.UnmarshalTypeError
 			if errors.As(err, &wrong) {
 				return nil, fmt.Errorf("NODE_CONFIG: key %s: a %s is not valid", wrong.Field, wrong.Value)
@@ -215,6 +221,38 @@
 	return n, nil
 }
 
+// Reload reads the same again for a program that runs. Now the file wins over NODE_DISCOVERY: that is what the program
+// was started with, the file is what has been put in its place since.
+func Reload(getenv func(string) string) (*Node, error) {
+	n, err := Load(func(key string) string {
+		if key == "NODE_DISCOVERY" {
+			return ""
+		}
+		return getenv(key)
+	})
+	if err == nil && n.Discovery == "" {
+		return Load(getenv)
+	}
+	return n, err
+}
+
+// Fixed names the keys that differ from those of a node read later and that hold until the next start.
+func (n *Node) Fixed(later *Node) (keys []string) {
+	for _, k := range []struct {
+		key      string
+		old, new any
+	}{
+		{"name", n.Name, later.Name}, {"listen", n.Listen, later.Listen}, {"limits", n.Limits, later.Limits},
+		{"settings", n.Module, later.Module}, {"settings.classes", n.Classes, later.Classes},
+		{"settings.tenants", n.Tenants, later.Tenants}, {"amqp", n.AMQP, later.AMQP},
+	} {
+		if !reflect.DeepEqual(k.old, k.new) {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 // derive fills Limits from what the platform grants and the settings say.
 func derive(cores float64, memory, sockets int, s *ivyfold.Settings) (Limits, error) {
 	switch {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 package config_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -59,6 +60,37 @@
 	}
 }
 
+// At the start the environment's discovery holds, after a reload the file's; what else differs is named.
+func TestReload(t *testing.T) {
+	path := write(t, "node.json", whole)
+	env := map[string]string{"NODE_CONFIG": path, "NODE_DISCOVERY": "127.0.0.1:9999"}
+	getenv := func(key string) string { return env[key] }
+	first, err := config.Load(getenv)
+	if err != nil || first.Discovery != "127.0.0.1:9999" {
+		t.Fatalf("at the start: %v, %v", first, err)
+	}
+	for _, k := range []struct{ from, to, discovery, fixed string }{
+		{"", "", "127.0.0.1:8500", "[]"},
+		{`"127.0.0.1:8500"`, `"127.0.0.1:8501"`, "127.0.0.1:8501", "[]"},
+		{`"127.0.0.1:8500"`, `""`, "127.0.0.1:9999", "[]"},
+		{`"memory_mb":192`, `"memory_mb":64`, "127.0.0.1:8500", "[limits]"},
+		{`"listen":"127.0.0.1:5000"`, `"listen":"127.0.0.1:5001"`, "127.0.0.1:8500", "[listen]"},
+		{`"value":8.0`, `"value":9.0`, "127.0.0.1:8500", "[settings]"},
+	} {
+		os.WriteFile(path, []byte(strings.Replace(whole, k.from, k.to, 1)), 0o600)
+		n, err := config.Reload(getenv)
+		if err != nil || n.Discovery != k.discovery || fmt.Sprint(first.Fixed(n)) != k.fixed {
+			t.Errorf("%s: %v, %+v", k.to, err, n)
+		}
+	}
+	for _, text := range []string{"", whole[:len(whole)/2], whole + "}", whole + whole, strings.Replace(whole, "127.0.0.1:8500", "x", 1)} {
+		os.WriteFile(path, []byte(text), 0o600)
+		if _, err := config.Reload(getenv); err == nil {
+			t.Errorf("a file of %d bytes is read as whole", len(text))
+		}
+	}
+}
+
 func TestFaultyKeysAreNamed(t *testing.T) {
 	for _, k := range []struct{ from, to, key string }{
 		{`"listen":"127.0.0.1:5000"`, `"listen":"here"`, "NODE_LISTEN"},
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,6 +1,6 @@
 // Package roster keeps the watch on discovery's list of workers. It owns the
-// one call that is under way, the version last heard of, and the watchdog that
-// ends a watch gone silent. The first call comes when the module asks; after a
+// one call that is under way, the address it goes to, the version last heard of
+// there, and the watchdog that ends a watch gone silent. The first call comes when the module asks; after a
 // broken one this package calls again by itself, ever more rarely. It must never
 // have two calls out, judge a worker, or hide that a call has failed.
 package roster
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"ivyfold"
@@ -29,17 +30,22 @@
 	// Dial opens a connection; tests put their own in its place.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	lim    config.Limits
+	client *http.Client
+	asked  chan struct{}
+
+	mu         sync.Mutex
 	address    string
-	lim        config.Limits
-	client     *http.Client
-	asked      chan struct{}
-	generation int64
+	generation int64                   // at this address; another's versions mean nothing here
+	moves      int                     // addresses so far
+	moved      chan struct{}           // something to call has been named anew
+	hangUp     context.CancelCauseFunc // ends the call that is out
 }
 
 // New makes a roster; the list that the node knows gives the version to go on from.
 func New(n *config.Node) *Roster {
 	r := &Roster{address: n.Discovery, lim: n.Limits, generation: n.Known.Generation, asked: make(chan struct{}, 1),
-		Dial: (&net.Dialer{Timeout: n.Limits.RosterCall, KeepAlive: -1}).DialContext}
+		moved: make(chan struct{}, 1), hangUp: func(error) {}, Dial: (&net.Dialer{Timeout: n.Limits.RosterCall, KeepAlive: -1}).DialContext}
 	// Each call has a connection of its own: nothing is left for a library to send again.
 	r.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: n.Limits.RosterConns,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -59,21 +65,53 @@
 	}
 }
 
+// Move names another address of discovery. The watch goes over to it at once and asks for everything.
+func (r *Roster) Move(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if address == r.address {
+		return
+	}
+	r.address, r.generation, r.moves = address, 0, r.moves+1
+	select {
+	case r.moved <- struct{}{}:
+	default:
+	}
+	r.hangUp(errMoved)
+}
+
+// called gives the address to call, and the version and the number of the move that belong to it.
+func (r *Roster) called(hangUp context.CancelCauseFunc) (address string, generation int64, moves int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hangUp = hangUp
+	return r.address, r.generation, r.moves
+}
+
+// reached notes a version, unless the address has changed since.
+func (r *Roster) reached(generation int64, moves int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.moves == moves {
+		r.generation = generation
+	}
+	return r.moves == moves
+}
+
 // Run serves the calls until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
-	if r.address == "" { // no discovery: the list is what the operator's file says
+	first := r.asked
+	if address, _, _ := r.called(r.hangUp); address == "" { // no discovery: the list is what the operator's file says
 		r.Listed(ivyfold.ListFull, nil)
+		first = nil
+	}
+	select {
+	case <-ctx.Done():
 		return
+	case <-first:
+	case <-r.moved:
 	}
-	pause := r.lim.RosterRetry
-	for first := true; ; first = false {
-		if first {
-			select {
-			case <-ctx.Done():
-				return
-			case <-r.asked:
-			}
-		}
+	for pause := r.lim.RosterRetry; ; {
 		began := time.Now()
 		err := r.watch(ctx)
 		select { // what was asked for while the call was out was that same call
@@ -85,7 +123,7 @@
 		}
 		log.Printf("the watch on the roster has ended: %v", err)
 		r.Listed(ivyfold.ListFailed, nil)
-		if time.Since(began) > r.lim.RosterSilent { // it had come up and held
+		if time.Since(began) > r.lim.RosterSilent || errors.Is(err, errMoved) { // it had come up and held
 			pause = r.lim.RosterRetry
 		}
 		// Spread, lest all dispatchers call together when discovery comes back: it takes calls in turn. The module asks
@@ -97,22 +135,35 @@
 			return
 		case <-r.asked:
 			wait.Stop()
+		case <-r.moved: // nothing has gone wrong there yet
+			wait.Stop()
+			pause = r.lim.RosterRetry
+			continue
 		case <-wait.C:
 		}
 		pause = min(2*pause, r.lim.RosterRetryMax)
 	}
 }
 
-var errSilent = errors.New("discovery has gone silent")
+var (
+	errSilent = errors.New("discovery has gone silent")
+	errMoved  = errors.New("discovery is at another address now")
+)
 
 // watch makes one call and follows it to its end.
-func (r *Roster) watch(ctx context.Context) error {
+func (r *Roster) watch(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// A machine that is cut off says nothing and closes nothing: without this a watch would stand for ever.
 	dog := time.AfterFunc(r.lim.RosterCall, func() { cancel(errSilent) })
 	defer dog.Stop()
-	url := fmt.Sprintf("http://%s/discovery/hosts?watch=1&after=%d", r.address, r.generation)
+	address, generation, moves := r.called(cancel)
+	defer func() {
+		if context.Cause(ctx) == errMoved {
+			err = errMoved
+		}
+	}()
+	url := fmt.Sprintf("http://%s/discovery/hosts?watch=1&after=%d", address, generation)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -135,10 +186,12 @@
 		}
 		var list config.Roster
 		if err := json.Unmarshal(text, &list); err != nil {
-			r.generation = 0 // what changed is unknown now: the next call asks for everything
+			r.reached(0, moves) // what changed is unknown now: the next call asks for everything
 			return err
 		}
-		r.generation = list.Generation
+		if !r.reached(list.Generation, moves) { // an old address has no say any more
+			return errMoved
+		}
 		kind := ivyfold.ListDelta
 		if list.Reset {
 			kind = ivyfold.ListFull
--- a/internal/snmp/snmp_test.go
+++ b/internal/snmp/snmp_test.go
@@ -37,11 +37,13 @@
 	end    chan error
 	linger time.Duration
 	killed atomic.Bool
+	told   atomic.Int64 // reloads
 }
 
-func (p *process) PID() int    { return 42 }
-func (p *process) Wait() error { return <-p.end }
-func (p *process) Kill() error { p.killed.Store(true); p.end <- errors.New("killed"); return nil }
+func (p *process) PID() int      { return 42 }
+func (p *process) Wait() error   { return <-p.end }
+func (p *process) Reload() error { p.told.Add(1); return nil }
+func (p *process) Kill() error   { p.killed.Store(true); p.end <- errors.New("killed"); return nil }
 func (p *process) Terminate() error {
 	if p.linger >= 0 {
 		time.AfterFunc(p.linger, func() { p.end <- nil })
@@ -99,12 +101,18 @@
 			}
 		}
 		expect("started", agent.Up, 0, 1)
+		if err := a.Reload("n0"); err != nil || started[0].told.Load() != 1 {
+			t.Errorf("a reload of one that is up: %v, told %d times", err, started[0].told.Load())
+		}
 		change(func() { answers = false })
 		time.Sleep(1100 * time.Millisecond)
 		expect("silent", agent.Starting, 0, 1)
 		change(func() { answers = true })
 		started[0].end <- errors.New("exit status 2")
 		expect("crashed", agent.Waiting, 1, 1)
+		if a.Reload("n0") == nil || a.Reload("n9") == nil {
+			t.Error("a reload went to a process that is not there")
+		}
 		if s := a.Statuses()[0]; s.Last != "exit status 2" || s.PID != 0 {
 			t.Errorf("after its crash: %+v", s)
 		}
--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -44,6 +44,7 @@
 	yard   *Yard
 	broker *Broker
 	list   *Roster
+	watch  *roster.Roster
 	node   *config.Node
 	core   *dispatch.Core
 	floor  *floor.Floor
@@ -146,7 +147,7 @@
 	if r.core, err = dispatch.New(n, counters, r.floor, queues, watch, fixed); err != nil {
 		r.t.Fatal(err)
 	}
-	watch.Listed = r.core.Listed
+	watch.Listed, r.watch = r.core.Listed, watch
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.core.Run(ctx)
 	go watch.Run(ctx)
@@ -673,6 +674,44 @@
 	})
 }
 
+// Discovery at another address: the old watch ends at once, the new one asks for everything whatever version the old
+// address was at, nothing that the old one says counts any more, and the job that is out goes on.
+func TestDiscoveryMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{})
+		l := r.net.Listen("127.0.0.1:8600")
+		next := &Roster{Changes: make(chan string), Whole: config.Roster{Generation: 3, Reset: true, Workers: r.list.Whole.Workers[:3]}}
+		srv := &http.Server{Handler: next}
+		go srv.Serve(l)
+		r.ends = append(r.ends, func() { srv.Close() })
+		slow := make(chan came)
+		go func() { slow <- r.post(task{"m1", "seat-check", "", "done/2s", 5 * time.Second}) }()
+		time.Sleep(time.Second)
+		began := time.Now()
+		r.watch.Move("127.0.0.1:8600")
+		synctest.Wait()
+		if calls := next.Calls(); len(calls) != 1 || !strings.HasSuffix(calls[0], "&after=0") || time.Since(began) != 0 {
+			t.Errorf("calls %v after %v", calls, time.Since(began))
+		}
+		if w := r.core.Workers(); w[ivyfold.Ready] != 3 {
+			t.Errorf("workers by state: %v", w)
+		}
+		select {
+		case r.list.Changes <- `{"generation":99,"reset":true,"instances":[]}`:
+			t.Error("somebody still watches at the old address")
+		case <-time.After(100 * time.Millisecond):
+		}
+		if c := <-slow; c.verdict != "served" || len(r.yard.Sent("m1")) != 1 {
+			t.Errorf("the job that was out: %+v, sent to %v", c, r.yard.Sent("m1"))
+		}
+		r.watch.Move("127.0.0.1:8600") // a reload that changes nothing disturbs nothing
+		time.Sleep(time.Second)
+		if calls := next.Calls(); len(calls) != 1 || len(r.list.Calls()) != 1 {
+			t.Errorf("calls %v there, %v at the old address", calls, r.list.Calls())
+		}
+	})
+}
+
 // Told to leave, the AMQP front takes nothing more, and what it took is answered and acked.
 func TestLeavingTheBroker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
