Check raw heads at the portal's door; count connections from their accept

Now internal/portal/door.go reads each head raw and lets through what has one meaning, counts from accept, makes room by need, and closes lingering; dispatch.ErrOpen refuses the id of an open job on both fronts.

--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+// The answer to a body that is far too large reaches a client that sends for longer than the sockets' buffers hold,
+// before anything is reset.
+func TestAnswerReachesWhoStillSends(t *testing.T) {
+	at := free(t)
+	c, _ := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + settings(t, "")})
+	conn, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "POST /enrol HTTP/1.1\r\nHost: b\r\nContent-Length: 60000000\r\n\r\n")
+	for sent, more := 0, make([]byte, 64<<10); sent < 3<<20; sent += len(more) {
+		if _, err := conn.Write(more); err != nil {
+			t.Fatalf("after %d bytes: %v", sent, err)
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestEntityTooLarge || !resp.Close {
+		t.Errorf("answered %v, %v", resp, err)
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	if err := c.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 // An agent brings its instance up, tells about it, and takes it along when it leaves.
 func TestAgentWithAnInstance(t *testing.T) {
 	control, at := free(t), free(t)
--- a/internal/amqp/amqp.go
+++ b/internal/amqp/amqp.go
@@ -259,21 +259,26 @@
 		}
 	}
 	// A client that left while its job waited in the queue, or no room: it is sent nowhere, so trying again is harmless.
-	if j.Patience <= 0 || d.Core.Take(j) != nil {
-		j.Reply(dispatch.Answer{Verdict: dispatch.Refused, RetryAfter: d.lim.RetryAfter})
+	var refused error
+	if j.Patience > 0 {
+		refused = d.Core.Take(j)
+	}
+	switch none := (dispatch.Answer{Verdict: dispatch.Refused, RetryAfter: d.lim.RetryAfter}); {
+	case errors.Is(refused, dispatch.ErrOpen): // another job has this id: that one goes on as if nothing had come
+		d.counters.Malformed.Add(1)
+		for _, p := range d.ledger.close(name, none) {
+			go d.settle(p, typeMalformed, amqp.Table{"reason": refused.Error()}, nil)
+		}
+	case refused != nil || j.Patience <= 0:
+		j.Reply(none)
 	}
-}
-
-// plain tells whether a word can stand in any wire's head as it is.
-func plain(s string) bool {
-	return len(s) <= 256 && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
 }
 
 // read checks a message and takes out what decisions need.
 func (d *Desk) read(m *amqp.Delivery) (*dispatch.Job, error) {
 	text := func(key string) string { s, _ := m.Headers[key].(string); return s }
 	j := &dispatch.Job{ID: m.CorrelationId, Key: m.MessageId, Target: "/" + m.Type, Body: m.Body, Repeat: text("x-retried") == "1"}
-	if j.ID == "" || !plain(j.ID) || !plain(j.Key) || !plain(m.Type) {
+	if j.ID == "" || !portal.Plain(j.ID) || !portal.Plain(j.Key) || !portal.Plain(m.Type) {
 		return nil, errors.New("correlation-id is missing, or it, message-id or type cannot pass on as it is")
 	}
 	if int64(len(m.Body)) > d.lim.Body {
@@ -283,7 +288,7 @@
 		return nil, err
 	}
 	if subject := text("x-subject"); subject != "" {
-		if !plain(subject) || strings.ContainsAny(subject, "/?#") {
+		if !portal.Plain(subject) || strings.ContainsAny(subject, "/?#") {
 			return nil, errors.New("x-subject cannot pass on as it is")
 		}
 		j.Target += "/" + subject
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,10 +36,12 @@
 	Sockets  int     // descriptors in all; split into the three that follow
 
 	PortalConns int // client connections open at a time
+	PortalFresh int // among them those that have not said a whole head yet
 	FloorConns  int // worker connections open at a time, idle ones included
 	RosterConns int // calls to discovery open at a time
 
 	Body      int64 // bytes of a job's body or of a worker's answer
+	Bodies    int64 // bytes of all clients' bodies held at a time
 	Head      int   // bytes of a message's head
 	Line      int   // bytes of one line of an answer or of the roster
 	Roster    int   // bytes of one line or whole list of the roster
@@ -54,7 +56,9 @@
 	Connect         time.Duration // a worker's connection comes up within it
 	WorkerIdle      time.Duration // idle worker connections are closed after it
 	ClientIdle      time.Duration // idle client connections are closed after it
-	ReadHead        time.Duration // a client finishes its head and body within it
+	ReadHead        time.Duration // a client finishes its head and body within it, the first from connecting on
+	Linger          time.Duration // after an answer that came early, what a client still sends is read away so long
+	LingerBytes     int64         // and so many bytes of it at most
 	TailWait        time.Duration // how long the end of a finished answer may take
 	RosterCall      time.Duration // a call to discovery is answered within it
 	RosterSilent    time.Duration // a watch that says nothing for so long has broken
@@ -268,18 +272,19 @@
 	l := Limits{
 		Cores: cores, MemoryMB: memory, Sockets: sockets,
 		RosterConns: 4, PortalConns: (usable - 4) * 5 / 9, FloorConns: (usable - 4) * 4 / 9,
-		Body: 64 << 10, Head: 16 << 10, Line: 128 << 10, Roster: 4 << 20, Workers: 20000, LateReads: 4 << 10,
+		PortalFresh: (usable - 4) / 6, LingerBytes: 4 << 20, Linger: time.Second,
+		Body: 64 << 10, Bodies: int64(memory) << 20 / 4, Head: 16 << 10, Line: 128 << 10, Roster: 4 << 20, Workers: 20000, LateReads: 4 << 10,
 		AnswerRoom: 40 * time.Millisecond, RetryAfter: 50 * time.Millisecond, MostPatience: 5 * time.Minute,
 		Connect: 250 * time.Millisecond, WorkerIdle: 4 * time.Second, ClientIdle: 60 * time.Second,
-		ReadHead: 5 * time.Second, TailWait: 250 * time.Millisecond,
+		ReadHead: 2 * time.Second, TailWait: 250 * time.Millisecond,
 		RosterCall: 3500 * time.Millisecond, RosterSilent: 5 * time.Second,
 		RosterRetry: 300 * time.Millisecond, RosterRetryMax: 3 * time.Second,
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
 		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
 	}
-	// Bodies of all open jobs, and their answers, must fit into a third of the memory at their largest.
-	l.OpenJobs = max(min(l.PortalConns, memory<<20/3/int(2*l.Body)), 16)
+	// Bodies are counted by themselves; answers of half a body's size to all open jobs fit into a third of the memory.
+	l.OpenJobs = max(min(l.PortalConns, memory<<20/3/int(l.Body/2)), 16)
 	l.Mailbox = 8 * l.OpenJobs
 	if s.MaxRetryAfter > 0 {
 		l.RetryAfter = min(l.RetryAfter, s.MaxRetryAfter)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 	"log"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -126,6 +127,9 @@
 	fixed   []config.Worker
 	open    atomic.Int64
 	workers atomic.Pointer[[3]int] // by state
+
+	mu  sync.Mutex
+	ids map[string]bool // of jobs that are open or still out at a worker
 }
 
 // past is where the module's clock starts: workers that started before this process have times above zero too.
@@ -134,6 +138,9 @@
 // ErrBusy is Take's answer while as many jobs are open as the limits allow: nothing has been sent anywhere.
 var ErrBusy = errors.New("too many open jobs")
 
+// ErrOpen is Take's answer to the id of a job that is open: a second one of that id could get the first one's answer.
+var ErrOpen = errors.New("a job with this id is open")
+
 // New makes a core for a node. queues serves the fixed workers and may be nil where there are none.
 func New(n *config.Node, counters *Counters, floor, queues Floor, roster Asker, fixed []config.Worker) (*Core, error) {
 	m, err := ivyfold.New(n.Module, n.Seed)
@@ -142,7 +149,8 @@
 	}
 	c := &Core{Counters: counters, lim: n.Limits, node: n, module: m, floor: floor, queues: queues, roster: roster, fixed: fixed,
 		mail: make(chan func(), n.Limits.Mailbox), over: make(chan struct{}), birth: time.Now(),
-		jobs: map[ivyfold.JobID]*Job{}, seats: map[ivyfold.WorkerID]*seat{}, byName: map[string]ivyfold.WorkerID{}}
+		jobs: map[ivyfold.JobID]*Job{}, seats: map[ivyfold.WorkerID]*seat{}, byName: map[string]ivyfold.WorkerID{},
+		ids: map[string]bool{}}
 	c.workers.Store(&[3]int{})
 	return c, nil
 }
@@ -190,6 +198,10 @@
 		c.Counters.Overflow.Add(1)
 		return ErrBusy
 	}
+	if !c.enter(j.ID) {
+		c.open.Add(-1)
+		return ErrOpen
+	}
 	c.Counters.Taken.Add(1)
 	came := c.now()
 	c.post(func() {
@@ -206,6 +218,17 @@
 	return nil
 }
 
+// enter notes a job's id; it tells whether no other job has it.
+func (c *Core) enter(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ids[id] {
+		return false
+	}
+	c.ids[id] = true
+	return true
+}
+
 // Leave tells that the client has gone: nobody waits for the answer any more.
 func (c *Core) Leave(j *Job) {
 	c.post(func() {
@@ -319,8 +342,11 @@
 }
 
 func (c *Core) forget(j *Job) {
-	if j.answered && j.out == 0 {
+	if j.answered && j.out == 0 && c.jobs[j.number] == j {
 		delete(c.jobs, j.number)
+		c.mu.Lock()
+		delete(c.ids, j.ID)
+		c.mu.Unlock()
 	}
 }
 
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -22,8 +22,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"ivyfold"
 	"ivyfold/internal/config"
 	"ivyfold/internal/dispatch"
@@ -31,35 +29,27 @@
 
 // Portal serves clients over HTTP/1.1.
 type Portal struct {
-	core      *dispatch.Core
-	node      *config.Node
-	lim       config.Limits
-	server    *http.Server
-	conns     atomic.Int64
-	leaving   atomic.Bool
-	relieving atomic.Bool // idle connections are being closed
+	core    *dispatch.Core
+	node    *config.Node
+	lim     config.Limits
+	server  *http.Server
+	door    *door
+	bodies  atomic.Int64 // bytes of bodies that are held
+	leaving atomic.Bool
 }
 
 // New makes a portal in front of a core.
 func New(n *config.Node, core *dispatch.Core) *Portal {
-	p := &Portal{core: core, node: n, lim: n.Limits}
+	p := &Portal{core: core, node: n, lim: n.Limits, door: newDoor(n.Limits)}
 	p.server = &http.Server{
 		Handler: p, ReadTimeout: p.lim.ReadHead, IdleTimeout: p.lim.ClientIdle, MaxHeaderBytes: p.lim.Head,
 		ErrorLog: log.Default(),
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				// Beyond the limit a connection waits unseen, and its request with it. Idle ones make room before: a
-				// close that crosses a request is one that the client sends again.
-				if p.conns.Add(1) >= int64(p.lim.PortalConns)*7/8 && p.relieving.CompareAndSwap(false, true) {
-					go func() {
-						p.server.SetKeepAlivesEnabled(false) // closes what is idle
-						p.server.SetKeepAlivesEnabled(true)
-						p.relieving.Store(false)
-					}()
-				}
-			case http.StateClosed, http.StateHijacked:
-				p.conns.Add(-1)
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, guestKey{}, c)
+		},
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if s == http.StateIdle {
+				c.(*guest).reach(idle)
 			}
 		},
 	}
@@ -68,7 +58,8 @@
 
 // Serve takes connections until the portal has said farewell.
 func (p *Portal) Serve(l net.Listener) error {
-	err := p.server.Serve(netutil.LimitListener(l, p.lim.PortalConns))
+	p.door.Listener = l
+	err := p.server.Serve(p.door)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -87,23 +78,49 @@
 func (p *Portal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	rc := http.NewResponseController(w)
 	rc.SetWriteDeadline(time.Now().Add(2 * p.lim.ReadHead))
+	bad := func(status int, text string) { // nothing more is read from a connection that was misused
+		p.core.Counters.Malformed.Add(1)
+		w.Header().Set("Connection", "close")
+		say(w, status, text)
+	}
+	g := guestOf(r.Context())
+	if g.status != 0 {
+		bad(g.status, g.fault)
+		return
+	}
+	if g.through { // where its body ends the door does not know
+		w.Header().Set("Connection", "close")
+	}
 	if r.Method == http.MethodGet {
 		p.part(w)
 		p.tell(w, r)
 		return
 	}
+	held := r.ContentLength
+	if held < 0 {
+		held = p.lim.Body
+	}
+	defer p.bodies.Add(-held)
+	if p.bodies.Add(held) > p.lim.Bodies {
+		p.core.Counters.Overflow.Add(1)
+		w.Header().Set("Connection", "close")
+		refuse(w, p.lim.RetryAfter)
+		return
+	}
 	job, status, err := p.read(w, r)
 	if err != nil {
-		p.core.Counters.Malformed.Add(1)
-		p.part(w)
-		say(w, status, err.Error())
+		bad(status, err.Error())
 		return
 	}
 	// The body is read: from here on only the client's going away ends the request early.
 	rc.SetReadDeadline(time.Time{})
 	answers := make(chan dispatch.Answer, 1)
 	job.Reply = func(a dispatch.Answer) { answers <- a }
-	if err := p.core.Take(job); err != nil {
+	switch err := p.core.Take(job); {
+	case errors.Is(err, dispatch.ErrOpen):
+		bad(http.StatusConflict, err.Error())
+		return
+	case err != nil:
 		p.part(w)
 		refuse(w, p.lim.RetryAfter)
 		return
@@ -127,10 +144,10 @@
 	}
 }
 
-// part makes an answer close its connection where that is due: on leaving, and from three quarters of the connections
-// on, when few are left to those who hold none. It looks when the answer is there: a job may have waited meanwhile.
+// part makes an answer close its connection on leaving. It looks when the answer is there: a job may have waited
+// meanwhile.
 func (p *Portal) part(w http.ResponseWriter) {
-	if p.leaving.Load() || p.conns.Load() > int64(p.lim.PortalConns)*3/4 {
+	if p.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -159,8 +176,11 @@
 	io.WriteString(w, text+"\n")
 }
 
+// later words a time to come back.
+func later(after time.Duration) string { return strconv.FormatFloat(after.Seconds(), 'f', 3, 64) }
+
 func refuse(w http.ResponseWriter, after time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	w.Header().Set("Retry-After", later(after))
 	say(w, http.StatusServiceUnavailable, "refused: try again later")
 }
 
@@ -186,8 +206,8 @@
 	}
 	j := &dispatch.Job{Target: r.RequestURI, ID: r.Header.Get("X-Request-ID"), Key: r.Header.Get("Idempotency-Key"),
 		Repeat: r.Header.Get("X-Retried") == "1"}
-	if j.ID == "" || len(j.ID) > 256 {
-		return bad("X-Request-ID is missing or too long")
+	if j.ID == "" || !Plain(j.ID) {
+		return bad("X-Request-ID is missing or cannot pass on as it is")
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	parts := strings.Split(path[1:], "/")
@@ -259,11 +279,20 @@
 	return nil
 }
 
-// Patience reads how long a client waits, in a unit.
+// Plain tells whether a word can stand in any wire's head as it is.
+func Plain(s string) bool {
+	return len(s) <= 256 && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
+// Patience reads how long a client waits, in a unit: a plain decimal above zero. What ParseFloat takes beyond that (Inf,
+// hexadecimal, exponents) is none that any client means.
 func Patience(text string, unit, most time.Duration) (time.Duration, error) {
 	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(v > 0) {
-		return 0, fmt.Errorf("%q is not a time above zero", text)
+	if err != nil || !(v > 0) || len(text) > 24 || strings.Trim(text, "0123456789.") != "" {
+		return 0, fmt.Errorf("%.24q is not a time above zero", text)
+	}
+	if v > float64(most)/float64(unit) {
+		return 0, fmt.Errorf("%s is longer than anybody may wait", text)
 	}
-	return max(time.Duration(min(v*float64(unit), float64(most))), time.Millisecond), nil
+	return max(time.Duration(v*float64(unit)), time.Millisecond), nil
 }
--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,7 +130,7 @@
 	r.list.mu.Unlock()
 	n := Node(r.t, listed, text)
 	if r.spare > 0 {
-		n.Limits.PortalConns = r.spare
+		n.Limits.PortalConns, n.Limits.PortalFresh = r.spare, r.spare/3
 	}
 	counters := new(dispatch.Counters)
 	r.node, r.floor = n, floor.New(n, counters)
@@ -559,6 +560,26 @@
 			"bad length":       {"Content-Length: 4", "Content-Length: x", "400"},
 			"head too large":   {"Host: b", "Host: b\r\nX-Long: " + strings.Repeat("x", 40<<10), "431"},
 			"cut off":          {"Content-Length: 4", "Content-Length: 5", "400"}, // the rest never comes
+			"endless head":     {"\r\n\r\ndone", "\r\nX-More: ", "408"},
+			"no request":       {good, "\x16\x03\x01 hello", "400"},
+			"two lengths":      {"Content-Length: 4", "Content-Length: 4\r\nContent-Length: 4", "400"},
+			"signed length":    {"Content-Length: 4", "Content-Length: +4", "400"},
+			"negative length":  {"Content-Length: 4", "Content-Length: -4", "400"},
+			"list of lengths":  {"Content-Length: 4", "Content-Length: 4, 4", "400"},
+			"huge length":      {"Content-Length: 4", "Content-Length: 99999999999999999999", "413"},
+			"hidden request":   {"Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked", "400"},
+			"hidden otherwise": {"Content-Length: 4", "Transfer-Encoding: chunked\r\ncontent-length: 4", "400"},
+			"unknown coding":   {"Content-Length: 4", "Transfer-Encoding: gzip, chunked", "501"},
+			"two codings":      {"Content-Length: 4", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "400"},
+			"folded line":      {"Host: b", "Host: b\r\nX-Long: a\r\n b", "400"},
+			"space in a name":  {"X-Timeout:", "X-Timeout :", "400"},
+			"bare line ends":   {"Host: b\r\n", "Host: b\n", "400"},
+			"control in head":  {"Host: b", "Host: b\x00", "400"},
+			"inf timeout":      {"2.5", "Inf", "400"},
+			"hex timeout":      {"2.5", "0x1p4", "400"},
+			"large exponent":   {"2.5", "1e300", "400"},
+			"huge timeout":     {"2.5", "99999999999", "400"},
+			"odd id":           {"p1", "p\xff", "400"},
 		} {
 			text := strings.ReplaceAll(good, k.from, k.to)
 			if k.from == "" {
@@ -576,7 +597,11 @@
 				t.Errorf("GET %s: answered %s", path, status)
 			}
 		}
-		if r.core.Open() != 0 || r.core.Counters.Taken.Load() != 1 {
+		chunked := strings.Replace(good, "Content-Length: 4\r\n\r\ndone", "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", 1)
+		if status, body := r.raw(strings.Replace(chunked, "p1", "p9", 1)); status != "200" || body != Result("p9") {
+			t.Errorf("in chunks: answered %s, %s", status, body)
+		}
+		if r.core.Open() != 0 || r.core.Counters.Taken.Load() != 2 {
 			t.Errorf("%d open, %d taken", r.core.Open(), r.core.Counters.Taken.Load())
 		}
 	})
@@ -765,60 +790,126 @@
 	})
 }
 
-// With three quarters of the client connections in use each answer closes its own; shortly before the last, idle ones
-// are closed, so that a new client need not wait for one.
-func TestClientConnectionsAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := world(t)
-		w.spare = 16
-		r := w.start(options{})
-		up := func() (c net.Conn, closes bool) {
-			c, err := r.net.Dial(context.Background(), here)
+// visitor is one connection of a client that reads whatever it is sent.
+type visitor struct {
+	net.Conn
+	since time.Time
+	mu    sync.Mutex
+	heard string
+	over  bool
+}
+
+func (r *rig) visit() *visitor {
+	c, err := r.net.Dial(context.Background(), here)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	v := &visitor{Conn: c, since: time.Now()}
+	go func() {
+		for b := make([]byte, 4<<10); ; {
+			n, err := c.Read(b)
+			v.mu.Lock()
+			v.heard, v.over = v.heard+string(b[:n]), err != nil
+			v.mu.Unlock()
 			if err != nil {
-				t.Fatal(err)
+				return
 			}
-			go fmt.Fprint(c, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
-			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
-				t.Fatal(err)
+		}
+	}()
+	return v
+}
+
+// says sends some text, as far as the other end takes it, and gives what has come back since the last time.
+func (v *visitor) says(text string) (heard string, over bool) {
+	go io.WriteString(v.Conn, text)
+	synctest.Wait()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	heard, v.heard = v.heard, ""
+	return heard, v.over
+}
+
+// A client's connections in random steps: silent ones, heads that drip, usual requests on new and on kept connections,
+// and time. Whoever has not said a whole head within the limit has an answer or a close; the usual ones are always
+// served; and no more connections are open than the limits allow.
+func TestClientConnectionStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) {
+			w := world(t)
+			w.spare = 12
+			r := w.start(options{})
+			defer r.end()
+			const usual = "GET /up HTTP/1.1\r\nHost: b\r\n\r\n"
+			var waiting, kept []*visitor // those that have not said a whole head; those that were served
+			for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+				switch rapid.IntRange(0, 5).Draw(rt, "step") {
+				case 0, 1:
+					waiting = append(waiting, r.visit())
+				case 2:
+					if len(waiting) > 0 {
+						waiting[rapid.IntRange(0, len(waiting)-1).Draw(rt, "who")].says(rapid.SampledFrom([]string{"G", "GET", "x", "\x00", "Host: b\r\n"}).Draw(rt, "drop"))
+					}
+				case 3:
+					v := r.visit()
+					if heard, _ := v.says(usual); !strings.HasPrefix(heard, "HTTP/1.1 200 ") {
+						rt.Errorf("a usual client among %d waiting and %d kept hears %q", len(waiting), len(kept), heard)
+					}
+					kept = append(kept, v)
+				case 4:
+					if len(kept) > 0 {
+						v := kept[rapid.IntRange(0, len(kept)-1).Draw(rt, "whom")]
+						if heard, over := v.says(usual); !over && !strings.HasPrefix(heard, "HTTP/1.1 200 ") {
+							rt.Errorf("on a kept connection a usual client hears %q", heard)
+						}
+					}
+				case 5:
+					time.Sleep(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
+				}
+				synctest.Wait()
+				open := 0
+				for _, v := range append(waiting[:len(waiting):len(waiting)], kept...) {
+					v.mu.Lock()
+					if !v.over {
+						open++
+					}
+					v.mu.Unlock()
+				}
+				for _, v := range waiting {
+					if heard, over := v.says(""); heard == "" && !over && time.Since(v.since) >= r.node.Limits.ReadHead {
+						rt.Errorf("a client that says nothing whole has no answer after %v", time.Since(v.since))
+					}
+				}
+				if open > r.spare {
+					rt.Errorf("%d connections are open", open)
+				}
 			}
-			io.Copy(io.Discard, resp.Body)
-			return c, resp.Close
-		}
-		idle := func(c net.Conn) bool {
-			c.SetReadDeadline(time.Now().Add(time.Millisecond))
-			_, err := c.Read(make([]byte, 1))
-			return err != io.EOF
-		}
-		var all []net.Conn
-		for i := range 12 {
-			c, closes := up()
-			if all = append(all, c); closes || !idle(c) {
-				t.Errorf("connection %d does not stay open", i)
+			for _, v := range append(waiting, kept...) {
+				v.Close()
 			}
+		})
+	})
+}
+
+// The id of a job that is open is no id for another: that one gets an error, the first one its own answer.
+func TestIDOfAnOpenJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{amqp: true})
+		first := make(chan came)
+		go func() { first <- r.post(task{"o1", "enrol", "k1", "done/1s", 5 * time.Second}) }()
+		time.Sleep(500 * time.Millisecond)
+		if c := r.post(task{"o1", "enrol", "k2", "done", 5 * time.Second}); c.verdict != "failed" || c.took != 0 || !c.closed {
+			t.Errorf("the second one: %+v", c)
 		}
-		if _, closes := up(); !closes {
-			t.Error("an answer beyond three quarters does not close its connection")
-		}
-		silent, err := r.net.Dial(context.Background(), here)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer silent.Close()
-		if c, err := r.net.Dial(context.Background(), here); err == nil { // the fourteenth of sixteen
-			defer c.Close()
+		q := r.queue()
+		q.put(task{"o1", "enrol", "k3", "done", 5 * time.Second})
+		if c := q.answer(); c.verdict != "malformed" || c.took > 10*time.Millisecond {
+			t.Errorf("the third one: %+v", c)
 		}
-		synctest.Wait()
-		for i, c := range all {
-			if idle(c) {
-				t.Errorf("connection %d is still open", i)
-			}
-			c.Close()
+		if c := <-first; c.verdict != "served" || c.body != Result("o1") || len(r.yard.Sent("o1")) != 1 {
+			t.Errorf("the first one: %+v after %v", c, r.yard.Sent("o1"))
 		}
-		if c, closes := up(); closes {
-			t.Error("with room again an answer closes its connection")
-		} else {
-			c.Close()
+		if c := r.post(task{"o1", "seat-check", "", "done", 5 * time.Second}); c.verdict != "served" { // nobody has it any more
+			t.Errorf("after its end: %+v", c)
 		}
 	})
 }
