Let the module see by reports and starts who is full; hold or refuse by expected wait

At fault: pick/pickOfTwo/kinds, and EventNote's let. Now reports and starts give what others hold (report, start, wait, expect); each kind's pick competes; a member without a free slot is unfit; at its last look a job goes where it waits least or is refused.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -32,6 +32,12 @@
 	ticks      = 8                // looks at held and silent jobs within the shortest aim
 	copyPart   = 0.2              // copies for an answer at most: they must not feed a jam
 	backUp     = 0.1              // less of all jobs is let in when one starts late; a fifth of the starts may
+	learn      = 0.1              // weight of what one report says of others' slots: it is old and noisy
+	ago        = 0.7              // seconds that a report is old, about
+	forget     = 20               // seconds in which most of what was known of others is forgotten
+	margin     = 0.25             // of a slot that may lack when a worker counts as free
+	farther    = 0.02             // seconds that another zone adds to an answer
+	longest    = 0.25             // of the aim that a job may be expected to wait at a worker; refused otherwise
 	askFrom    = 20               // dispatchers: own slots say too little of what a worker holds
 	tickToken  = 0                // the timer for looks, and
 	closeToken = 1                // that for late closings; calls to discovery count on from there
@@ -44,6 +50,8 @@
 	stray, shut                        bool          // of unknown kind or zone; drains, connections closed
 	out, load                          float64       // own slots; those asked for beyond what it has
 	pace, budget                       float64       // time over its kind's usual; cold: slot time to send
+	others, past, near, runs           float64       // slots of others; own before; soonest start; own at work
+	told, mixed                        time.Duration // when others was last learned, and past
 	heard, seen, served, broke         time.Duration // its last sign of life, report when asked, OK, other end
 	fullFor, fullTill, retryAt, filled time.Duration // its pause after Full; its next trial; budget updated
 }
@@ -80,7 +88,9 @@
 	rate, good                       []float64     // by tenant: arrivals and answers, fading
 	arrived, answered, looked, awake time.Duration // last job, report and look; since when it runs
 	copies, turned, let, spare, lie  float64       // copies left; parts turned away, let in, of excess; start
+	mean                             float64       // seconds that a job runs
 	asks, sized, ticking, asked      bool          // can workers be asked, have they sizes; looks set; watching
+	sees                             bool          // workers tell of free slots, queues and starts
 	call                             uint32        // number of the timer for the next call to discovery
 }
 
@@ -97,10 +107,12 @@
 		d.took, d.run = append(d.took, c.Aim.Seconds()/2), append(d.run, c.Aim.Seconds()/2)
 		d.tick = min(d.tick, max(cmp.Or(c.Aim, time.Second)/ticks, s.Tick, time.Millisecond))
 	}
+	d.mean = slices.Min(d.run)
 	d.ready, d.served = make([]float64, d.set.Kinds), make([]float64, d.set.Kinds)
 	d.slow, d.room = slices.Repeat([]float64{1}, d.set.Kinds), make([]float64, d.set.Kinds)
 	d.rate, d.good = make([]float64, len(s.Tenants)), make([]float64, len(s.Tenants))
 	d.asks = s.Probes && s.Report.FreeSlots >= 0 && (!s.ReportByWord || s.Dispatchers >= askFrom)
+	d.sees = !d.asks && s.ReportByWord && s.TellsStart && s.Report.FreeSlots >= 0 && s.Report.Queue >= 0
 	if d.asks { // answers to probes age fast
 		d.tick /= 3
 	}
@@ -166,8 +178,9 @@
 		if t.heard = d.now; ev.Note == NoteStarted && t.started == 0 {
 			t.started, t.w.prompt = d.now, d.now-t.sent <= d.tick
 			d.lie += smooth * ((d.now - t.sent).Seconds() - d.lie)
-			d.drop(j, true)                                                      // copies that wait are not needed
-			if d.let = min(d.let+backUp/4, 1); d.now-t.sent > d.class(j).Aim/2 { // as good as full
+			d.drop(j, true) // copies that wait are not needed
+			d.start(t)
+			if d.let = min(d.let+backUp/4, 1); !d.sees && d.now-t.sent > d.class(j).Aim/2 { // as good as full
 				d.busy(j, t.w, true)
 				d.let *= 1 - backUp*float64(min((d.now-t.sent)/max(d.class(j).Aim, 1), 1)) // if the aim is gone
 			}
@@ -220,12 +233,12 @@
 		if w == nil && e.State == Gone {
 			continue
 		} else if w == nil {
-			w = &worker{pace: 1, broke: math.MinInt64 / 2}
+			w = &worker{pace: 1, broke: math.MinInt64 / 2, near: math.Inf(1)}
 			d.workers[e.Worker] = w
 		} else if e.State == Gone { // its last line may leave out where it stood
 			e.Zone, e.Cell, e.Kind, e.Started = w.Zone, w.Cell, w.Kind, w.Started
 		} else if e.Started > w.Started { // a new process: nothing of the old one's ways holds
-			w.suspect, w.pace, w.fullTill, w.budget, w.filled = false, 1, 0, 0, 0
+			w.suspect, w.pace, w.fullTill, w.budget, w.filled, w.others = false, 1, 0, 0, 0, 0
 		}
 		w.Entry, w.stray = e, stray
 	}
@@ -326,19 +339,24 @@
 // pick finds a worker that can take j now, and tells whether one could later. Keys keep to one kind.
 func (d *Dispatcher) pick(j *job) (best *worker, ready bool) {
 	asks := d.asking()
-	for i := range min(len(d.pools), 2) { // its own pool, and only if nobody there can take it the next one
-		if i > 0 && (best != nil || j.excess || asks && ready && (j.asked == 0 || j.Key != 0 && j.asked < 4)) {
+	near := min(len(d.pools), 2)
+	for n := range 2 * near { // its own pool, and only if nobody there can take it the next one
+		i, late := n%near, n >= near // again at its last look: then those where it has to wait count too
+		if i > 0 && (j.excess || asks && ready && (j.asked == 0 || j.Key != 0 && j.asked < 4)) ||
+			best != nil || late && (!d.sees || j.Key != 0 || d.now+2*d.tick < j.holdTo) {
 			break
 		}
 		kinds, reach := d.kinds(d.pools[(d.labels[j.Tenant]+i)%len(d.pools)], j)
 		ready = ready || len(kinds) > 0
 		for n, k := range kinds {
-			if best != nil && !asks || j.Key != 0 && n > 0 && len(j.tries) == 0 {
+			if best != nil && !asks && !d.sees || j.Key != 0 && n > 0 && len(j.tries) == 0 {
 				break // a key leaves its kind only once turned away there
 			} else if asks {
 				best = d.pickAsked(reach[k], j, best)
-			} else if j.Key == 0 {
-				best = d.pickOfTwo(reach[k], j)
+			} else if j.Key == 0 { // one of each kind where it can be told how soon they answer, else the first
+				if w := d.pickOfTwo(reach[k], j, late); best == nil || w != nil && d.expect(w, j) < d.expect(best, j) {
+					best = w
+				}
 			}
 			for i, w := range reach[k] { // the nearest to the key leads until it has more own slots
 				if !asks && j.Key != 0 && d.fit(w, j) && (best == nil || best.out >= w.out+fetchSlots*float64(i)) {
@@ -347,7 +365,9 @@
 			}
 		}
 	}
-	j.asked++
+	if j.asked++; best != nil && d.wait(best, j.Slots) > longest*d.class(j).Aim.Seconds() {
+		best = nil
+	}
 	return best, ready
 }
 
@@ -399,13 +419,17 @@
 	if best != nil || !last || len(members) == 0 || d.now-d.answered <= memory {
 		return best
 	}
-	return d.pickOfTwo(members, j) // nobody answers probes at all
+	return d.pickOfTwo(members, j, true) // nobody answers probes at all
 }
 
 // pickOfTwo takes the one with fewer own slots for its size. The first has an idle connection and began its
 // last job at once, if one is like that: where own slots are mostly none, that is all there is to see.
-func (d *Dispatcher) pickOfTwo(members []*worker, j *job) (best *worker) {
-	two, links := [2]*worker{members[d.rng.IntN(len(members))], members[d.rng.IntN(len(members))]}, 0
+func (d *Dispatcher) pickOfTwo(members []*worker, j *job, late bool) (best *worker) {
+	first, second, links := d.rng.IntN(len(members)), 0, 0
+	if len(members) > 1 {
+		second = (first + 1 + d.rng.IntN(len(members)-1)) % len(members)
+	}
+	two := [2]*worker{members[first], members[second]}
 	linked := func(w *worker) bool { return w.prompt && w.out == 0 && d.now-w.served < d.set.ConnIdle }
 	for _, w := range members {
 		if linked(w) {
@@ -420,13 +444,75 @@
 			w = two[n]
 		}
 		near := best != nil && !linked(best) && w.Zone == d.set.Zone && best.Zone != w.Zone // between equals
-		if (best == nil || w.out*best.Weight < best.out*w.Weight || w.out == best.out && near) && d.fit(w, j) {
+		if (best == nil || w.out*best.Weight < best.out*w.Weight || w.out == best.out && near) && d.fit(w, j) &&
+			(late || d.wait(w, j.Slots) == 0) {
 			best = w
 		}
 	}
 	return best
 }
 
+// wait is for how long a job would lie at a worker: by own slots there and what is known of others' slots. It
+// is 0 where one is free, and where reports and starts do not tell.
+func (d *Dispatcher) wait(w *worker, slots float64) float64 {
+	if !d.sees {
+		return 0
+	}
+	room := max(d.room[w.Kind], 1) // one is surely there; a kind that is full from the start may never show more
+	return max(w.out+d.others(w)+slots-room-margin, 0) / room * d.mean * d.slow[w.Kind] * w.pace
+}
+
+// expect is the time to an answer.
+func (d *Dispatcher) expect(w *worker, j *job) float64 {
+	x := d.wait(w, j.Slots) + d.run[j.Class]*d.slow[w.Kind]*w.pace
+	if w.Zone != d.set.Zone {
+		x += farther
+	}
+	return x
+}
+
+// mix keeps what own slots were a while ago, when the reports of now were made.
+func (d *Dispatcher) mix(w *worker) {
+	w.past += (w.out - w.past) * (1 - math.Exp(-(d.now-w.mixed).Seconds()/ago))
+	w.mixed = d.now
+}
+
+// others is how many slots others hold at a worker, as far as that is still known.
+func (d *Dispatcher) others(w *worker) float64 {
+	return w.others * math.Exp(-(d.now-w.told).Seconds()/forget)
+}
+
+// hold notes how many slots others hold at a worker.
+func (w *worker) hold(now time.Duration, others float64) { w.others, w.told = max(others, 0), now }
+
+// start learns from when a job began: a worker that begins it at once had room, one that is late had none.
+func (d *Dispatcher) start(t *attempt) {
+	w, took := t.w, (d.now - t.sent).Seconds()
+	w.near = min(w.near, took)
+	w.runs++
+	d.room[w.Kind] = max(d.room[w.Kind], w.runs)
+	others, room := d.others(w), max(d.room[w.Kind], 1)
+	if took <= w.near+d.tick.Seconds()/2 {
+		others = min(others, room-w.out)
+	} else {
+		others = max(others, room-w.out)
+	}
+	w.hold(d.now, others)
+}
+
+// report learns from a load report what others hold.
+func (d *Dispatcher) report(w *worker, l *Load) {
+	r, n := d.set.Report, min(l.N, len(l.Values))
+	if !d.sees || r.FreeSlots >= n || r.Queue >= n {
+		return
+	}
+	if x := math.Round(l.Values[r.FreeSlots]); x > d.room[w.Kind] && x < math.MaxInt32 {
+		d.room[w.Kind] = x
+	}
+	total := max(d.room[w.Kind], 1) + r.Waiting(l)
+	w.hold(d.now, d.others(w)+learn*(max(total-w.past, 0)-d.others(w)))
+}
+
 // nearest loads the dice by the key, alike at all dispatchers: the few members that rank highest for it.
 func nearest(members []*worker, key uint64) (top []*worker) {
 	for _, w := range members {
@@ -518,6 +604,7 @@
 		d.copies--
 	}
 	j.tries = append(j.tries, attempt{w: w, sent: d.now})
+	d.mix(w)
 	w.out, w.load = w.out+j.Slots, w.load+j.Slots
 	w.shut, j.held = false, false
 	d.acts = append(d.acts, Action{Kind: Send, Job: j.Job, Worker: w.Worker})
@@ -561,7 +648,12 @@
 		d.room[k] += max(smooth, 1-d.room[k]) * (slots - d.room[k])
 	}
 	t.done, t.never = true, d.never(ev.Outcome)
+	d.mix(t.w)
+	d.report(t.w, &ev.Load)
 	t.w.out -= j.Slots
+	if t.started > 0 {
+		t.w.runs--
+	}
 	if t.w.shut = false; ev.Outcome != OK {
 		t.w.broke = d.now
 	}
@@ -585,6 +677,7 @@
 			x := min(ran/max(d.run[j.Class]*d.slow[w.Kind], 1e-4), 10)
 			d.served[w.Kind] += j.Slots * ran
 			d.slow[w.Kind] *= 1 + smooth/4*(x-1)*float64(min(w.Kind, 1)) // the first kind is the measure
+			d.mean += smooth * (ran/d.slow[w.Kind] - d.mean)
 			d.run[j.Class] += smooth * (ran/d.slow[w.Kind] - d.run[j.Class])
 			w.pace += 2 * smooth * (x - w.pace)
 		}
@@ -612,7 +705,7 @@
 // refill gives a slot just freed to the job held longest that may go there.
 func (d *Dispatcher) refill(w *worker) {
 	for _, j := range d.open {
-		if j.held && !(j.Key != 0 && d.asking()) && d.fit(w, j) {
+		if j.held && !(j.Key != 0 && d.asking()) && d.fit(w, j) && d.wait(w, j.Slots) == 0 {
 			d.send(j, w)
 			return
 		}
--- a/failures_test.go
+++ b/failures_test.go
@@ -594,6 +594,75 @@
 	}
 }
 
+// Own slots alone hid what others hold: jobs queued at full workers while there was room elsewhere, and a quiet day had
+// half of them late. Reports and starts tell who is full: such a worker gets nothing while another has room; with all
+// full a job is held, goes to the first slot that is freed, and is refused at once when it can only wait for long.
+func TestReportsAndStartsShowWhoIsFull(t *testing.T) {
+	c := ready(t, 8, func(s *Settings) {
+		s.ReportByWord, s.ParallelTries, s.Dispatchers, s.Report = true, false, 1, Report{0, -1, 1, -1, -1, -1}
+	})
+	id := JobID(0)
+	job := func() (sends []sent) {
+		id++
+		c.event(Event{Kind: EventJob, Job: id, Tenant: int(id) % 5, Slots: 1, Deadline: c.now + 4*time.Second})
+		return c.jobs[id].sends
+	}
+	full := c.d.order[0].Worker
+	for range 400 { // one by one: all show three free slots, but for the one that others fill
+		s := job()
+		if len(s) == 0 {
+			continue
+		}
+		c.event(Event{Kind: EventNote, Job: id, Worker: s[0].to.Worker, Note: NoteStarted})
+		if c.load = (Load{N: 2, Values: [4]float64{3, 0}}); s[0].to.Worker == full {
+			c.load.Values = [4]float64{0, 2}
+		}
+		c.advance(100 * time.Millisecond)
+		c.outcome(id, 0, OK)
+	}
+	at, held := map[WorkerID][]JobID{}, JobID(0)
+	for held == 0 && id < 1000 {
+		s := job()
+		if len(s) == 0 {
+			held = id
+			continue
+		}
+		to := s[0].to.Worker
+		most := 3
+		if to == full {
+			most = 1 // what was known of it fades: now and then one job finds out anew
+		}
+		if at[to] = append(at[to], id); len(at[to]) > most {
+			t.Errorf("worker %d has %d jobs, full is %d", to, len(at[to]), full)
+		}
+	}
+	freed := c.d.order[1].Worker
+	if held == 0 || c.jobs[held].answered || int(held) < 400+18 || len(at[freed]) == 0 {
+		t.Fatalf("with all full: job %d is not held, %v are out", held, at)
+	}
+	c.load = Load{}
+	c.event(Event{Kind: EventNote, Job: at[freed][0], Worker: freed, Note: NoteStarted})
+	c.outcome(at[freed][0], 0, OK)
+	if s := c.jobs[held].sends; len(s) != 1 || s[0].to.Worker != freed {
+		t.Errorf("a slot is free at %d, the held job went to %v", freed, s)
+	}
+	first, refused := id+1, 0
+	for range 60 {
+		job()
+	}
+	for range 40 {
+		c.advance(10 * time.Millisecond)
+	}
+	for ; first <= id; first++ {
+		if c.jobs[first].answered && len(c.jobs[first].sends) == 0 {
+			refused++
+		}
+	}
+	if refused < 20 {
+		t.Errorf("with all full for long only %d of 60 jobs are refused", refused)
+	}
+}
+
 // Copies of jobs that wait must not feed the queue that they wait in: they are rationed by the answers that come.
 func TestCopiesAreRationed(t *testing.T) {
 	c := ready(t, 24, nil)
