--- a/dispatcher.go
+++ b/dispatcher.go
@@ -32,12 +32,12 @@
 	ticks      = 8                // looks at held and silent jobs within the shortest aim
 	copyPart   = 0.2              // copies for an answer at most: they must not feed a jam
 	backUp     = 0.1              // less of all jobs is let in when one starts late; a fifth of the starts may
-	learn      = 0.1              // weight of what one report says of others' slots: it is old and noisy
 	ago        = 0.7              // seconds that a report is old, about
-	forget     = 20               // seconds in which most of what was known of others is forgotten
-	margin     = 0.25             // of a slot that may lack when a worker counts as free
-	farther    = 0.02             // seconds that another zone adds to an answer
-	longest    = 0.25             // of the aim that a job may be expected to wait at a worker; refused otherwise
+	forget     = 40               // seconds in which most of what was known of others is forgotten
+	margin     = 0.2              // of a slot that may lack when a worker counts as free
+	learn      = 0.12             // weight of what one report says of others' slots: it is old and noisy
+	longest    = 0.25             // of the aim that a job may wait at a worker; refused otherwise
+	denser     = 4                // times as long for one that is worth more for its time, at most
 	askFrom    = 20               // dispatchers: own slots say too little of what a worker holds
 	tickToken  = 0                // the timer for looks, and
 	closeToken = 1                // that for late closings; calls to discovery count on from there
@@ -51,6 +51,7 @@
 	out, load                          float64       // own slots; those asked for beyond what it has
 	pace, budget                       float64       // time over its kind's usual; cold: slot time to send
 	others, past, near, runs           float64       // slots of others; own before; soonest start; own at work
+	last                               Load          // the last report
 	told, mixed                        time.Duration // when others was last learned, and past
 	heard, seen, served, broke         time.Duration // its last sign of life, report when asked, OK, other end
 	fullFor, fullTill, retryAt, filled time.Duration // its pause after Full; its next trial; budget updated
@@ -72,26 +73,25 @@
 
 // Dispatcher decides for one submitter. It is not safe for concurrent use.
 type Dispatcher struct {
-	set                              Settings
-	rng                              *rand.Rand
-	now, tick                        time.Duration
-	acts                             []Action
-	workers                          map[WorkerID]*worker
-	order                            []*worker     // by id: no decision may hang on the order of a list or a map
-	pools                            [][][]*worker // by label and kind
-	labels                           []int         // by tenant
-	shares                           []float64     // by label
-	jobs                             map[JobID]*job
-	open                             []*job        // by arrival; ended ones leave at the next look
-	took, run                        []float64     // by class: usual seconds to an answer, and of running
-	ready, room, slow, served        []float64     // by kind: workers, slots, time over kind 0's, slot time
-	rate, good                       []float64     // by tenant: arrivals and answers, fading
-	arrived, answered, looked, awake time.Duration // last job, report and look; since when it runs
-	copies, turned, let, spare, lie  float64       // copies left; parts turned away, let in, of excess; start
-	mean                             float64       // seconds that a job runs
-	asks, sized, ticking, asked      bool          // can workers be asked, have they sizes; looks set; watching
-	sees                             bool          // workers tell of free slots, queues and starts
-	call                             uint32        // number of the timer for the next call to discovery
+	set                               Settings
+	rng                               *rand.Rand
+	now, tick                         time.Duration
+	acts                              []Action
+	workers                           map[WorkerID]*worker
+	order                             []*worker     // by id: no decision may hang on the order in a list or map
+	pools                             [][][]*worker // by label and kind
+	labels                            []int         // by tenant
+	shares                            []float64     // by label
+	jobs                              map[JobID]*job
+	open                              []*job        // by arrival; ended ones leave at the next look
+	took, run                         []float64     // by class: usual seconds to an answer, and of running
+	ready, room, slow, served, tried  []float64     // by kind: workers, slots, time over kind 0's, its use, OKs
+	rate, good                        []float64     // by tenant: arrivals and answers, fading
+	arrived, answered, looked, awake  time.Duration // last job, report and look; since when it runs
+	copies, turned, let, spare, lie   float64       // copies left; parts turned away, let in, of excess; start
+	mean                              float64       // seconds that a job runs
+	asks, sees, sized, ticking, asked bool          // workers: asked, tell, have sizes; looks set; watching
+	call                              uint32        // number of the timer for the next call to discovery
 }
 
 // New makes a dispatcher. Its error names the setting that cannot work.
@@ -107,7 +107,7 @@
 		d.took, d.run = append(d.took, c.Aim.Seconds()/2), append(d.run, c.Aim.Seconds()/2)
 		d.tick = min(d.tick, max(cmp.Or(c.Aim, time.Second)/ticks, s.Tick, time.Millisecond))
 	}
-	d.mean = slices.Min(d.run)
+	d.mean, d.tried = slices.Min(d.run), make([]float64, d.set.Kinds)
 	d.ready, d.served = make([]float64, d.set.Kinds), make([]float64, d.set.Kinds)
 	d.slow, d.room = slices.Repeat([]float64{1}, d.set.Kinds), make([]float64, d.set.Kinds)
 	d.rate, d.good = make([]float64, len(s.Tenants)), make([]float64, len(s.Tenants))
@@ -272,7 +272,11 @@
 	d.jobs[ev.Job] = j
 	c := d.class(j)
 	j.aim = d.now + c.Aim
-	j.holdTo = min(d.now+(c.Aim+seconds(max(c.Stretch-1, 0)*d.run[j.Class]))/2, j.Deadline-2*d.tick)
+	hold := (c.Aim + seconds(max(c.Stretch-1, 0)*d.run[j.Class])) / 2
+	if d.sees { // others take what is freed meanwhile: a short look only
+		hold /= 2
+	}
+	j.holdTo = min(d.now+hold, j.Deadline-2*d.tick)
 	if j.excess = d.over(j); j.excess && d.rng.Float64() > d.spare || d.rng.Float64() > max(d.let, leastSpare) {
 		d.end(j)
 		return
@@ -365,7 +369,7 @@
 			}
 		}
 	}
-	if j.asked++; best != nil && d.wait(best, j.Slots) > longest*d.class(j).Aim.Seconds() {
+	if j.asked++; best != nil && d.wait(best, j.Slots) > longest*d.class(j).Aim.Seconds()*d.dense(j) {
 		best = nil
 	}
 	return best, ready
@@ -459,16 +463,12 @@
 		return 0
 	}
 	room := max(d.room[w.Kind], 1) // one is surely there; a kind that is full from the start may never show more
-	return max(w.out+d.others(w)+slots-room-margin, 0) / room * d.mean * d.slow[w.Kind] * w.pace
+	return max(w.out+d.others(w)+slots-room-margin, 0) / room * d.mean * d.slow[w.Kind] * w.pace / d.coldShare(w)
 }
 
 // expect is the time to an answer.
 func (d *Dispatcher) expect(w *worker, j *job) float64 {
-	x := d.wait(w, j.Slots) + d.run[j.Class]*d.slow[w.Kind]*w.pace
-	if w.Zone != d.set.Zone {
-		x += farther
-	}
-	return x
+	return d.wait(w, j.Slots) + d.run[j.Class]*d.slow[w.Kind]*w.pace/d.coldShare(w)
 }
 
 // mix keeps what own slots were a while ago, when the reports of now were made.
@@ -477,14 +477,20 @@
 	w.mixed = d.now
 }
 
+// dense is how much more a job is worth for its running time than those of the least such class.
+func (d *Dispatcher) dense(j *job) float64 {
+	least := math.Inf(1)
+	for i, c := range d.set.Classes {
+		least = min(least, c.Worth/d.run[i])
+	}
+	return max(min(d.class(j).Worth/d.run[j.Class]/least, denser), 1)
+}
+
 // others is how many slots others hold at a worker, as far as that is still known.
 func (d *Dispatcher) others(w *worker) float64 {
 	return w.others * math.Exp(-(d.now-w.told).Seconds()/forget)
 }
 
-// hold notes how many slots others hold at a worker.
-func (w *worker) hold(now time.Duration, others float64) { w.others, w.told = max(others, 0), now }
-
 // start learns from when a job began: a worker that begins it at once had room, one that is late had none.
 func (d *Dispatcher) start(t *attempt) {
 	w, took := t.w, (d.now - t.sent).Seconds()
@@ -497,20 +503,21 @@
 	} else {
 		others = max(others, room-w.out)
 	}
-	w.hold(d.now, others)
+	w.others, w.told = max(others, 0), d.now
 }
 
 // report learns from a load report what others hold.
 func (d *Dispatcher) report(w *worker, l *Load) {
 	r, n := d.set.Report, min(l.N, len(l.Values))
-	if !d.sees || r.FreeSlots >= n || r.Queue >= n {
+	if !d.sees || r.FreeSlots >= n || r.Queue >= n || *l == w.last {
 		return
 	}
+	w.last = *l
 	if x := math.Round(l.Values[r.FreeSlots]); x > d.room[w.Kind] && x < math.MaxInt32 {
 		d.room[w.Kind] = x
 	}
 	total := max(d.room[w.Kind], 1) + r.Waiting(l)
-	w.hold(d.now, d.others(w)+learn*(max(total-w.past, 0)-d.others(w)))
+	w.others, w.told = d.others(w)+learn*(max(total-w.past, 0)-d.others(w)), d.now
 }
 
 // nearest loads the dice by the key, alike at all dispatchers: the few members that rank highest for it.
@@ -676,7 +683,9 @@
 		if d.coldShare(w) >= 1 {
 			x := min(ran/max(d.run[j.Class]*d.slow[w.Kind], 1e-4), 10)
 			d.served[w.Kind] += j.Slots * ran
-			d.slow[w.Kind] *= 1 + smooth/4*(x-1)*float64(min(w.Kind, 1)) // the first kind is the measure
+			d.tried[w.Kind]++
+			first := max(smooth/4, 1/(d.tried[w.Kind]+4))             // at first most of what is known is guessed
+			d.slow[w.Kind] *= 1 + first*(x-1)*float64(min(w.Kind, 1)) // the first kind is the measure
 			d.mean += smooth * (ran/d.slow[w.Kind] - d.mean)
 			d.run[j.Class] += smooth * (ran/d.slow[w.Kind] - d.run[j.Class])
 			w.pace += 2 * smooth * (x - w.pace)
@@ -702,14 +711,18 @@
 	w.fullTill = d.now + w.fullFor
 }
 
-// refill gives a slot just freed to the job held longest that may go there.
+// refill gives a slot just freed to a held job that may go there: worth most for its time, or the oldest.
 func (d *Dispatcher) refill(w *worker) {
+	var next *job
 	for _, j := range d.open {
-		if j.held && !(j.Key != 0 && d.asking()) && d.fit(w, j) && d.wait(w, j.Slots) == 0 {
-			d.send(j, w)
-			return
+		if j.held && !(j.Key != 0 && d.asking()) && d.fit(w, j) && d.wait(w, j.Slots) == 0 &&
+			(next == nil || d.sees && d.dense(j) > d.dense(next)) {
+			next = j
 		}
 	}
+	if next != nil {
+		d.send(next, w)
+	}
 }
 
 // look comes round every tick while jobs are open: held jobs, silent workers, overdue attempts.
