Call a broken watch again at once and take the whole entries of a cut-off line

Checked: roster.Run doubled its pause after each watch that lasted under 5 s (0.3, 0.6, 1.2, 2.4 s), which outlasts a grace of 0.5 s from the third on; the cut-off line, which counts as told, was dropped whole. Ruled out: the re-check before a send (MayStart) and late connections, whose tests hold. At fault: roster.Run's pause, roster.watch's unmarshal error.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -277,7 +277,7 @@
 		AnswerRoom: 40 * time.Millisecond, RetryAfter: 50 * time.Millisecond, MostPatience: 5 * time.Minute,
 		Connect: 250 * time.Millisecond, WorkerIdle: 4 * time.Second, ClientIdle: 60 * time.Second,
 		ReadHead: 2 * time.Second, TailWait: 250 * time.Millisecond,
-		RosterCall: 3500 * time.Millisecond, RosterSilent: 5 * time.Second,
+		RosterCall: 3500 * time.Millisecond, RosterSilent: 3 * time.Second,
 		RosterRetry: 300 * time.Millisecond, RosterRetryMax: 3 * time.Second,
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
 		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -113,7 +113,7 @@
 	}
 	for pause := r.lim.RosterRetry; ; {
 		began := time.Now()
-		err := r.watch(ctx)
+		up, err := r.watch(ctx)
 		select { // what was asked for while the call was out was that same call
 		case <-r.asked:
 		default:
@@ -123,12 +123,18 @@
 		}
 		log.Printf("the watch on the roster has ended: %v", err)
 		r.Listed(ivyfold.ListFailed, nil)
-		if time.Since(began) > r.lim.RosterSilent || errors.Is(err, errMoved) { // it had come up and held
-			pause = r.lim.RosterRetry
-		}
 		// Spread, lest all dispatchers call together when discovery comes back: it takes calls in turn. The module asks
 		// again by itself, but later than a drain may wait that was told meanwhile.
-		wait := time.NewTimer(pause/2 + rand.N(pause))
+		after := pause/2 + rand.N(pause)
+		if up || errors.Is(err, errMoved) {
+			// Discovery answers, and what it wrote when the watch broke off counts as told: there is no time to lose. A
+			// pause that grew with each watch that broke outlasted the grace of a drain.
+			pause = r.lim.RosterRetry
+			if after = rand.N(pause / 4); time.Since(began) < pause {
+				after += pause / 4
+			}
+		}
+		wait := time.NewTimer(after)
 		select {
 		case <-ctx.Done():
 			wait.Stop()
@@ -141,7 +147,9 @@
 			continue
 		case <-wait.C:
 		}
-		pause = min(2*pause, r.lim.RosterRetryMax)
+		if !up {
+			pause = min(2*pause, r.lim.RosterRetryMax)
+		}
 	}
 }
 
@@ -150,8 +158,8 @@
 	errMoved  = errors.New("discovery is at another address now")
 )
 
-// watch makes one call and follows it to its end.
-func (r *Roster) watch(ctx context.Context) (err error) {
+// watch makes one call and follows it to its end; up tells whether discovery said anything.
+func (r *Roster) watch(ctx context.Context) (up bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// A machine that is cut off says nothing and closes nothing: without this a watch would stand for ever.
@@ -166,31 +174,39 @@
 	url := fmt.Sprintf("http://%s/discovery/hosts?watch=1&after=%d", address, generation)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("discovery answered %d", resp.StatusCode)
+		return false, fmt.Errorf("discovery answered %d", resp.StatusCode)
 	}
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(make([]byte, 0, 4<<10), r.lim.Roster)
 	for in.Scan() {
 		dog.Reset(r.lim.RosterSilent)
+		up = true
 		text := bytes.TrimSpace(in.Bytes())
 		if len(text) == 0 {
 			continue
 		}
 		var list config.Roster
 		if err := json.Unmarshal(text, &list); err != nil {
-			r.reached(0, moves) // what changed is unknown now: the next call asks for everything
-			return err
+			if !r.reached(0, moves) {
+				return up, errMoved
+			}
+			// what changed is unknown now: the next call asks for everything
+			// What stands whole in a line that broke off has been told all the same. Who is not in it has not left.
+			if told := whole(text); len(told) > 0 {
+				r.Listed(ivyfold.ListDelta, told)
+			}
+			return up, err
 		}
 		if !r.reached(list.Generation, moves) { // an old address has no say any more
-			return errMoved
+			return up, errMoved
 		}
 		kind := ivyfold.ListDelta
 		if list.Reset {
@@ -198,5 +214,33 @@
 		}
 		r.Listed(kind, list.Workers)
 	}
-	return in.Err()
+	return up, in.Err()
+}
+
+// whole gives the entries that stand whole in a line, as far as it can be read.
+func whole(text []byte) (out []config.Worker) {
+	in := json.NewDecoder(bytes.NewReader(text))
+	in.Token() // the brace
+	for in.More() {
+		key, err := in.Token()
+		if err != nil {
+			break
+		} else if key != "instances" {
+			var other json.RawMessage
+			if in.Decode(&other) != nil {
+				break
+			}
+			continue
+		}
+		in.Token() // the bracket
+		for in.More() {
+			var w config.Worker
+			if in.Decode(&w) != nil || w.ID == "" {
+				return out
+			}
+			out = append(out, w)
+		}
+		break
+	}
+	return out
 }
--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -699,6 +699,30 @@
 	})
 }
 
+// A line that breaks off: its whole entries count at once, nobody else is taken as gone, and discovery is called again
+// well within the grace of a drain, however often that happens in a row.
+func TestLineOfTheWatchBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{})
+		for n := range 6 {
+			time.Sleep(time.Second)
+			r.list.Changes <- `{"generation":9,"reset":true,"instances":[{"instanceId":"s-0badcafe","hostPort":"127.0.1.0:5000",` +
+				`"zone":"montreal","machineType":"std-2c","lifecycle":"draining","weight":1},{"instanceId":"s-1ce9565e","lifecy` + "\x00"
+			synctest.Wait()
+			if w := r.core.Workers(); w != [3]int{0, 3, 1} {
+				t.Errorf("break %d: workers by state %v", n, w)
+			}
+			time.Sleep(r.node.Module.DrainGrace / 2)
+			if calls := r.list.Calls(); len(calls) != n+2 || !strings.HasSuffix(calls[n+1], "&after=0") {
+				t.Errorf("break %d: calls %v", n, calls)
+			}
+			if w := r.core.Workers(); w != [3]int{0, 4, 0} {
+				t.Errorf("after break %d: workers by state %v", n, w)
+			}
+		}
+	})
+}
+
 // Discovery at another address: the old watch ends at once, the new one asks for everything whatever version the old
 // address was at, nothing that the old one says counts any more, and the job that is out goes on.
 func TestDiscoveryMoves(t *testing.T) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -250,7 +250,7 @@
 // Roster plays discovery: it hands out the whole list, and then what Change puts in.
 type Roster struct {
 	Whole   config.Roster
-	Changes chan string // raw lines of the watch; closing it ends the watch
+	Changes chan string // raw lines of the watch; closing it ends the watch, and so does one with \x00 for its line's end
 	mu      sync.Mutex
 	calls   []string
 	Status  int  // 0: 200
@@ -292,6 +292,11 @@
 			if !ok {
 				return
 			}
+			cut, broken := strings.CutSuffix(s, "\x00")
+			if broken {
+				io.WriteString(w, cut)
+				return
+			}
 			io.WriteString(w, s+"\n")
 			w.(http.Flusher).Flush()
 		case <-req.Context().Done():
