--- a/dispatcher.go
+++ b/dispatcher.go
@@ -73,25 +73,24 @@
 
 // Dispatcher decides for one submitter. It is not safe for concurrent use.
 type Dispatcher struct {
-	set                               Settings
-	rng                               *rand.Rand
-	now, tick                         time.Duration
-	acts                              []Action
-	workers                           map[WorkerID]*worker
-	order                             []*worker     // by id: no decision may hang on the order in a list or map
-	pools                             [][][]*worker // by label and kind
-	labels                            []int         // by tenant
-	shares                            []float64     // by label
-	jobs                              map[JobID]*job
-	open                              []*job        // by arrival; ended ones leave at the next look
-	took, run                         []float64     // by class: usual seconds to an answer, and of running
-	ready, room, slow, served, tried  []float64     // by kind: workers, slots, time over kind 0's, its use, OKs
-	rate, good                        []float64     // by tenant: arrivals and answers, fading
-	arrived, answered, looked, awake  time.Duration // last job, report and look; since when it runs
-	copies, turned, let, spare, lie   float64       // copies left; parts turned away, let in, of excess; start
-	mean                              float64       // seconds that a job runs
-	asks, sees, sized, ticking, asked bool          // workers: asked, tell, have sizes; looks set; watching
-	call                              uint32        // number of the timer for the next call to discovery
+	set                                   Settings
+	rng                                   *rand.Rand
+	now, tick                             time.Duration
+	acts                                  []Action
+	workers                               map[WorkerID]*worker
+	order                                 []*worker     // by id: no decision may hang on list order
+	pools                                 [][][]*worker // by label and kind
+	labels                                []int         // by tenant
+	shares                                []float64     // by label
+	jobs                                  map[JobID]*job
+	open                                  []*job        // by arrival; ended ones leave at the next look
+	took, run                             []float64     // by class: usual seconds to an answer, and of running
+	ready, room, slow, served, tried      []float64     // by kind: workers, slots, relative time, use, OKs
+	rate, good                            []float64     // by tenant: arrivals and answers, fading
+	arrived, answered, looked, awake      time.Duration // last job, report and look; since when it runs
+	copies, turned, let, spare, lie, mean float64       // copies; parts turned away, let in, excess; start; run
+	asks, sees, sized, ticking, asked     bool          // workers: asked, tell, have sizes; looks set; watching
+	call                                  uint32        // number of the timer for the next call to discovery
 }
 
 // New makes a dispatcher. Its error names the setting that cannot work.
@@ -187,6 +186,8 @@
 		}
 	case ev.Kind == EventOutcome && t != nil:
 		d.outcome(ev, j, t)
+	case ev.Kind == EventGone && j != nil && d.sees && j.inFlight(): // it works on there and holds its slot
+		j.held, j.ended = false, true
 	case ev.Kind == EventGone && j != nil:
 		d.finish(j)
 	case ev.Kind == EventProbed && ev.Outcome == OK && d.workers[ev.Worker] != nil:
