Keep learned running times finite: one floor, bounds, and a measure that is at work

Need: twelve workers whose started and done lines come in one write had every job refused for good after some ten thousand jobs. In judge the expected time had a floor of 0.1 ms that the measured one lacked, so each job looked shorter than expected: slow fell by a factor a job and run grew by one until both left the numbers. Where the first kind, the measure, takes no jobs, nothing ties slow and run down.

Change: measured times have the floor too, slow stays within 1/32 to 32, and the first kind at work is the measure.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -39,8 +39,10 @@
 	longest    = 0.25             // of the aim that a job may wait at a worker; refused otherwise
 	denser     = 4                // times as long for one that is worth more for its time, at most
 	askFrom    = 20               // dispatchers: own slots say too little of what a worker holds
-	tickToken  = 0                // the timer for looks, and
-	closeToken = 1                // that for late closings; calls to discovery count on from there
+	leastRun   = 1e-4             // seconds that any job runs: both its lines may come in one write
+	mostSlow   = 32               // times slower or faster than the measure, a kind at most
+
+	tickToken, closeToken = 0, 1 // timers for looks and late closings; calls to discovery count on from there
 )
 
 // worker is what this dispatcher knows of one listed worker.
@@ -103,7 +105,7 @@
 		workers: make(map[WorkerID]*worker), jobs: make(map[JobID]*job), shares: []float64{0}, spare: leastSpare,
 		call: closeToken, let: 1, copies: 1}
 	for _, c := range d.set.Classes {
-		d.took, d.run = append(d.took, c.Aim.Seconds()/2), append(d.run, c.Aim.Seconds()/2)
+		d.took, d.run = append(d.took, c.Aim.Seconds()/2), append(d.run, max(c.Aim.Seconds()/2, leastRun))
 		d.tick = min(d.tick, max(cmp.Or(c.Aim, time.Second)/ticks, s.Tick, time.Millisecond))
 	}
 	d.mean, d.tried = slices.Min(d.run), make([]float64, d.set.Kinds)
@@ -659,9 +661,7 @@
 	d.mix(t.w)
 	d.report(t.w, &ev.Load)
 	t.w.out -= j.Slots
-	if t.started > 0 {
-		t.w.runs--
-	}
+	t.w.runs -= float64(min(t.started, 1)) // if it had begun
 	if t.w.shut = false; ev.Outcome != OK {
 		t.w.broke = d.now
 	}
@@ -679,14 +679,15 @@
 func (d *Dispatcher) judge(j *job, t *attempt, o Outcome) {
 	switch w := t.w; o {
 	case OK:
-		ran := (d.now - cmp.Or(t.started, t.sent)).Seconds()
+		ran := max((d.now - cmp.Or(t.started, t.sent)).Seconds(), leastRun)
 		d.took[j.Class] += smooth * ((d.now - t.sent).Seconds() - d.took[j.Class])
 		if d.coldShare(w) >= 1 {
-			x := min(ran/max(d.run[j.Class]*d.slow[w.Kind], 1e-4), 10)
-			d.served[w.Kind] += j.Slots * ran
-			d.tried[w.Kind]++
-			first := max(smooth/4, 1/(d.tried[w.Kind]+4))             // at first most of what is known is guessed
-			d.slow[w.Kind] *= 1 + first*(x-1)*float64(min(w.Kind, 1)) // the first kind is the measure
+			x := min(ran/max(d.run[j.Class]*d.slow[w.Kind], leastRun), 10)
+			d.served[w.Kind], d.tried[w.Kind] = d.served[w.Kind]+j.Slots*ran, d.tried[w.Kind]+1
+			measure := slices.IndexFunc(d.tried, func(n float64) bool { return n > 0 }) // the first kind at work
+			if first := max(smooth/4, 1/(d.tried[w.Kind]+4)); w.Kind != measure {       // at first most is guessed
+				d.slow[w.Kind] = min(max(d.slow[w.Kind]*(1+first*(x-1)), 1./mostSlow), mostSlow)
+			}
 			d.mean += smooth * (ran/d.slow[w.Kind] - d.mean)
 			d.run[j.Class] += smooth * (ran/d.slow[w.Kind] - d.run[j.Class])
 			w.pace += 2 * smooth * (x - w.pace)
