Move the command line to cobra: one file a command, help, completion, exit codes

Need: the planner and what follows bring commands with flags of their own; the hand-made switch had neither help for one command nor completion nor exit codes.

Change: cmd/gladepick has one file a command on spf13/cobra. Exit codes are 0 done, 1 failed, 2 wrong use, 3 for a goal that cannot be met (used by the planner to come). Long flags behind one dash (-agent) still work; names of instances complete from the agent. Without arguments main goes straight to the dispatcher and builds no tree.

--- /dev/null
+++ b/cmd/gladepick/counters.go
@@ -0,0 +1,11 @@
+package main
+
+import "github.com/spf13/cobra"
+
+func countersCommand() *cobra.Command {
+	return question(&cobra.Command{
+		Use:     "counters [NAME...]",
+		Short:   "Show what the instances count",
+		Example: "  gladepick counters n0 n1",
+	})
+}
--- /dev/null
+++ b/cmd/gladepick/drain.go
@@ -0,0 +1,12 @@
+package main
+
+import "github.com/spf13/cobra"
+
+func drainCommand() *cobra.Command {
+	return question(&cobra.Command{
+		Use:     "drain NAME...",
+		Short:   "Tell instances to answer what they have, leave and stay away",
+		Example: "  gladepick drain n0",
+		Args:    some("the names of instances"),
+	})
+}
--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -1,208 +1,134 @@
 // Command gladepick is the dispatcher and its operator's tool. Without
-// arguments it runs one dispatcher, as the NODE_ variables say; with them it
-// runs an agent or asks one. This file holds flags and wiring only: it must
-// never decide anything about a job, a worker or a message.
+// arguments it runs one dispatcher, as the NODE_ variables say; with them it is
+// a command line with one file a command. This file owns the tree of commands
+// and the exit codes. It must never decide anything about a job, a worker or a
+// message, and the way to the dispatcher must stay clear of all that commands
+// need.
 package main
 
 import (
-	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"log"
-	"net"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
-	"time"
 
-	"ivyfold/internal/agent"
-	"ivyfold/internal/amqp"
-	"ivyfold/internal/config"
-	"ivyfold/internal/dispatch"
-	"ivyfold/internal/floor"
-	"ivyfold/internal/portal"
-	"ivyfold/internal/roster"
-	"ivyfold/internal/snmp"
+	"github.com/spf13/cobra"
 )
 
-const usage = `usage:
-  gladepick                                  run one dispatcher, as the NODE_ variables say
-  gladepick agent FILE                       keep the instances of an operator's file running; serve SNMP
-  gladepick status   [-agent ADDR] [NAME...] what the instances do
-  gladepick counters [-agent ADDR] [NAME...] what they count
-  gladepick drain    [-agent ADDR] NAME...   tell instances to answer what they have, leave and stay away
-  gladepick start    [-agent ADDR] NAME...   bring drained instances back
-  gladepick reload   [-agent ADDR] NAME...   tell instances to read their configuration again
-`
+// The exit codes, as the README documents them.
+const (
+	exitDone   = 0 // done
+	exitFailed = 1 // it could not be done
+	exitUse    = 2 // wrong use: flags, arguments, words
+	exitGoal   = 3 // no plan meets the goal
+)
+
+// exit is an error that ends the program with a code of its own.
+type exit struct {
+	code int
+	err  error
+}
+
+func (e *exit) Error() string { return e.err.Error() }
+func (e *exit) Unwrap() error { return e.err }
+
+// misuse is an error in how a command was called.
+func misuse(format string, v ...any) error { return &exit{exitUse, fmt.Errorf(format, v...)} }
+
+// code is what the program ends with after err.
+func code(err error) int {
+	var e *exit
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &e):
+		return e.code
+	}
+	return exitFailed
+}
 
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	if err := run(os.Args[1:], os.Stdout); err != nil {
+	err := run(os.Args[1:], os.Stdout)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "gladepick:", err)
-		os.Exit(1)
 	}
+	os.Exit(code(err))
 }
 
 func run(args []string, out io.Writer) error {
-	if len(args) == 0 {
+	if len(args) == 0 { // the dispatcher waits for no command line
 		return node()
 	}
-	switch args[0] {
-	case "agent":
-		if len(args) != 2 {
-			return errors.New("agent needs one file")
+	c := root()
+	c.SetArgs(words(args))
+	c.SetOut(out)
+	return c.Execute()
+}
+
+// words lets long flags stand behind one dash, as they did before there was a library for them.
+func words(args []string) []string {
+	out := make([]string, len(args))
+	for i, a := range args {
+		if a == "--" {
+			copy(out[i:], args[i:])
+			break
 		}
-		return supervise(args[1])
-	case "status", "counters", "drain", "start", "reload":
-		flags := flag.NewFlagSet(args[0], flag.ContinueOnError)
-		address := flags.String("agent", config.DefaultControl, "where the agent listens for questions")
-		if err := flags.Parse(args[1:]); err != nil {
-			return err
+		if out[i] = a; a == "-help" || a == "-agent" || strings.HasPrefix(a, "-agent=") {
+			out[i] = "-" + a
 		}
-		return agent.Command(context.Background(), out, *address, args[0], flags.Args())
-	case "help", "-h", "-help", "--help":
-		fmt.Fprint(out, usage)
-		return nil
 	}
-	return fmt.Errorf("unknown command %q; gladepick help lists them", args[0])
+	return out
 }
 
-// node runs one dispatcher until SIGTERM has been served.
-func node() error {
-	reloads := make(chan os.Signal, 1) // from the first: by itself this signal would end the program
-	signal.Notify(reloads, syscall.SIGHUP)
-	n, err := config.Load(os.Getenv)
-	if err != nil {
-		return err
-	}
-	n.Limits.Apply()
-	stopped := make(chan os.Signal, 1)
-	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
-	asked := make(chan os.Signal, 1)
-	signal.Notify(asked, syscall.SIGUSR1)
+// root is the whole tree of commands.
+func root() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "gladepick",
+		Short: "Dispatch course registration jobs to workers, and manage many dispatchers",
+		Long: `gladepick dispatches course registration jobs from university portals to workers.
 
-	list := roster.New(n)
-	counters := new(dispatch.Counters)
-	var desk *amqp.Desk
-	var queues dispatch.Floor
-	var fixed []config.Worker
-	if n.AMQP != nil {
-		desk = amqp.New(n, counters)
-		queues, fixed = desk, desk.Workers()
-	}
-	core, err := dispatch.New(n, counters, floor.New(n, counters), queues, list, fixed)
-	if err != nil {
-		return err
-	}
-	list.Listed = core.Listed
-	front := portal.New(n, core)
-	listener, err := net.Listen("tcp", n.Listen)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go core.Run(ctx)
-	go list.Run(ctx)
-	if desk != nil {
-		desk.Core = core
-		go desk.Run(ctx)
-	}
-	broken := make(chan error, 1)
-	go func() { broken <- front.Serve(listener) }()
-	go func() { // to the last moment: what has been taken is still sent on by the list, also while leaving
-		for range reloads {
-			reload(n, list)
-		}
-	}()
-	log.Printf("%s serves on %s", n.Name, n.Listen)
-	for leaving := false; !leaving; {
-		select {
-		case err := <-broken:
-			return errors.Join(errors.New("the portal has ended"), err)
-		case <-asked:
-			log.Print(core.Line())
-		case <-stopped:
-			leaving = true
-		}
-	}
-	// New connections keep coming for a while after SIGTERM: they are served, and told to go elsewhere afterwards.
-	front.Leave()
-	log.Printf("%s is leaving", n.Name)
-	if desk != nil {
-		desk.Leave()
-	}
-	time.Sleep(n.Limits.Farewell)
-	late, done := context.WithTimeout(context.Background(), n.Limits.MostPatience)
-	defer done()
-	err = front.Farewell(late)
-	if desk != nil {
-		err = errors.Join(err, desk.Settled(late))
-	}
-	log.Print(core.Line())
-	return err
+Without arguments it runs one dispatcher, as the NODE_ variables say. The
+commands below keep many of them running on a machine and ask after them.
+
+Exit codes: 0 done, 1 failed, 2 wrong use, 3 the goal cannot be met.`,
+		SilenceUsage: true, SilenceErrors: true,
+		Args: func(c *cobra.Command, args []string) error {
+			if len(args) == 0 {
+				return nil
+			}
+			hint := ""
+			if near := c.SuggestionsFor(args[0]); len(near) > 0 {
+				hint = fmt.Sprintf("; did you mean %s?", strings.Join(near, " or "))
+			}
+			return misuse("unknown command %q%s; gladepick help lists them", args[0], hint)
+		},
+		RunE:                       func(c *cobra.Command, _ []string) error { return c.Help() },
+		SuggestionsMinimumDistance: 2,
+	}
+	c.AddCommand(agentCommand(), statusCommand(), countersCommand(), drainCommand(), startCommand(), reloadCommand())
+	c.SetFlagErrorFunc(func(c *cobra.Command, err error) error { return misuse("%s: %w", c.Name(), err) })
+	return c
 }
 
-// reload reads the configuration again and carries over what may change while jobs are open.
-func reload(n *config.Node, list *roster.Roster) {
-	later, err := config.Reload(os.Getenv)
-	if err != nil {
-		log.Printf("reload: the old settings stay: %v", err)
-		return
-	}
-	if keys := n.Fixed(later); len(keys) > 0 {
-		log.Printf("reload: a change of %s holds from the next start on", strings.Join(keys, ", "))
+// exactly makes a command take just so many arguments, which what names.
+func exactly(n int, what string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) != n {
+			return misuse("%s needs %s", c.Name(), what)
+		}
+		return nil
 	}
-	list.Move(later.Discovery)
-	log.Printf("reload: discovery is at %s", later.Discovery)
 }
 
-// supervise runs an agent until SIGTERM, and then until its instances have left.
-func supervise(path string) error {
-	conf, err := config.LoadAgent(path)
-	if err != nil {
-		return err
-	}
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	a := agent.New(conf)
-	control, err := net.Listen("tcp", conf.Control)
-	if err != nil {
-		return fmt.Errorf("agent.control: %w", err)
-	}
-	// Questions are answered until the last instance has left.
-	serving, over := context.WithCancel(context.Background())
-	defer over()
-	failed := make(chan error, 2)
-	go func() { failed <- a.Serve(serving, control) }()
-	if conf.SNMP != "" {
-		conn, err := net.ListenPacket("udp", conf.SNMP)
-		if err != nil {
-			return fmt.Errorf("snmp.listen: %w", err)
+// some makes a command take one argument or more.
+func some(what string) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return misuse("%s needs %s", c.Name(), what)
 		}
-		go func() { failed <- snmp.New(a, conf).Serve(serving, conn) }()
+		return nil
 	}
-	go func() {
-		for range reloads { // the agent's own file holds until its next start; its instances read theirs again
-			for _, s := range a.Statuses() {
-				if err := a.Reload(s.Name); err != nil {
-					log.Printf("reload: %v", err)
-				}
-			}
-		}
-	}()
-	log.Printf("the agent keeps %d instances and answers on %s", len(conf.Instances), conf.Control)
-	go func() {
-		if err := <-failed; err != nil {
-			log.Printf("a listener of the agent has ended: %v", err)
-			stop()
-		}
-	}()
-	a.Run(ctx)
-	return nil
 }
--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -22,7 +22,6 @@
 func TestMain(m *testing.M) {
 	if os.Getenv("GLADEPICK_AS_PROGRAM") != "" { // this same file plays bin/gladepick
 		main()
-		os.Exit(0)
 	}
 	os.Exit(m.Run())
 }
@@ -219,14 +218,35 @@
 	}
 }
 
-func TestWrongUse(t *testing.T) {
-	for _, args := range [][]string{{"fly"}, {"agent"}, {"agent", "no such file"}, {"status", "-agent", "127.0.0.1:1"}, {"drain"}} {
-		if err := run(args, io.Discard); err == nil {
-			t.Errorf("%v is no error", args)
+// Wrong use ends with 2, what fails with 1, and each says in one line what is wrong; help says how it is done.
+func TestExitCodes(t *testing.T) {
+	for _, k := range []struct {
+		code int
+		says string
+		args []string
+	}{
+		{exitUse, "unknown command \"fly\"", []string{"fly"}},
+		{exitUse, "did you mean drain?", []string{"drian"}},
+		{exitUse, "agent needs one file", []string{"agent"}},
+		{exitUse, "agent needs one file", []string{"agent", "a", "b"}},
+		{exitUse, "drain needs the names of instances", []string{"drain"}},
+		{exitUse, "status: unknown flag: --fast", []string{"status", "--fast"}},
+		{exitFailed, "no such file", []string{"agent", "no such file"}},
+		{exitFailed, "the agent at 127.0.0.1:1", []string{"status", "-agent", "127.0.0.1:1"}},
+		{exitFailed, "the agent at 127.0.0.1:1", []string{"counters", "-agent=127.0.0.1:1", "n0"}},
+		{exitDone, "", []string{"help"}},
+		{exitDone, "", []string{"-help"}},
+		{exitDone, "", []string{"completion", "bash"}},
+	} {
+		err := run(k.args, io.Discard)
+		if code(err) != k.code || err != nil && !strings.Contains(err.Error(), k.says) {
+			t.Errorf("%v ends with %d: %v", k.args, code(err), err)
 		}
 	}
-	var out bytes.Buffer
-	if err := run([]string{"help"}, &out); err != nil || !strings.Contains(out.String(), "gladepick agent FILE") {
-		t.Errorf("help: %v, %s", err, out.String())
+	for args, says := range map[string]string{"help": "Exit codes: 0 done", "help agent": "gladepick agent FILE", "drain --help": "gladepick drain NAME..."} {
+		var out bytes.Buffer
+		if err := run(strings.Fields(args), &out); err != nil || !strings.Contains(out.String(), says) {
+			t.Errorf("%s: %v, %s", args, err, out.String())
+		}
 	}
 }
--- /dev/null
+++ b/cmd/gladepick/node.go
@@ -0,0 +1,114 @@
+// This file runs one dispatcher: it wires its parts together, listens to signals
+// and sees it out. It must never decide anything about a job, nor need anything
+// of the command line.
+
+package main
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"ivyfold/internal/amqp"
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+	"ivyfold/internal/floor"
+	"ivyfold/internal/portal"
+	"ivyfold/internal/roster"
+)
+
+// node runs one dispatcher until SIGTERM has been served.
+func node() error {
+	reloads := make(chan os.Signal, 1) // from the first: by itself this signal would end the program
+	signal.Notify(reloads, syscall.SIGHUP)
+	n, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	n.Limits.Apply()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGUSR1)
+
+	list := roster.New(n)
+	counters := new(dispatch.Counters)
+	var desk *amqp.Desk
+	var queues dispatch.Floor
+	var fixed []config.Worker
+	if n.AMQP != nil {
+		desk = amqp.New(n, counters)
+		queues, fixed = desk, desk.Workers()
+	}
+	core, err := dispatch.New(n, counters, floor.New(n, counters), queues, list, fixed)
+	if err != nil {
+		return err
+	}
+	list.Listed = core.Listed
+	front := portal.New(n, core)
+	listener, err := net.Listen("tcp", n.Listen)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go core.Run(ctx)
+	go list.Run(ctx)
+	if desk != nil {
+		desk.Core = core
+		go desk.Run(ctx)
+	}
+	broken := make(chan error, 1)
+	go func() { broken <- front.Serve(listener) }()
+	go func() { // to the last moment: what has been taken is still sent on by the list, also while leaving
+		for range reloads {
+			reload(n, list)
+		}
+	}()
+	log.Printf("%s serves on %s", n.Name, n.Listen)
+	for leaving := false; !leaving; {
+		select {
+		case err := <-broken:
+			return errors.Join(errors.New("the portal has ended"), err)
+		case <-asked:
+			log.Print(core.Line())
+		case <-stopped:
+			leaving = true
+		}
+	}
+	// New connections keep coming for a while after SIGTERM: they are served, and told to go elsewhere afterwards.
+	front.Leave()
+	log.Printf("%s is leaving", n.Name)
+	if desk != nil {
+		desk.Leave()
+	}
+	time.Sleep(n.Limits.Farewell)
+	late, done := context.WithTimeout(context.Background(), n.Limits.MostPatience)
+	defer done()
+	err = front.Farewell(late)
+	if desk != nil {
+		err = errors.Join(err, desk.Settled(late))
+	}
+	log.Print(core.Line())
+	return err
+}
+
+// reload reads the configuration again and carries over what may change while jobs are open.
+func reload(n *config.Node, list *roster.Roster) {
+	later, err := config.Reload(os.Getenv)
+	if err != nil {
+		log.Printf("reload: the old settings stay: %v", err)
+		return
+	}
+	if keys := n.Fixed(later); len(keys) > 0 {
+		log.Printf("reload: a change of %s holds from the next start on", strings.Join(keys, ", "))
+	}
+	list.Move(later.Discovery)
+	log.Printf("reload: discovery is at %s", later.Discovery)
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -365,6 +365,17 @@
 	return json.Unmarshal(body, into)
 }
 
+// Names are the instances of the agent at an address.
+func Names(ctx context.Context, address string) (names []string, err error) {
+	var all []Status
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	err = ask(ctx, client, 1<<24, http.MethodGet, "http://"+address+"/status", &all)
+	for _, s := range all {
+		names = append(names, s.Name)
+	}
+	return names, err
+}
+
 // Command asks the agent at an address on behalf of the command line: status, counters, drain, start or reload.
 func Command(ctx context.Context, out io.Writer, address, command string, names []string) error {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
