Record tries and attempts in sealed Parquet files, on an observer's seam in the core

Need: the planner starts from what dispatchers saw, and nothing kept it.

Change: dispatch.Observer is shown each job taken, turned away, sent, started, ended, answered or left; it never decides. internal/capture is the recorder on it: whole rows built on the core's goroutine, two bounded queues, one writer, Parquet files that a manifest with XXH64 sums seals. A full, slow or missing disk costs counted rows. Off unless NODE_CAPTURE or an instance's capture names a JSON file, which is checked against a shipped schema; errors name file, line, column and key. gladepick schema prints it. The seal is there because parquet-go ends the process on some damaged pages (unsafe.Slice over a null pointer, seen with one flipped byte).

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,9 @@
 # One dispatcher, as the NODE_ variables say.
 run: build
 	exec bin/gladepick
+
+# Long measurements; their results stand in the docs. What they start ends with them.
+.PHONY: bench-capture
+bench-capture:
+	go test ./internal/capture -run '^$$' -bench BenchmarkCapture -benchtime 40x
+	CAPTURE_KILLS=100 go test ./internal/capture -run '^TestKilledInMidWrite$$' -v -count=1 -timeout 10m | grep kills
--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"testing"
 
+	"ivyfold/internal/capture"
 	"ivyfold/internal/standin"
 )
 
@@ -98,7 +99,11 @@
 	}))
 	known := fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
 	path := settings(t, known)
-	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + path, "NODE_DISCOVERY=" + free(t)})
+	dir := t.TempDir()
+	record := filepath.Join(t.TempDir(), "capture.json")
+	os.WriteFile(record, fmt.Appendf(nil, `{"dir":%q}`, dir), 0o600)
+	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + path, "NODE_DISCOVERY=" + free(t),
+		"NODE_CAPTURE=" + record})
 	if status, _ := get(t, "http://"+at+"/up"); status != 200 {
 		t.Errorf("/up answers %d", status)
 	}
@@ -145,6 +150,10 @@
 	if err := c.Wait(); err != nil || !strings.Contains(last, "taken=1 served=1 ") || !strings.Contains(last, " open=0 ") {
 		t.Errorf("it ended with %v and %q", err, last)
 	}
+	s, err := capture.Read(dir)
+	if err != nil || len(s.Tries) != 1 || len(s.Attempts) != 1 || s.Tries[0].Verdict != "served" || s.Attempts[0].Worker != "s-0badcafe" {
+		t.Errorf("recorded: %v, %+v", err, s)
+	}
 }
 
 // The answer to a body that is far too large reaches a client that sends for longer than the sockets' buffers hold,
--- a/cmd/gladepick/node.go
+++ b/cmd/gladepick/node.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"ivyfold/internal/amqp"
+	"ivyfold/internal/capture"
 	"ivyfold/internal/config"
 	"ivyfold/internal/dispatch"
 	"ivyfold/internal/floor"
@@ -51,6 +52,12 @@
 		return err
 	}
 	list.Listed = core.Listed
+	var record *capture.Recorder
+	if n.Capture != nil {
+		record = capture.NewRecorder(n, counters, core.Clock)
+		core.Observer = record
+		go record.Run()
+	}
 	front := portal.New(n, core)
 	listener, err := net.Listen("tcp", n.Listen)
 	if err != nil {
@@ -95,6 +102,11 @@
 	if desk != nil {
 		err = errors.Join(err, desk.Settled(late))
 	}
+	if record != nil {
+		cancel()
+		core.Ended()
+		err = errors.Join(err, record.Close(late))
+	}
 	log.Print(core.Line())
 	return err
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -303,7 +303,7 @@
 	}
 	c := exec.Command(program)
 	c.Env = append(os.Environ(), "NODE_NAME="+in.Name, "NODE_LISTEN="+in.Listen, "NODE_DISCOVERY="+in.Discovery,
-		"NODE_CONFIG="+in.Config, "NODE_AMQP="+in.AMQP)
+		"NODE_CONFIG="+in.Config, "NODE_AMQP="+in.AMQP, "NODE_CAPTURE="+in.Capture)
 	c.Stdout, c.Stderr = os.Stdout, os.Stderr
 	// A group of its own: what is typed at the agent's terminal reaches the instances through the agent only. And
 	// none outlives an agent that was killed.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -72,6 +72,9 @@
 	Reconnect       time.Duration // first pause before a broker is called again; doubles up to
 	ReconnectMax    time.Duration // this
 	Confirm         time.Duration // a broker confirms an answer within it
+	CaptureRows     int           // rows of each kind that wait for the recorder at most
+	CaptureGroup    int           // rows that the recorder writes at a time
+	CaptureRetry    time.Duration // pause after a disk that took nothing
 }
 
 // AMQP sets up the second front and the workers that take jobs from queues.
@@ -121,7 +124,8 @@
 	Zones, Kinds            []string
 	LoadFields              []string // as workers word them, in the module's order
 	Limits                  Limits
-	AMQP                    *AMQP // nil: the front is off
+	AMQP                    *AMQP    // nil: the front is off
+	Capture                 *Capture // nil: nothing is recorded
 }
 
 type nodeFile struct {
@@ -222,6 +226,11 @@
 			return nil, err
 		}
 	}
+	if path := getenv("NODE_CAPTURE"); path != "" {
+		if n.Capture, err = loadCapture(path); err != nil {
+			return nil, err
+		}
+	}
 	return n, nil
 }
 
@@ -249,6 +258,7 @@
 		{"name", n.Name, later.Name}, {"listen", n.Listen, later.Listen}, {"limits", n.Limits, later.Limits},
 		{"settings", n.Module, later.Module}, {"settings.classes", n.Classes, later.Classes},
 		{"settings.tenants", n.Tenants, later.Tenants}, {"amqp", n.AMQP, later.AMQP},
+		{"capture", n.Capture, later.Capture},
 	} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
@@ -282,6 +292,7 @@
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
 		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
+		CaptureRows: 4096, CaptureGroup: 4096, CaptureRetry: time.Second,
 	}
 	// Bodies are counted by themselves; answers of half a body's size to all open jobs fit into a third of the memory.
 	l.OpenJobs = max(min(l.PortalConns, memory<<20/3/int(l.Body/2)), 16)
@@ -461,6 +472,7 @@
 	Discovery string `toml:"discovery"`
 	Config    string `toml:"config"`
 	AMQP      string `toml:"amqp"`
+	Capture   string `toml:"capture"`
 }
 
 // AgentLimits are the agent's sizes and times.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -105,9 +105,39 @@
 	leaving atomic.Bool
 }
 
+// Sight is what an Observer sees.
+type Sight uint8
+
+// The sights.
+const (
+	SawTaken    Sight = iota + 1 // Job: it is open now
+	SawTurned                    // Job: not taken, too many are open; it has no number
+	SawSent                      // Attempt
+	SawStarted                   // Attempt: the job has started at the worker
+	SawEnded                     // Attempt, Outcome, Load; of an attempt that never went out too, as Moot
+	SawAnswered                  // Job, Answer
+	SawLeft                      // Job: the client has gone without an answer
+)
+
+// Moment is one sight.
+type Moment struct {
+	Sight   Sight
+	At      time.Duration // on the core's clock
+	Job     *Job          // of an attempt too
+	Attempt *Attempt
+	Outcome ivyfold.Outcome
+	Load    ivyfold.Load
+	Answer  Answer
+}
+
+// Observer sees what the core does, in order and on the core's goroutine, but for SawTurned, which comes on the
+// front's. It must not block, change anything it is shown, or keep it beyond the call.
+type Observer interface{ See(*Moment) }
+
 // Core runs the module. Make it with New and start it with Run.
 type Core struct {
 	Counters *Counters
+	Observer Observer // nil: nobody looks; set before Run and before the first Take
 
 	lim     config.Limits
 	node    *config.Node
@@ -180,9 +210,21 @@
 	}
 }
 
+// Ended waits until Run has ended.
+func (c *Core) Ended() { <-c.over }
+
 // now is the module's clock: monotonic, whatever is done to the machine's calendar.
 func (c *Core) now() time.Duration { return past + time.Since(c.birth) }
 
+// Clock tells where the core's clock stands and what the calendar says at that moment.
+func (c *Core) Clock() (time.Duration, time.Time) { return c.now(), time.Now() }
+
+// Number is the core's name for a job that it has taken, unique while the job is open.
+func (j *Job) Number() ivyfold.JobID { return j.number }
+
+// Number counts a job's attempts from 0.
+func (a *Attempt) Number() int { return a.number }
+
 // post hands something to the core's goroutine. It waits while the mailbox is full, which holds the sender back.
 func (c *Core) post(f func()) {
 	select {
@@ -196,6 +238,9 @@
 	if c.open.Add(1) > int64(c.lim.OpenJobs) {
 		c.open.Add(-1)
 		c.Counters.Overflow.Add(1)
+		if c.Observer != nil {
+			c.Observer.See(&Moment{Sight: SawTurned, At: c.now(), Job: j})
+		}
 		return ErrBusy
 	}
 	if !c.enter(j.ID) {
@@ -212,6 +257,9 @@
 		room := min(c.lim.AnswerRoom, j.Patience/4)
 		j.until = came + j.Patience - room
 		c.at(j.until, func() { c.overdue(j) })
+		if c.Observer != nil {
+			c.Observer.See(&Moment{Sight: SawTaken, At: came, Job: j})
+		}
 		c.handle(&ivyfold.Event{Kind: ivyfold.EventJob, Job: j.number, Class: j.Class, Tenant: j.Tenant, Key: j.Subject,
 			Deadline: j.until, Slots: j.Slots, Memory: j.Memory, Repeat: j.Repeat})
 	})
@@ -235,6 +283,9 @@
 		if !j.answered {
 			c.Counters.Left.Add(1)
 			c.close(j)
+			if c.Observer != nil {
+				c.Observer.See(&Moment{Sight: SawLeft, At: c.now(), Job: j})
+			}
 			c.handle(&ivyfold.Event{Kind: ivyfold.EventGone, Job: j.number})
 			c.forget(j)
 		}
@@ -260,6 +311,9 @@
 func (a *Attempt) Note(kind ivyfold.NoteKind, share float64) {
 	a.core.post(func() {
 		if !a.ended {
+			if a.core.Observer != nil && kind == ivyfold.NoteStarted {
+				a.core.Observer.See(&Moment{Sight: SawStarted, At: a.core.now(), Job: a.Job, Attempt: a})
+			}
 			a.core.handle(&ivyfold.Event{Kind: ivyfold.EventNote, Job: a.Job.number, Attempt: a.number,
 				Worker: a.seat.number, Note: kind, Value: share})
 		}
@@ -286,6 +340,9 @@
 	j := a.Job
 	j.out--
 	c.Counters.Outcomes[o].Add(1)
+	if c.Observer != nil {
+		c.Observer.See(&Moment{Sight: SawEnded, At: c.now(), Job: j, Attempt: a, Outcome: o, Load: load})
+	}
 	if o == ivyfold.OK && !j.answered {
 		c.reply(j, Answer{Verdict: Served, Result: result})
 	}
@@ -338,6 +395,9 @@
 	default:
 		c.Counters.Failed.Add(1)
 	}
+	if c.Observer != nil {
+		c.Observer.See(&Moment{Sight: SawAnswered, At: c.now(), Job: j, Answer: a})
+	}
 	j.Reply(a)
 }
 
@@ -421,6 +481,9 @@
 	}
 	a.Worker = a.seat.Worker
 	c.Counters.Sent.Add(1)
+	if c.Observer != nil {
+		c.Observer.See(&Moment{Sight: SawSent, At: c.now(), Job: j, Attempt: a})
+	}
 	if act.Timeout > 0 { // the floor closes the connection first and then tells: another send may follow
 		c.at(c.now()+left, func() { a.expired = true; a.cancel() })
 	}
@@ -578,6 +641,7 @@
 	Dialled, Reused                                atomic.Int64 // worker connections
 	RosterChanges, RosterFailed                    atomic.Int64
 	Redelivered                                    atomic.Int64 // AMQP deliveries that joined or got a remembered outcome
+	Captured, CaptureLost                          atomic.Int64 // rows written to captures; rows that found no room or no disk
 }
 
 // Count is one counter by its name.
@@ -589,7 +653,7 @@
 // CountNames are the counters in their fixed order, which the MIB shares.
 var CountNames = []string{"taken", "served", "refused", "failed", "left", "overflow", "malformed", "sent", "ok", "error",
 	"full", "timed_out", "connect_failed", "reset", "cancelled", "moot", "dialled", "reused", "roster_changes",
-	"roster_failed", "redelivered", "open", "workers_ready", "workers_draining", "workers_gone"}
+	"roster_failed", "redelivered", "open", "workers_ready", "workers_draining", "workers_gone", "captured", "capture_lost"}
 
 // Counts reads all counters and gauges in the order of CountNames.
 func (c *Core) Counts() []Count {
@@ -600,7 +664,8 @@
 		values = append(values, k.Outcomes[o].Load())
 	}
 	values = append(values, k.Dialled.Load(), k.Reused.Load(), k.RosterChanges.Load(), k.RosterFailed.Load(),
-		k.Redelivered.Load(), c.open.Load(), int64(w[ivyfold.Ready]), int64(w[ivyfold.Draining]), int64(w[ivyfold.Gone]))
+		k.Redelivered.Load(), c.open.Load(), int64(w[ivyfold.Ready]), int64(w[ivyfold.Draining]), int64(w[ivyfold.Gone]),
+		k.Captured.Load(), k.CaptureLost.Load())
 	out := make([]Count, len(values))
 	for i, v := range values {
 		out[i] = Count{CountNames[i], v}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -37,6 +37,29 @@
 	gone    map[string]bool
 	state   map[string]string
 	watches int
+	seen    map[string]map[dispatch.Sight]int // by job, and by job and attempt
+}
+
+// See holds what the observer is shown against the order in which things can happen.
+func (h *hall) See(m *dispatch.Moment) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	name := m.Job.ID
+	if m.Attempt != nil {
+		name = fmt.Sprint(name, "/", m.Attempt.Number())
+	}
+	if h.seen[name] == nil {
+		h.seen[name] = map[dispatch.Sight]int{}
+	}
+	s := h.seen[name]
+	before := map[dispatch.Sight]bool{dispatch.SawTaken: len(s) == 0, dispatch.SawSent: h.seen[m.Job.ID][dispatch.SawTaken] == 1,
+		dispatch.SawStarted: s[dispatch.SawSent] == 1 && s[dispatch.SawEnded] == 0, dispatch.SawEnded: s[dispatch.SawEnded] == 0,
+		dispatch.SawAnswered: s[dispatch.SawTaken] == 1 && s[dispatch.SawAnswered]+s[dispatch.SawLeft] == 0,
+		dispatch.SawLeft:     s[dispatch.SawTaken] == 1 && s[dispatch.SawAnswered]+s[dispatch.SawLeft] == 0}
+	if !before[m.Sight] {
+		h.t.Errorf("%s: sight %d is shown after %v", name, m.Sight, s)
+	}
+	s[m.Sight]++
 }
 
 func (h *hall) CloseIdle(config.Worker) {}
@@ -82,7 +105,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(struct{ rapid.TB }{t}, func(rt *rapid.T) { // a bubble has no deadline to ask for
 			h := &hall{t: rt, sent: map[string]int{}, answers: map[string][]dispatch.Answer{}, jobs: map[string]*dispatch.Job{},
-				until: map[string]time.Time{}, gone: map[string]bool{}, state: map[string]string{}}
+				until: map[string]time.Time{}, gone: map[string]bool{}, state: map[string]string{}, seen: map[string]map[dispatch.Sight]int{}}
 			for _, name := range names {
 				h.state[name] = "ready"
 			}
@@ -90,6 +113,7 @@
 			if h.core, err = dispatch.New(node, new(dispatch.Counters), h, nil, h, nil); err != nil {
 				rt.Fatal(err)
 			}
+			h.core.Observer = h
 			ctx, cancel := context.WithCancel(context.Background())
 			go h.core.Run(ctx)
 			defer cancel()
@@ -155,6 +179,9 @@
 			h.apart(func() { time.Sleep(6 * time.Second) })
 			h.apart(synctest.Wait)
 			for id := range h.jobs {
+				if s := h.seen[id]; s[dispatch.SawTaken] != 1 || s[dispatch.SawAnswered]+s[dispatch.SawLeft] != 1 || s[dispatch.SawAnswered] != len(h.answers[id]) {
+					rt.Errorf("%s: shown as %v, with %d answers", id, s, len(h.answers[id]))
+				}
 				if n := len(h.answers[id]); n > 1 || n == 0 && !h.gone[id] {
 					rt.Errorf("%s: %d answers", id, n)
 				}
