Plan with goals: what breaks first, how many workers, what losing a zone costs

Need: before each registration period the operators guess how many workers to switch on.

The cheapest mix comes from scaling, then single machines and exchanges of kinds downwards; then the least limits on open jobs, connections and attempts. A zone's cost is the paired difference. A test holds only if it does with the confidence asked for. gladepick plan prints a table or JSON, a progress bar on a terminal, what is known on Ctrl-C, and ends with 3 for a goal out of reach. Fleet and load are JSON with shipped schemas.

Measured: seven fleets with one thing made scarce have it named; answers are the same to the byte with 1 and 7 cores.

--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -108,7 +108,8 @@
 		RunE:                       func(c *cobra.Command, _ []string) error { return c.Help() },
 		SuggestionsMinimumDistance: 2,
 	}
-	c.AddCommand(agentCommand(), statusCommand(), countersCommand(), drainCommand(), startCommand(), reloadCommand(), schemaCommand())
+	c.AddCommand(agentCommand(), statusCommand(), countersCommand(), drainCommand(), startCommand(), reloadCommand(), schemaCommand(),
+		planCommand())
 	c.SetFlagErrorFunc(func(c *cobra.Command, err error) error { return misuse("%s: %w", c.Name(), err) })
 	return c
 }
--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -259,3 +259,39 @@
 		}
 	}
 }
+
+// The shipped descriptions can be planned with; a goal out of reach ends with 3, a wrong one with 2.
+func TestPlan(t *testing.T) {
+	short := filepath.Join(t.TempDir(), "load.json")
+	text, err := os.ReadFile("../../deploy/load.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.WriteFile(short, bytes.Replace(text, []byte(`"seconds": 60`), []byte(`"seconds": 5`), 1), 0o600)
+	spoilt := filepath.Join(t.TempDir(), "fleet.json")
+	text, _ = os.ReadFile("../../deploy/fleet.json")
+	os.WriteFile(spoilt, bytes.Replace(text, []byte(`"cores": 3`), []byte(`"cores": -3`), 1), 0o600)
+	for _, k := range []struct {
+		code        int
+		fleet, says string
+		args        []string
+	}{
+		{exitDone, "", "first to break", []string{"service >= 0.9", "--ask", "breaks", "--most", "8"}},
+		{exitDone, "", "\"zones\": [", []string{"service >= 0.9", "--ask", "zones", "-o", "json"}},
+		{exitGoal, "", "no number of workers", []string{"service >= 1", "--ask", "needs", "--most", "1"}},
+		{exitUse, "", "goal, line 1, column 9", []string{"service > 0.9"}},
+		{exitUse, "", "there are breaks, needs, zones", []string{"service >= 0.9", "--ask", "all"}},
+		{exitUse, "", "is neither a class", []string{"service(x) >= 0.9"}},
+		{exitFailed, spoilt, "fleet.json:6:34: key kinds.0.cores", []string{"service >= 0.9"}},
+		{exitFailed, "none.json", "none.json: no such file", []string{"service >= 0.9"}},
+	} {
+		if k.fleet == "" {
+			k.fleet = "../../deploy/fleet.json"
+		}
+		var out bytes.Buffer
+		err := run(append([]string{"plan", "--fleet", k.fleet, "--load", short, "--days", "4"}, k.args...), &out)
+		if said := fmt.Sprint(out.String(), err); code(err) != k.code || !strings.Contains(said, k.says) {
+			t.Errorf("%v ends with %d: %s", k.args, code(err), said)
+		}
+	}
+}
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,244 @@
+// These tests set fleets up so that it is known what must break, how many
+// workers are needed and what cannot be reached, and hold the planner to it.
+package plan
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"ivyfold/internal/model"
+)
+
+// yard is one zone's machines of one kind, half loaded.
+func yard() (*model.Fleet, *model.Load) {
+	f := &model.Fleet{
+		Zones:       []string{"montreal", "sherbrooke"},
+		CrossZoneMs: 5,
+		Kinds:       []model.Kind{{Name: "std-2c", Cores: 2, Speed: model.Range{1, 1}, Slots: 2, Queue: 24, ColdShare: 1, Cost: 1}},
+		Workers:     []model.Group{{Kind: "std-2c", Zone: "montreal", Count: 4}, {Kind: "std-2c", Zone: "sherbrooke", Count: 4}},
+		Dispatchers: []model.Dispatchers{{Zone: "montreal", Count: 1, OpenJobs: 1000, Connections: 1000}},
+		Classes: []model.Class{{Name: "seat-check", Effect: "safe", AimS: 0.15, Stretch: 1.75, DeadlineS: 5, Worth: 2, LateWorth: 0.2},
+			{Name: "enrol", Effect: "keyed", WindowS: 7.5, AimS: 0.15, Stretch: 2.5, DeadlineS: 5, Worth: 8, LateWorth: 0.2}},
+		Universities: []model.University{{Name: "univ-laurentie", Share: 0.6, PerSecS: 0}, {Name: "univ-gaspesie", Share: 0.4, PerSecS: 0}},
+	}
+	l := &model.Load{Seconds: 10, Rate: []model.Point{{AtS: 0, PerSec: 70}}, Classes: []model.Work{{Name: "seat-check", Share: 0.8, Ms: 100, CV: 0.5}, {Name: "enrol", Share: 0.2, Ms: 80, CV: 0.5}}}
+	return f, l
+}
+
+func planner(t testing.TB, f *model.Fleet, l *model.Load, goal string, o Options) *Planner {
+	t.Helper()
+	g, err := ParseGoal(goal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := New(f, l, g, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// What was made scarce is what breaks first.
+func TestTheScarceResourceIsNamed(t *testing.T) {
+	for first, set := range map[string]func(*model.Fleet, *model.Load){
+		"slots of the workers":         func(f *model.Fleet, l *model.Load) {},
+		"open jobs of the dispatchers": func(f *model.Fleet, l *model.Load) { f.Dispatchers[0].OpenJobs = 10 },
+		"worker connections of dispatchers": func(f *model.Fleet, l *model.Load) {
+			f.Dispatchers[0].Connections = 9
+		},
+		"connections that workers accept": func(f *model.Fleet, l *model.Load) { f.Kinds[0].Connections = 1 },
+		"the cost of new connections": func(f *model.Fleet, l *model.Load) {
+			f.Kinds[0].ConnectionMs, f.ConnIdleS = 400, 0.05
+		},
+		"the running time itself": func(f *model.Fleet, l *model.Load) {
+			f.Classes[0].AimS, f.Classes[1].AimS, f.Classes[0].Stretch, f.Classes[1].Stretch = 0.5, 0.5, 0, 0
+			f.Workers[0].Count, f.Workers[1].Count = 100, 100
+			l.Classes[0].Ms, l.Classes[1].Ms, l.Rate[0].PerSec = 430, 430, 20
+		},
+		"the cold budget after a start": func(f *model.Fleet, l *model.Load) {
+			f.Kinds[0].ColdShare, f.Kinds[0].WarmS, f.Cold = 0.05, 12, model.Cold{Share: 0.05, WarmS: 12, Multiple: 3, SpanS: 1}
+			f.RosterS = model.Range{0.1, 0.1}
+			f.Troubles = []model.Trouble{{What: "deaths", Part: 1, AtS: 3, ForS: 0.05}}
+			l.Rate[0].PerSec = 60
+		},
+	} {
+		t.Run(first, func(t *testing.T) {
+			f, l := yard()
+			set(f, l)
+			b, err := planner(t, f, l, "service >= 0.9", Options{Days: 6}).Breaks()
+			if err != nil || b.First != first {
+				t.Errorf("%v; %q breaks first at %.2f, after %.2f: %+v", err, b.First, b.BreaksAt, b.HoldsAt, b.Reliefs[:min(3, len(b.Reliefs))])
+			}
+			if len(b.Failing) == 0 || b.HoldsAt >= b.BreaksAt {
+				t.Errorf("it holds at %v, breaks at %v, with %v", b.HoldsAt, b.BreaksAt, b.Failing)
+			}
+		})
+	}
+}
+
+// The mix found holds the goal, and none that is a step cheaper does.
+func TestTheCheapestMix(t *testing.T) {
+	f, l := yard()
+	f.Kinds = append(f.Kinds, model.Kind{Name: "fast-2c", Cores: 2, Speed: model.Range{2, 2}, Slots: 2, Queue: 24, ColdShare: 1, Cost: 1.5})
+	f.Workers = append(f.Workers, model.Group{Kind: "fast-2c", Zone: "montreal", Count: 1}, model.Group{Kind: "fast-2c", Zone: "sherbrooke", Count: 1})
+	p := planner(t, f, l, "service >= 0.95 and late(enrol) <= 5%", Options{Days: 6})
+	n, err := p.Needs()
+	if err != nil || !n.Reached {
+		t.Fatal(err, n)
+	}
+	for _, x := range n.Findings {
+		if !x.Holds {
+			t.Errorf("%+v", x)
+		}
+	}
+	best := *f
+	best.Workers = n.Workers
+	price := map[string]float64{"std-2c": 1, "fast-2c": 1.5}
+	for _, cheaper := range neighbours(&best, price) {
+		if e, err := p.evaluate(cheaper, l); err != nil || e.holds {
+			_, c := cost(cheaper)
+			t.Errorf("%v at %v holds too, found was %v at %v", cheaper.Workers, c, n.Workers, n.Cost)
+		}
+	}
+	for name, v := range n.Limits {
+		if v < 1 || v >= 4096 {
+			t.Errorf("%s: %d", name, v)
+		}
+	}
+}
+
+// A goal that no number of workers meets is said to be one, with what stands in its way.
+func TestGoalsOutOfReach(t *testing.T) {
+	for why, set := range map[string]func(*model.Fleet, *model.Load){
+		"the running time itself": func(f *model.Fleet, l *model.Load) {
+			f.Classes[0].Stretch, f.Classes[1].Stretch = 0, 0
+			l.Classes[0].Ms, l.Classes[1].Ms, l.Rate[0].PerSec = 140, 140, 10
+		},
+		"open jobs of the dispatchers": func(f *model.Fleet, l *model.Load) { f.Dispatchers[0].OpenJobs = 4 },
+	} {
+		f, l := yard()
+		set(f, l)
+		n, err := planner(t, f, l, "service >= 0.9", Options{Days: 4, Most: 6}).Needs()
+		if err != nil || n.Reached || len(n.Why) == 0 || n.Why[0].Resource != why {
+			t.Errorf("%v, %q was set up: %+v", err, why, n.Why[:min(2, len(n.Why))])
+		}
+	}
+}
+
+// Losing the zone with most of the machines costs most, and spare machines elsewhere make up for some of it.
+func TestWhatAZoneCosts(t *testing.T) {
+	f, l := yard()
+	f.Workers[0].Count = 7
+	f.Workers = append(f.Workers, model.Group{Kind: "std-2c", Zone: "sherbrooke", Count: 4, Spare: true})
+	all, err := planner(t, f, l, "service >= 0.9", Options{Days: 6}).Losses()
+	if err != nil || len(all) != 4 {
+		t.Fatal(err, len(all))
+	}
+	big, small, spared := all[0], all[1], all[2]
+	if big.Worth.Mean-big.Worth.Reach <= small.Worth.Mean || spared.Worth.Mean+spared.Worth.Reach >= big.Worth.Mean {
+		t.Errorf("montreal costs %v, sherbrooke %v, montreal with spares %v", big.Worth, small.Worth, spared.Worth)
+	}
+	if big.During.Mean <= big.Worth.Mean || len(big.Classes) != 2 || len(big.Universities) != 2 || len(big.Seconds) != 10 {
+		t.Errorf("%+v", big)
+	}
+}
+
+// The same seed gives the same answer, whatever the number of cores; another seed gives another.
+func TestCoresChangeNothing(t *testing.T) {
+	f, l := yard()
+	all := map[string]int{}
+	for _, o := range []Options{{Cores: 1}, {Cores: 7}, {Cores: 7, Seed: 5}} {
+		o.Days = 5
+		p := planner(t, f, l, "service >= 0.97 with 25% dead", o)
+		b, err := p.Breaks()
+		if err != nil {
+			t.Fatal(err)
+		}
+		z, err := p.Losses()
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := json.Marshal([]any{b, z, p.DaysPlayed()})
+		all[string(text)]++
+	}
+	if len(all) != 2 {
+		t.Errorf("%d answers", len(all))
+	}
+}
+
+// A search that is ended gives what it knows.
+func TestStoppedEarly(t *testing.T) {
+	f, l := yard()
+	var played atomic.Int64
+	p := planner(t, f, l, "service >= 0.9", Options{Days: 4, Cores: 2})
+	p.Played = func(n int) { played.Add(int64(n)) }
+	p.Stop = func() bool { return played.Load() > 12 }
+	b, err := p.Breaks()
+	if !errors.Is(err, ErrStopped) || b == nil || len(b.Now) == 0 || b.HoldsAt < 1 {
+		t.Errorf("%v, %+v", err, b)
+	}
+}
+
+func TestGoalsThatAreWrong(t *testing.T) {
+	f, _ := yard()
+	for text, says := range map[string]string{
+		"":                                     "column 1",
+		"service":                              "column 8",
+		"service > 0.9":                        "column 9",
+		"service >= 95":                        "column 1: 95 is more than all",
+		"service >= 0.9 and speed >= 0.2":      "column 20: \"speed\" is no measure",
+		"score(enrol) >= 0.5":                  "column 1: score is of the whole day",
+		"service(univ-quebec) >= 0.9":          "column 1: \"univ-quebec\" is neither",
+		"service >= 0.9 with zone laval lost":  "column 21: there is no zone \"laval\"",
+		"service >= 0.9 with zone montreal":    "column 34",
+		"service >= 0.9 with univ-x times 5":   "column 21: \"univ-x\" is neither",
+		"service >= 0.9 with 250% dead":        "column 21: more than all",
+		"late <= 5% and\nservice(nobody) >= 1": "line 2, column 1: \"nobody\"",
+		"service >= 0.9; late":                 "column 21",
+	} {
+		g, err := ParseGoal(text)
+		if err == nil {
+			err = g.Check(f)
+		}
+		if err == nil || !strings.Contains(err.Error(), says) {
+			t.Errorf("%q: %v; %q is wanted", text, err, says)
+		}
+	}
+	g, err := ParseGoal("service >= 0.95 and late(enrol) <= 2% with zone montreal lost at 5 for 6 and load times 1.4; score >= 0.5 with 25% dead and univ-gaspesie times 5")
+	if err != nil || g.Check(f) != nil || len(g.Clauses) != 2 || g.Clauses[0].Tests[1].Value != 0.02 || g.Clauses[0].With[0].For != 6 {
+		t.Errorf("%v, %+v", err, g)
+	}
+	_, l := yard()
+	lf, ll := g.Clauses[0].apply(*f, *l)
+	if len(lf.Troubles) != 1 || lf.Troubles[0].AtS != 5 || ll.Times != 1.4 || len(f.Troubles) != 0 {
+		t.Errorf("%+v, %+v", lf.Troubles, ll.Times)
+	}
+}
+
+func FuzzGoal(f *testing.F) {
+	for _, s := range []string{"service >= 0.95", "late(enrol) <= 2% with zone montreal lost", "a;b", "service >= 1e400", "((((", "service >= 0.9 with 1 % dead at 2 for 3", "\x00"} {
+		f.Add(s)
+	}
+	fleet, load := yard()
+	f.Fuzz(func(t *testing.T, text string) {
+		g, err := ParseGoal(text)
+		if err != nil {
+			if !strings.Contains(err.Error(), "column") {
+				t.Errorf("%q: %v names no column", text, err)
+			}
+			return
+		}
+		if g.Check(fleet) == nil {
+			for _, c := range g.Clauses {
+				c.apply(*fleet, *load)
+				if slices.ContainsFunc(c.Tests, func(t *Test) bool { return t.Value < 0 || t.Value > 1 }) {
+					t.Errorf("%q has a bound out of range", text)
+				}
+			}
+		}
+	})
+}
