--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -24,14 +24,13 @@
 // Options say how sure answers must be and how long the search may go on.
 type Options struct {
 	Seed       uint64
-	Confidence float64                // that a goal holds where it is said to; 0.95 where 0
-	Days       int                    // played for one verdict at most; 16 where 0
-	Cores      int                    // that play at a time; all where 0
-	Most       float64                // times the fleet or the load, at most; 16 where 0
-	Played     func(days int)         // told of each day
-	Stop       func() bool            // ends the search early; what is known so far comes back with ErrStopped
-	Note       func(string, ...any)   // told what is looked at
-	cache      map[string]*evaluation // by description
+	Confidence float64              // that a goal holds where it is said to; 0.95 where 0
+	Days       int                  // played for one verdict at most; 16 where 0
+	Cores      int                  // that play at a time; all where 0
+	Most       float64              // times the fleet or the load, at most; 16 where 0
+	Played     func(days int)       // told of each day
+	Stop       func() bool          // ends the search early; what is known so far comes back with ErrStopped
+	Note       func(string, ...any) // told what is looked at
 }
 
 // ErrStopped is what a search that was ended early comes back with.
@@ -45,7 +44,8 @@
 	Load  *model.Load
 	Goal  *Goal
 	Options
-	days atomic.Int64
+	days  atomic.Int64
+	cache map[string]*evaluation // by description
 }
 
 // New checks what belongs together.
@@ -62,8 +62,7 @@
 	if !(o.Confidence > 0.5 && o.Confidence < 1) {
 		return nil, fmt.Errorf("a confidence of %v is not in 0.5 to 1", o.Confidence)
 	}
-	o.cache = map[string]*evaluation{}
-	return &Planner{Fleet: f, Load: l, Goal: g, Options: o}, nil
+	return &Planner{Fleet: f, Load: l, Goal: g, Options: o, cache: map[string]*evaluation{}}, nil
 }
 
 // DaysPlayed is how many days have been played so far.
