Test thousands of universities, and fuzz the descriptions of fleet and load

Need: the planner's hard cases name thousands of universities, and its schemas had no fuzz seeds of their own.

--- a/internal/config/document/document_test.go
+++ b/internal/config/document/document_test.go
@@ -1,12 +1,14 @@
 package document
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"ivyfold/internal/config"
+	"ivyfold/internal/model"
 )
 
 func TestDocumentErrorsNameThePlace(t *testing.T) {
@@ -43,6 +45,30 @@
 	}
 }
 
+// Descriptions, whole and spoilt, either keep to their schema or are refused with the file's name.
+func FuzzDescriptions(f *testing.F) {
+	for i, name := range []string{"fleet", "load"} {
+		whole, err := os.ReadFile("../../../deploy/" + name + ".json")
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(i == 0, whole)
+		for _, spoil := range []string{":1", ":-1", ":1e999", ":null", ":[]", ":{}", ": \"\\u0000\""} {
+			f.Add(i == 0, bytes.Replace(whole, []byte(": "), []byte(spoil+",\"x\": "), 3))
+		}
+		f.Add(i == 0, whole[:len(whole)/2])
+	}
+	f.Fuzz(func(t *testing.T, fleet bool, text []byte) {
+		schema, into := "load", any(new(model.Load))
+		if fleet {
+			schema, into = "fleet", new(model.Fleet)
+		}
+		if err := Parse("x.json", text, schema, into); err != nil && !strings.HasPrefix(err.Error(), "x.json:") {
+			t.Errorf("%q: %v does not name the file", text, err)
+		}
+	})
+}
+
 func FuzzDocument(f *testing.F) {
 	for _, s := range []string{`{"dir":"/"}`, `{"dir":"/","rotate_mb":1e400}`, `[[[[`, `{"a":{"a":[1,{"b":null}]}}`, "\x00", `{"dir":"\ud800"}`, `{"":""}`} {
 		f.Add(s)
--- a/internal/model/model_test.go
+++ b/internal/model/model_test.go
@@ -252,6 +252,24 @@
 	}
 }
 
+// Thousands of universities, most of which send next to nothing, are a day like any other.
+func TestThousandsOfUniversities(t *testing.T) {
+	f, l := small(), usual(3, 80)
+	f.Universities = nil
+	for i := range 3000 {
+		f.Universities = append(f.Universities, University{fmt.Sprintf("univ-%d", i), 1. / 3000, 0.04})
+	}
+	l.Bursts = []Burst{{"univ-7", 3000, 1, 1}}
+	r := play(t, f, l, 1)
+	if len(r.Broken) > 0 || r.Whole.Jobs < 200 || r.Whole.Jobs != r.Whole.InTime+r.Whole.Late+r.Whole.Lost || len(r.Universities) != 3000 {
+		t.Errorf("%+v, broken %v", r.Whole, r.Broken)
+	}
+	// What the burst sends beyond its university's share is worth little: few jobs of it count as within.
+	if within := r.Universities[7].Jobs; within > 5 {
+		t.Errorf("%d jobs of the burst count as within the share", within)
+	}
+}
+
 func TestWhatDoesNotFitIsNamed(t *testing.T) {
 	for says, change := range map[string]func(*Fleet, *Load){
 		"key workers.1.kind: there is no \"fast\"":     func(f *Fleet, l *Load) { f.Workers[1].Kind = "fast" },
