--- a/cmd/gladepick-plus/main.go
+++ b/cmd/gladepick-plus/main.go
@@ -6,9 +6,7 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"log"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -21,14 +19,7 @@
 	"ivyfold/internal/node"
 )
 
-func main() {
-	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	err := run(os.Args[1:], os.Stdout)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "gladepick:", err)
-	}
-	os.Exit(cli.Code(err))
-}
+func main() { cli.Main(run) }
 
 func run(args []string, out io.Writer) error {
 	if len(args) == 0 {
--- a/cmd/gladepick-plus/plan.go
+++ b/cmd/gladepick-plus/plan.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,7 +15,6 @@
 	"os/signal"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -155,15 +155,9 @@
 
 // search asks the questions in turn. Ctrl-C ends the search, and what is known by then is printed.
 func (a *answers) search(out io.Writer, p *plan.Planner, asked []string, output, page string) error {
-	var stopped atomic.Bool
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	go func() {
-		<-signals
-		stopped.Store(true)
-	}()
-	p.Stop = stopped.Load
+	ctx, release := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer release()
+	p.Stop = func() bool { return ctx.Err() != nil }
 	if term.IsTerminal(int(os.Stderr.Fd())) {
 		bar := progressbar.NewOptions(-1, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionShowCount(), progressbar.OptionSetItsString("days"),
 			progressbar.OptionShowIts(), progressbar.OptionThrottle(100*time.Millisecond), progressbar.OptionClearOnFinish())
@@ -187,17 +181,16 @@
 	}
 	if a.Days = p.DaysPlayed(); err == nil || errors.Is(err, plan.ErrStopped) {
 		a.Stopped = err != nil
+		text := a.table(p.Fleet)
 		if output == "json" {
 			enc := json.NewEncoder(out)
 			enc.SetIndent("", "  ")
 			err = errors.Join(err, enc.Encode(a))
 		} else {
-			a.table(out, p.Fleet)
+			io.WriteString(out, text)
 		}
 		if page != "" {
-			var text strings.Builder
-			a.table(&text, p.Fleet)
-			err = errors.Join(err, report.Write(page, report.Page{Goal: a.Goal, Text: text.String(), Needs: a.Needs, Zones: a.Zones}))
+			err = errors.Join(err, report.Write(page, report.Page{Goal: a.Goal, Text: text, Needs: a.Needs, Zones: a.Zones}))
 		}
 	}
 	if err == nil && a.Needs != nil && !a.Needs.Reached {
@@ -207,9 +200,9 @@
 }
 
 // table is what a person reads first.
-func (a *answers) table(out io.Writer, f *model.Fleet) {
-	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	defer w.Flush()
+func (a *answers) table(f *model.Fleet) string {
+	var out strings.Builder
+	w := tabwriter.NewWriter(&out, 0, 8, 2, ' ', 0)
 	say := func(format string, v ...any) { fmt.Fprintf(w, format+"\n", v...) }
 	findings := func(all []plan.Finding) {
 		for _, x := range all {
@@ -296,6 +289,8 @@
 	if a.Stopped {
 		say("stopped early: what stands here is what was known by then")
 	}
+	w.Flush()
+	return out.String()
 }
 
 func classNames(f *model.Fleet) (out []string) {
--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -9,9 +9,7 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
-	"log"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -22,14 +20,7 @@
 	"ivyfold/internal/node"
 )
 
-func main() {
-	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	err := run(os.Args[1:], os.Stdout)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "gladepick:", err)
-	}
-	os.Exit(cli.Code(err))
-}
+func main() { cli.Main(run) }
 
 func run(args []string, out io.Writer) error {
 	switch {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -367,18 +367,26 @@
 
 // Names are the instances of the agent at an address.
 func Names(ctx context.Context, address string) (names []string, err error) {
-	var all []Status
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	err = ask(ctx, client, 1<<24, http.MethodGet, "http://"+address+"/status", &all)
+	all, err := statuses(ctx, caller(), address)
 	for _, s := range all {
 		names = append(names, s.Name)
 	}
 	return names, err
 }
 
+// caller calls an agent once.
+func caller() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+}
+
+// statuses are all instances of the agent at an address.
+func statuses(ctx context.Context, client *http.Client, address string) (all []Status, err error) {
+	return all, ask(ctx, client, 1<<24, http.MethodGet, "http://"+address+"/status", &all)
+}
+
 // Command asks the agent at an address on behalf of the command line: status, counters, drain, start or reload.
 func Command(ctx context.Context, out io.Writer, address, command string, names []string) error {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	client := caller()
 	if command == "drain" || command == "start" || command == "reload" {
 		if len(names) == 0 {
 			return fmt.Errorf("%s needs the names of instances", command)
@@ -392,8 +400,8 @@
 		}
 		return nil
 	}
-	var all []Status
-	if err := ask(ctx, client, 1<<24, http.MethodGet, "http://"+address+"/status", &all); err != nil {
+	all, err := statuses(ctx, client, address)
+	if err != nil {
 		return fmt.Errorf("the agent at %s: %w", address, err)
 	}
 	for _, name := range names {
--- a/internal/capture/capture.go
+++ b/internal/capture/capture.go
@@ -75,9 +75,6 @@
 
 var verdicts = map[dispatch.Verdict]string{dispatch.Served: "served", dispatch.Refused: "refused", dispatch.Failed: "failed"}
 
-// outcomes are words for outcomes, as the counters have them.
-var outcomes = [...]string{"", "ok", "error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
-
 // partial ends the name of a file that is not closed.
 const partial = ".part"
 
@@ -161,7 +158,7 @@
 	case dispatch.SawEnded:
 		if u, ok := r.attempts[m.Attempt]; ok {
 			delete(r.attempts, m.Attempt)
-			r.attempt(m.Attempt, u, r.unix(m.At)-u.sent, outcomes[m.Outcome], &m.Load)
+			r.attempt(m.Attempt, u, r.unix(m.At)-u.sent, dispatch.OutcomeName(m.Outcome), &m.Load)
 		}
 	case dispatch.SawAnswered, dispatch.SawLeft:
 		o, ok := r.jobs[m.Job]
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
+	"os"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -98,6 +100,16 @@
 	return c
 }
 
+// Main runs a program and ends it with its exit code.
+func Main(run func(args []string, out io.Writer) error) {
+	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	err := run(os.Args[1:], os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "gladepick:", err)
+	}
+	os.Exit(Code(err))
+}
+
 // Run runs a tree.
 func Run(c *cobra.Command, args []string, out io.Writer) error {
 	c.SetArgs(words(args))
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -210,6 +210,18 @@
 	}
 }
 
+// see shows the observer a moment: now, where it names no other time.
+func (c *Core) see(m Moment) {
+	if c.Observer == nil {
+		return
+	}
+	shown := m // only what is shown goes to the heap
+	if shown.At == 0 {
+		shown.At = c.now()
+	}
+	c.Observer.See(&shown)
+}
+
 // Ended waits until Run has ended.
 func (c *Core) Ended() { <-c.over }
 
@@ -219,9 +231,6 @@
 // Clock tells where the core's clock stands and what the calendar says at that moment.
 func (c *Core) Clock() (time.Duration, time.Time) { return c.now(), time.Now() }
 
-// Number is the core's name for a job that it has taken, unique while the job is open.
-func (j *Job) Number() ivyfold.JobID { return j.number }
-
 // Number counts a job's attempts from 0.
 func (a *Attempt) Number() int { return a.number }
 
@@ -238,9 +247,7 @@
 	if c.open.Add(1) > int64(c.lim.OpenJobs) {
 		c.open.Add(-1)
 		c.Counters.Overflow.Add(1)
-		if c.Observer != nil {
-			c.Observer.See(&Moment{Sight: SawTurned, At: c.now(), Job: j})
-		}
+		c.see(Moment{Sight: SawTurned, Job: j})
 		return ErrBusy
 	}
 	if !c.enter(j.ID) {
@@ -257,9 +264,7 @@
 		room := min(c.lim.AnswerRoom, j.Patience/4)
 		j.until = came + j.Patience - room
 		c.at(j.until, func() { c.overdue(j) })
-		if c.Observer != nil {
-			c.Observer.See(&Moment{Sight: SawTaken, At: came, Job: j})
-		}
+		c.see(Moment{Sight: SawTaken, At: came, Job: j})
 		c.handle(&ivyfold.Event{Kind: ivyfold.EventJob, Job: j.number, Class: j.Class, Tenant: j.Tenant, Key: j.Subject,
 			Deadline: j.until, Slots: j.Slots, Memory: j.Memory, Repeat: j.Repeat})
 	})
@@ -283,9 +288,7 @@
 		if !j.answered {
 			c.Counters.Left.Add(1)
 			c.close(j)
-			if c.Observer != nil {
-				c.Observer.See(&Moment{Sight: SawLeft, At: c.now(), Job: j})
-			}
+			c.see(Moment{Sight: SawLeft, Job: j})
 			c.handle(&ivyfold.Event{Kind: ivyfold.EventGone, Job: j.number})
 			c.forget(j)
 		}
@@ -311,8 +314,8 @@
 func (a *Attempt) Note(kind ivyfold.NoteKind, share float64) {
 	a.core.post(func() {
 		if !a.ended {
-			if a.core.Observer != nil && kind == ivyfold.NoteStarted {
-				a.core.Observer.See(&Moment{Sight: SawStarted, At: a.core.now(), Job: a.Job, Attempt: a})
+			if kind == ivyfold.NoteStarted {
+				a.core.see(Moment{Sight: SawStarted, Job: a.Job, Attempt: a})
 			}
 			a.core.handle(&ivyfold.Event{Kind: ivyfold.EventNote, Job: a.Job.number, Attempt: a.number,
 				Worker: a.seat.number, Note: kind, Value: share})
@@ -340,9 +343,7 @@
 	j := a.Job
 	j.out--
 	c.Counters.Outcomes[o].Add(1)
-	if c.Observer != nil {
-		c.Observer.See(&Moment{Sight: SawEnded, At: c.now(), Job: j, Attempt: a, Outcome: o, Load: load})
-	}
+	c.see(Moment{Sight: SawEnded, Job: j, Attempt: a, Outcome: o, Load: load})
 	if o == ivyfold.OK && !j.answered {
 		c.reply(j, Answer{Verdict: Served, Result: result})
 	}
@@ -395,9 +396,7 @@
 	default:
 		c.Counters.Failed.Add(1)
 	}
-	if c.Observer != nil {
-		c.Observer.See(&Moment{Sight: SawAnswered, At: c.now(), Job: j, Answer: a})
-	}
+	c.see(Moment{Sight: SawAnswered, Job: j, Answer: a})
 	j.Reply(a)
 }
 
@@ -481,9 +480,7 @@
 	}
 	a.Worker = a.seat.Worker
 	c.Counters.Sent.Add(1)
-	if c.Observer != nil {
-		c.Observer.See(&Moment{Sight: SawSent, At: c.now(), Job: j, Attempt: a})
-	}
+	c.see(Moment{Sight: SawSent, Job: j, Attempt: a})
 	if act.Timeout > 0 { // the floor closes the connection first and then tells: another send may follow
 		c.at(c.now()+left, func() { a.expired = true; a.cancel() })
 	}
@@ -655,6 +652,12 @@
 	"full", "timed_out", "connect_failed", "reset", "cancelled", "moot", "dialled", "reused", "roster_changes",
 	"roster_failed", "redelivered", "open", "workers_ready", "workers_draining", "workers_gone", "captured", "capture_lost"}
 
+// OutcomeName is the word that the counters have for an outcome.
+func OutcomeName(o ivyfold.Outcome) string { return CountNames[firstOutcome+int(o-ivyfold.OK)] }
+
+// firstOutcome is where the outcomes begin in CountNames.
+const firstOutcome = 8
+
 // Counts reads all counters and gauges in the order of CountNames.
 func (c *Core) Counts() []Count {
 	k, w := c.Counters, c.Workers()
--- a/internal/model/day.go
+++ b/internal/model/day.go
@@ -63,7 +63,8 @@
 	pending int           // requests without a final end
 	came    bool          // the last request has come
 	book    *Book
-	res     *Result // the book's
+	res     *Result         // the book's
+	ran     map[uint64]*run // keys that ran or run, as all workers know
 }
 
 // at lets something happen after a while.
@@ -74,7 +75,8 @@
 
 func stream(seed, which uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, which)) }
 
-func (r Range) draw(rng *rand.Rand) float64 { return r[0] + rng.Float64()*(r[1]-r[0]) }
+// Draw is a figure between the two, any as likely as another.
+func (r Range) Draw(rng *rand.Rand) float64 { return r[0] + rng.Float64()*(r[1]-r[0]) }
 
 // hop is the time one way between zones.
 func (d *day) hop(a, b int) time.Duration {
@@ -86,7 +88,7 @@
 }
 
 func newDay(s *site, seed uint64) *day {
-	d := &day{site: s, net: stream(seed, forNetwork), draw: stream(seed, forWorkers), book: newBook(s)}
+	d := &day{site: s, net: stream(seed, forNetwork), draw: stream(seed, forWorkers), book: newBook(s), ran: map[uint64]*run{}}
 	d.res = d.book.res
 	return d
 }
@@ -353,7 +355,6 @@
 	mute    []*attempt // lost without a word: reset once it is back
 	conns   int
 	sent    []sent // while cold
-	past    map[uint64]*run
 	view    [32]snapshot
 	views   int
 	every   time.Duration
@@ -397,8 +398,8 @@
 func (d *day) addWorker(kind, zone int) {
 	k := &d.Kinds[kind]
 	id := ivyfold.WorkerID(uint32(len(d.workers)+1) * 2654435761)
-	w := &worker{d: d, id: id, k: kind, kind: k, zone: zone, speed: k.Speed.draw(d.draw), up: true, warm: true,
-		every: sec(d.ReportEveryS.draw(d.draw)), delay: sec(d.ReportDelayS.draw(d.draw))}
+	w := &worker{d: d, id: id, k: kind, kind: k, zone: zone, speed: k.Speed.Draw(d.draw), up: true, warm: true,
+		every: sec(d.ReportEveryS.Draw(d.draw)), delay: sec(d.ReportDelayS.Draw(d.draw))}
 	d.workers = append(d.workers, w)
 }
 
@@ -478,7 +479,7 @@
 		return
 	}
 	if q := a.try.request; q.key != 0 {
-		if r := w.d.keys(w, q); r != nil {
+		if r := w.d.repeats(q); r != nil {
 			if r.done {
 				a.back(ivyfold.OK, w)
 			} else {
@@ -501,25 +502,20 @@
 	}
 }
 
-// keys tells whether a key has run or runs anywhere, as all workers know, and notes it if not.
-func (d *day) keys(w *worker, q *request) *run {
-	past := d.workers[0].past
-	if past == nil {
-		past = map[uint64]*run{}
-		d.workers[0].past = past
-	}
-	if r := past[q.key]; r != nil && (!r.done || d.now-r.at < sec(d.Classes[q.class].WindowS)) {
+// repeats gives the run of a key that has run or runs anywhere, as all workers know, and notes it if there is none.
+func (d *day) repeats(q *request) *run {
+	if r := d.ran[q.key]; r != nil && (!r.done || d.now-r.at < sec(d.Classes[q.class].WindowS)) {
 		return r
 	} else if r != nil {
 		d.res.Broken["ran twice"]++
 	}
-	past[q.key] = &run{}
+	d.ran[q.key] = &run{}
 	return nil
 }
 
 func (d *day) forget(q *request) {
 	if q.key != 0 {
-		delete(d.workers[0].past, q.key)
+		delete(d.ran, q.key)
 	}
 }
 
@@ -569,7 +565,7 @@
 	w.d.res.Worked += a.work
 	a.back(ivyfold.OK, w)
 	if q := a.try.request; q.key != 0 {
-		if r := w.d.workers[0].past[q.key]; r != nil {
+		if r := w.d.ran[q.key]; r != nil {
 			r.done, r.at = true, w.d.now
 			for _, dup := range r.dups {
 				dup.back(ivyfold.OK, w)
@@ -603,7 +599,7 @@
 		a.ended = true
 		var dups []*attempt
 		if q := a.try.request; q.key != 0 {
-			if r := w.d.workers[0].past[q.key]; r != nil && !r.done {
+			if r := w.d.ran[q.key]; r != nil && !r.done {
 				dups = r.dups
 				w.d.forget(q)
 			}
@@ -624,7 +620,7 @@
 		if silent {
 			delay = w.d.SilentS
 		}
-		n.learns(w, ivyfold.Gone, delay.draw(w.d.net))
+		n.learns(w, ivyfold.Gone, delay.Draw(w.d.net))
 	}
 }
 
@@ -643,7 +639,7 @@
 	w.mute = nil
 	for _, n := range w.d.nodes {
 		n.cut(w)
-		n.learns(w, ivyfold.Ready, w.d.RosterS.draw(w.d.net))
+		n.learns(w, ivyfold.Ready, w.d.RosterS.Draw(w.d.net))
 	}
 }
 
@@ -704,7 +700,7 @@
 			each(t.AtS, func(w *worker) {
 				if w.drains = w.up; w.drains {
 					for _, n := range d.nodes {
-						n.learns(w, ivyfold.Draining, d.RosterS.draw(d.net))
+						n.learns(w, ivyfold.Draining, d.RosterS.Draw(d.net))
 					}
 				}
 			})
--- a/internal/model/result.go
+++ b/internal/model/result.go
@@ -6,8 +6,6 @@
 import (
 	"math"
 	"time"
-
-	"ivyfold"
 )
 
 type verdict uint8
@@ -47,30 +45,29 @@
 
 // Result is what a day came to.
 type Result struct {
-	Score        float64         `json:"score"` // as the brief weighs it
-	Whole        Tally           `json:"whole"`
-	Classes      []Tally         `json:"classes"`
-	Universities []Tally         `json:"universities"` // within their shares
-	Seconds      []Tally         `json:"seconds"`      // by the second in which the request came
-	Kinds        []Machines      `json:"kinds"`
-	Worst10      float64         `json:"worst_10_s"`
-	Tries        int             `json:"tries"`
-	Repeats      int             `json:"repeats"`
-	Refusals     int             `json:"refusals"` // by the module
-	Turned       int             `json:"turned"`   // at the door: too many open jobs
-	Sent         int             `json:"sent"`
-	Dialled      int             `json:"dialled"`
-	Crossed      int             `json:"crossed"` // sends to another zone
-	NoLink       int             `json:"no_link"` // sends for which a dispatcher had no connection left
-	Open         int             `json:"open"`    // most open jobs at a dispatcher
-	Outcomes     [9]int          `json:"outcomes"`
-	Broken       map[string]int  `json:"broken"` // rules, by name
-	Worked       float64         `json:"worked"` // seconds on a core of speed 1
-	Took         []time.Duration `json:"-"`      // of requests that were served, in order of their ends
-	Events       int             `json:"events"`
-	Decisions    int             `json:"decisions"`
-	Span         time.Duration   `json:"span"`
-	Cut          bool            `json:"cut"`
+	Score        float64        `json:"score"` // as the brief weighs it
+	Whole        Tally          `json:"whole"`
+	Classes      []Tally        `json:"classes"`
+	Universities []Tally        `json:"universities"` // within their shares
+	Seconds      []Tally        `json:"seconds"`      // by the second in which the request came
+	Kinds        []Machines     `json:"kinds"`
+	Worst10      float64        `json:"worst_10_s"`
+	Tries        int            `json:"tries"`
+	Repeats      int            `json:"repeats"`
+	Refusals     int            `json:"refusals"` // by the module
+	Turned       int            `json:"turned"`   // at the door: too many open jobs
+	Sent         int            `json:"sent"`
+	Dialled      int            `json:"dialled"`
+	Crossed      int            `json:"crossed"` // sends to another zone
+	NoLink       int            `json:"no_link"` // sends for which a dispatcher had no connection left
+	Open         int            `json:"open"`    // most open jobs at a dispatcher
+	Outcomes     [9]int         `json:"outcomes"`
+	Broken       map[string]int `json:"broken"` // rules, by name
+	Worked       float64        `json:"worked"` // seconds on a core of speed 1
+	Events       int            `json:"events"`
+	Decisions    int            `json:"decisions"`
+	Span         time.Duration  `json:"span"`
+	Cut          bool           `json:"cut"`
 }
 
 func newResult(s *site) *Result {
@@ -117,9 +114,6 @@
 	case v == served:
 		worth = s.worth(q) * c.LateWorth
 	}
-	if v == served {
-		r.Took = append(r.Took, took)
-	}
 	for _, t := range r.tallies(q) {
 		t.Earned += worth
 		switch {
@@ -216,6 +210,3 @@
 	b.res.weigh()
 	return b.res
 }
-
-// Outcome counts attempts by how they ended.
-func (r *Result) Outcome(o ivyfold.Outcome) int { return r.Outcomes[o] }
--- a/internal/plan/fit.go
+++ b/internal/plan/fit.go
@@ -410,7 +410,6 @@
 			full++
 			x.queue[a.Kind] = max(x.queue[a.Kind], int(a.Queue))
 		}
-		// A report of free slots and none waiting, with what this dispatcher had there, bounds nothing: others are unseen.
 	}
 	for _, w := range slices.Sorted(maps.Keys(edges)) {
 		e := edges[w]
--- a/internal/plan/goal.go
+++ b/internal/plan/goal.go
@@ -6,6 +6,7 @@
 package plan
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -182,9 +183,7 @@
 // apply puts a clause's conditions into copies of the descriptions.
 func (c *Clause) apply(f model.Fleet, l model.Load) (*model.Fleet, *model.Load) {
 	f.Troubles, l.Bursts = slices.Clone(f.Troubles), slices.Clone(l.Bursts)
-	if l.Times == 0 {
-		l.Times = 1
-	}
+	l.Times = cmp.Or(l.Times, 1)
 	for _, w := range c.With {
 		at, span := w.when(&l)
 		switch {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -107,29 +107,16 @@
 
 func (e Estimate) String() string { return fmt.Sprintf("%.3f ± %.3f", e.Mean, e.Reach) }
 
-// estimate is the mean of some days with its two-sided interval of Student's t.
+// estimate is the mean of some days with its two-sided interval.
 func (p *Planner) estimate(x []float64) Estimate {
-	e := Estimate{Days: len(x)}
-	if len(x) < 2 {
-		e.Reach = math.Inf(1)
-		if len(x) == 1 {
-			e.Mean = x[0]
-		}
-		return e
-	}
-	mean, dev := stat.MeanStdDev(x, nil)
-	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(x) - 1)}.Quantile(1 - (1-p.Confidence)/2)
-	e.Mean, e.Reach = mean, t*dev/math.Sqrt(float64(len(x)))
-	return e
+	mean, reach := interval(x, 1-(1-p.Confidence)/2)
+	return Estimate{mean, reach, len(x)}
 }
 
-// oneSided is a mean and how far the true one may lie on the bad side of it.
-func (p *Planner) oneSided(x []float64) (mean, reach float64) {
-	if len(x) < 2 {
-		return x[0], math.Inf(1)
-	}
+// interval is the mean of two figures or more and, by Student's t, how far the true one may lie to a side of it.
+func interval(x []float64, confidence float64) (mean, reach float64) {
 	mean, dev := stat.MeanStdDev(x, nil)
-	return mean, distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(x) - 1)}.Quantile(p.Confidence) * dev / math.Sqrt(float64(len(x)))
+	return mean, distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(len(x) - 1)}.Quantile(confidence) * dev / math.Sqrt(float64(len(x)))
 }
 
 // Finding is how one test came out.
@@ -144,9 +131,9 @@
 type evaluation struct {
 	holds    bool // each test, with the confidence asked for
 	findings []Finding
-	slack    float64           // of the worst test, on average
-	days     [][]*model.Result // by clause
-	scores   []float64         // of the first clause
+	slack    float64  // of the worst test, on average
+	score    Estimate // of the first clause
+	busy     []string // how busy each kind is on its days
 }
 
 // evaluate plays days until each test is surely held or one surely is not, or the days are up: what is not sure by
@@ -156,40 +143,45 @@
 	if e := p.cache[id]; e != nil {
 		return e, nil
 	}
-	e := &evaluation{holds: true, slack: math.Inf(1), days: make([][]*model.Result, len(p.Goal.Clauses))}
+	e := &evaluation{holds: true, slack: math.Inf(1)}
 	for i, c := range p.Goal.Clauses {
 		cf, cl := c.apply(*f, *l)
+		var days []*model.Result
 		for {
-			days, err := p.play(cf, cl, len(e.days[i]), min(batch, p.Options.Days-len(e.days[i])))
+			more, err := p.play(cf, cl, len(days), min(batch, p.Options.Days-len(days)))
 			if err != nil {
 				return nil, err
 			}
-			e.days[i] = append(e.days[i], days...)
+			days = append(days, more...)
 			open, surelyNot := false, false
 			var found []Finding
 			worst := math.Inf(1)
 			for _, t := range c.Tests {
 				var values, slacks []float64
-				for _, r := range e.days[i] {
+				for _, r := range days {
 					values, slacks = append(values, t.of(cf, r)), append(slacks, t.slack(cf, r))
 				}
-				mean, reach := p.oneSided(slacks)
+				mean, reach := interval(slacks, p.Confidence) // one side: what lies on the good one does no harm
 				holds := mean >= reach
 				open = open || !holds && mean >= -reach
 				surelyNot = surelyNot || mean < -reach
 				worst = min(worst, mean)
 				found = append(found, Finding{t.String(), c.with(), p.estimate(values), holds})
 			}
-			if surelyNot || !open || len(e.days[i]) >= p.Options.Days {
+			if surelyNot || !open || len(days) >= p.Options.Days {
 				e.findings = append(e.findings, found...)
 				e.holds = e.holds && !open && !surelyNot
 				e.slack = min(e.slack, worst)
 				break
 			}
 		}
-	}
-	for _, r := range e.days[0] {
-		e.scores = append(e.scores, r.Score)
+		if i == 0 {
+			var scores []float64
+			for _, r := range days {
+				scores = append(scores, r.Score)
+			}
+			e.score, e.busy = p.estimate(scores), busy(f, days)
+		}
 	}
 	p.cache[id] = e
 	return e, nil
@@ -229,10 +221,7 @@
 
 func (p *Planner) times(x float64) *model.Load {
 	l := *p.Load
-	if l.Times == 0 {
-		l.Times = 1
-	}
-	l.Times *= x
+	l.Times = cmp.Or(l.Times, 1) * x
 	return &l
 }
 
@@ -304,7 +293,7 @@
 		return out, err
 	}
 	out.Failing = slices.DeleteFunc(slices.Clone(e.findings), func(f Finding) bool { return f.Holds })
-	out.Busy = busy(f, e.days[0])
+	out.Busy = e.busy
 	if out.Reliefs, err = p.reliefs(f, at, e.slack); err != nil {
 		return out, err
 	}
@@ -375,11 +364,16 @@
 	}
 }
 
-// onePool takes the labels away: without a share no university gets a pool of its own.
-func onePool(f *model.Fleet, _ *model.Load) {
+// onePool takes the labels away: without a share no university gets a pool of its own. The load keeps its mix.
+func onePool(f *model.Fleet, l *model.Load) {
+	mixed := len(l.Universities) > 0
 	f.Universities = slices.Clone(f.Universities)
 	for i := range f.Universities {
-		f.Universities[i].Share = 0
+		u := &f.Universities[i]
+		if !mixed {
+			l.Universities = append(l.Universities, model.Source{Name: u.Name, Share: u.Share})
+		}
+		u.Share = 0
 	}
 }
 
@@ -388,11 +382,6 @@
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		p.note("what gives relief: %s", name)
 		lf, ll := *f, *l
-		if name == "the pools of universities by label" && len(ll.Universities) == 0 { // the load keeps its mix
-			for _, u := range f.Universities {
-				ll.Universities = append(ll.Universities, model.Source{Name: u.Name, Share: u.Share})
-			}
-		}
 		all[name](&lf, &ll)
 		e, err := p.evaluate(&lf, &ll)
 		if err != nil {
@@ -426,11 +415,17 @@
 	Holds   bool     `json:"holds"`
 }
 
-func cost(f *model.Fleet) (workers int, cost float64) {
+// prices are what a machine of each kind costs.
+func prices(f *model.Fleet) map[string]float64 {
 	of := map[string]float64{}
 	for _, k := range f.Kinds {
 		of[k.Name] = cmp.Or(k.Cost, 1)
 	}
+	return of
+}
+
+func cost(f *model.Fleet) (workers int, cost float64) {
+	of := prices(f)
 	for _, g := range f.Workers {
 		workers += g.Count
 		cost += float64(g.Count) * of[g.Kind]
@@ -461,7 +456,7 @@
 		e, err := p.evaluate(f, p.times(1))
 		if err == nil && len(p.cache) > before {
 			out.Fleets++
-			out.Curve = append(out.Curve, Sample{n, c, p.estimate(e.scores), e.holds})
+			out.Curve = append(out.Curve, Sample{n, c, e.score, e.holds})
 		}
 		return e, err
 	}
@@ -513,10 +508,7 @@
 			low = middle
 		}
 	}
-	price := map[string]float64{}
-	for _, k := range base.Kinds {
-		price[k.Name] = cmp.Or(k.Cost, 1)
-	}
+	price := prices(base)
 	for better := true; better; {
 		better = false
 		_, now := cost(best)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -152,7 +152,6 @@
 // begin brings workers, discovery and dispatchers up.
 func (f *Fleet) begin() error {
 	rng := rand.New(rand.NewPCG(f.seed, 77))
-	between := func(r model.Range) float64 { return r[0] + rng.Float64()*(r[1]-r[0]) }
 	for _, g := range f.desc.Dispatchers {
 		for range g.Count {
 			f.seats = append(f.seats, &seat{zone: g.Zone, gen: 1, address: fmt.Sprintf("127.%d.0.%d:5000", f.host, len(f.seats)+1)})
@@ -161,8 +160,8 @@
 	for _, g := range f.desc.Workers {
 		for _, k := range f.desc.Kinds {
 			for n := 0; k.Name == g.Kind && n < g.Count; n++ {
-				m := &machine{f: f, id: fmt.Sprintf("s-%08x", uint32(len(f.workers)+1)*2654435761), kind: k, zone: g.Zone, speed: between(k.Speed), up: true,
-					conns: map[net.Conn]bool{}, every: dur(between(f.desc.ReportEveryS)), delay: dur(between(f.desc.ReportDelayS))}
+				m := &machine{f: f, id: fmt.Sprintf("s-%08x", uint32(len(f.workers)+1)*2654435761), kind: k, zone: g.Zone, speed: k.Speed.Draw(rng), up: true,
+					conns: map[net.Conn]bool{}, every: dur(f.desc.ReportEveryS.Draw(rng)), delay: dur(f.desc.ReportDelayS.Draw(rng))}
 				f.workers = append(f.workers, m)
 				if err := m.listen(len(f.workers)); err != nil {
 					return err
