--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
-# Build, test, lint and run. Needs Go 1.26 or newer; the race detector needs a C compiler.
+# Build, test, lint and run. Needs Go 1.26 or newer and a C compiler, for the external
+# link against the C library and for the race detector.
 export CGO_ENABLED ?= 1
 
 .PHONY: build test lint run
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./cmd/...
+	go build -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 lint:
 	@unformatted="$$(gofmt -l .)"; test -z "$$unformatted" || { echo "gofmt would change: $$unformatted" >&2; exit 1; }
