Count an unknown worker as its kind's mean, and doubt that mean with each refusal

At fault: others() and report() began at 0 for each worker and moved an eighth a report; one of 80 dispatchers hears of a worker once in 15 s, so expect() saw no wait anywhere.

Change: usual, by kind, is what others hold at a worker; others() starts there and drifts back within 5 s. expect() counts chance. As the mean is learned from answers only, refusals kept themselves up (22 to 29 % for 15 s with waits of 0.1 s): each takes a twentieth off. What one report says is bounded at 20 times the slots, a running time at an hour.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -33,16 +33,18 @@
 	copyPart   = 0.2              // copies for an answer at most: they must not feed a jam
 	backUp     = 0.1              // less of all jobs is let in when one starts late; a fifth of the starts may
 	ago        = 0.7              // seconds that a report is old, about
-	forget     = 40               // seconds in which most of what was known of others is forgotten
+	forget     = 5                // seconds in which a worker counts mostly as one of its kind again
+	spread     = 0.6              // of the root of what others hold: how far it strays by chance
 	margin     = 0.2              // of a slot that may lack when a worker counts as free
 	learn      = 0.12             // weight of what one report says of others' slots: it is old and noisy
 	longest    = 0.25             // of the aim that a job may wait at a worker; refused otherwise
 	denser     = 4                // times as long for one that is worth more for its time, at most
 	askFrom    = 20               // dispatchers: own slots say too little of what a worker holds
-	leastRun   = 1e-4             // seconds that any job runs: both its lines may come in one write
+	absurd     = 20               // times its slots that a worker may hold
 	mostSlow   = 32               // times slower or faster than the measure, a kind at most
 
-	tickToken, closeToken = 0, 1 // timers for looks and late closings; calls to discovery count on from there
+	leastRun, mostRun     = 1e-4, 3600 // seconds that any job runs: both its lines may come in one write
+	tickToken, closeToken = 0, 1       // for looks, late closings; calls to discovery count on from there
 )
 
 // worker is what this dispatcher knows of one listed worker.
@@ -87,7 +89,8 @@
 	jobs                                  map[JobID]*job
 	open                                  []*job        // by arrival; ended ones leave at the next look
 	took, run                             []float64     // by class: usual seconds to an answer, and of running
-	ready, room, slow, served, tried      []float64     // by kind: workers, slots, relative time, use, OKs
+	ready, room, slow                     []float64     // by kind: workers, slots, relative time
+	served, tried, usual                  []float64     // by kind: use, OKs, what others hold at a worker
 	rate, good                            []float64     // by tenant: arrivals and answers, fading
 	arrived, answered, looked, awake      time.Duration // last job, report and look; since when it runs
 	copies, turned, let, spare, lie, mean float64       // copies; parts turned away, let in, excess; start; run
@@ -108,9 +111,9 @@
 		d.took, d.run = append(d.took, c.Aim.Seconds()/2), append(d.run, max(c.Aim.Seconds()/2, leastRun))
 		d.tick = min(d.tick, max(cmp.Or(c.Aim, time.Second)/ticks, s.Tick, time.Millisecond))
 	}
-	d.mean, d.tried = slices.Min(d.run), make([]float64, d.set.Kinds)
-	d.ready, d.served = make([]float64, d.set.Kinds), make([]float64, d.set.Kinds)
-	d.slow, d.room = slices.Repeat([]float64{1}, d.set.Kinds), make([]float64, d.set.Kinds)
+	kinds := func(v float64) []float64 { return slices.Repeat([]float64{v}, d.set.Kinds) }
+	d.ready, d.room, d.slow, d.served = kinds(0), kinds(0), kinds(1), kinds(0)
+	d.mean, d.tried, d.usual = slices.Min(d.run), kinds(0), kinds(0)
 	d.rate, d.good = make([]float64, len(s.Tenants)), make([]float64, len(s.Tenants))
 	d.asks = s.Probes && s.Report.FreeSlots >= 0 && (!s.ReportByWord || s.Dispatchers >= askFrom)
 	d.sees = !d.asks && s.ReportByWord && s.TellsStart && s.Report.FreeSlots >= 0 && s.Report.Queue >= 0
@@ -236,19 +239,18 @@
 		if w == nil && e.State == Gone {
 			continue
 		} else if w == nil {
-			w = &worker{pace: 1, broke: math.MinInt64 / 2, near: math.Inf(1)}
+			w = &worker{pace: 1, broke: math.MinInt64 / 2, near: math.Inf(1), told: -time.Hour}
 			d.workers[e.Worker] = w
 		} else if e.State == Gone { // its last line may leave out where it stood
 			e.Zone, e.Cell, e.Kind, e.Started = w.Zone, w.Cell, w.Kind, w.Started
 		} else if e.Started > w.Started { // a new process: nothing of the old one's ways holds
-			w.suspect, w.pace, w.fullTill, w.budget, w.filled, w.others = false, 1, 0, 0, 0, 0
+			w.suspect, w.pace, w.fullTill, w.budget, w.filled, w.others, w.told = false, 1, 0, 0, 0, 0, d.now
 		}
 		w.Entry, w.stray = e, stray
 	}
 	maps.DeleteFunc(d.workers, func(_ WorkerID, w *worker) bool { return w.State == Gone && w.out < 1e-9 })
-	d.order = slices.SortedFunc(maps.Values(d.workers), func(a, b *worker) int {
-		return cmp.Compare(a.Worker, b.Worker)
-	})
+	order := func(a, b *worker) int { return cmp.Compare(a.Worker, b.Worker) }
+	d.order = slices.SortedFunc(maps.Values(d.workers), order)
 	d.rebuild()
 	for _, w := range d.order { // a drain that is told anew counts anew
 		d.sized = d.sized || w.Weight != 1
@@ -257,8 +259,7 @@
 	}
 }
 
-// shut closes idle connections to a draining worker: at the notice and after each later outcome there. After
-// an attempt that was given up its connection may yet come up and stand idle: once more then.
+// shut closes idle connections to a draining worker: at the notice and after outcomes, late ones once more.
 func (d *Dispatcher) shut(w *worker) {
 	if d.set.DrainClose <= 0 || w.State != Draining || w.shut {
 		return
@@ -272,9 +273,8 @@
 
 func (d *Dispatcher) arrive(ev *Event) {
 	j := &job{Event: ev.clean(&d.set)}
-	d.jobs[ev.Job] = j
 	c := d.class(j)
-	j.aim = d.now + c.Aim
+	d.jobs[ev.Job], j.aim = j, d.now+c.Aim
 	hold := (c.Aim + seconds(max(c.Stretch-1, 0)*d.run[j.Class])) / 2
 	if d.sees { // others take what is freed meanwhile: a short look only
 		hold /= 2
@@ -305,8 +305,7 @@
 	for kind := range d.served {
 		d.served[kind] *= fade
 	}
-	d.arrived = d.now
-	d.rate[j.Tenant]++
+	d.arrived, d.rate[j.Tenant] = d.now, d.rate[j.Tenant]+1
 	if slices.Sort(part); len(part) < 3 || part[len(part)/2] == 0 {
 		return false
 	}
@@ -334,7 +333,10 @@
 			d.spare = max(d.spare*strain, leastSpare)
 		}
 		j.held = true
-	default: // nobody can take it (in time): say so at once
+	default: // nobody can take it (in time): say so at once; with nothing sent nothing is learned, so doubt it
+		for k := range d.usual {
+			d.usual[k] *= 1 - smooth
+		}
 		d.end(j)
 	}
 }
@@ -459,8 +461,7 @@
 	return best
 }
 
-// wait is for how long a job would lie at a worker: by own slots there and what is known of others' slots. It
-// is 0 where one is free, and where reports and starts do not tell.
+// wait is for how long a job would lie at a worker: 0 where a slot is free, or nothing tells.
 func (d *Dispatcher) wait(w *worker, slots float64) float64 {
 	if !d.sees {
 		return 0
@@ -469,9 +470,12 @@
 	return max(w.out+d.others(w)+slots-room-margin, 0) / room * d.mean * d.slow[w.Kind] * w.pace / d.coldShare(w)
 }
 
-// expect is the time to an answer.
+// expect is the time to an answer. A worker with room on average is full now and then: chance counts too.
 func (d *Dispatcher) expect(w *worker, j *job) float64 {
-	return d.wait(w, j.Slots) + d.run[j.Class]*d.slow[w.Kind]*w.pace/d.coldShare(w)
+	room, s := max(d.room[w.Kind], 1), spread*math.Sqrt(d.others(w))+1e-6
+	lack := w.out + d.others(w) + j.Slots - room
+	lack = max(lack, s*math.Log1p(math.Exp(min(lack/s, 50))))
+	return (lack/room*d.mean + d.run[j.Class]) * d.slow[w.Kind] * w.pace / d.coldShare(w)
 }
 
 // mix keeps what own slots were a while ago, when the reports of now were made.
@@ -489,9 +493,9 @@
 	return max(min(d.class(j).Worth/d.run[j.Class]/least, denser), 1)
 }
 
-// others is how many slots others hold at a worker, as far as that is still known.
+// others is how many slots others hold at a worker; the longer nothing was learned there, what its kind says.
 func (d *Dispatcher) others(w *worker) float64 {
-	return w.others * math.Exp(-(d.now-w.told).Seconds()/forget)
+	return d.usual[w.Kind] + (w.others-d.usual[w.Kind])*math.Exp(-(d.now-w.told).Seconds()/forget)
 }
 
 // start learns from when a job began: a worker that begins it at once had room, one that is late had none.
@@ -500,13 +504,10 @@
 	w.near = min(w.near, took)
 	w.runs++
 	d.room[w.Kind] = max(d.room[w.Kind], w.runs)
-	others, room := d.others(w), max(d.room[w.Kind], 1)
-	if took <= w.near+d.tick.Seconds()/2 {
-		others = min(others, room-w.out)
-	} else {
-		others = max(others, room-w.out)
+	others, full := d.others(w), max(d.room[w.Kind], 1)-w.out
+	if w.others, w.told = max(others, full, 0), d.now; took <= w.near+d.tick.Seconds()/2 {
+		w.others = max(min(others, full), 0)
 	}
-	w.others, w.told = max(others, 0), d.now
 }
 
 // report learns from a load report what others hold.
@@ -520,7 +521,9 @@
 		d.room[w.Kind] = x
 	}
 	total := max(d.room[w.Kind], 1) + r.Waiting(l)
-	w.others, w.told = d.others(w)+learn*(max(total-w.past, 0)-d.others(w)), d.now
+	held := min(max(total-w.past, 0), absurd*max(d.room[w.Kind], 1))
+	w.others, w.told = d.others(w)+learn*(held-d.others(w)), d.now
+	d.usual[w.Kind] += max(smooth/2, 1/(d.tried[w.Kind]+1)) * (held - d.usual[w.Kind])
 }
 
 // nearest loads the dice by the key, alike at all dispatchers: the few members that rank highest for it.
@@ -562,7 +565,6 @@
 	limit := multiple * share * rate * n * span / cost // jobs that all may send in a span
 	root := max(math.Sqrt(limit+sigmas*sigmas/4)-sigmas/2, 0)
 	mean := min(root*root/max(limit, 1e-9)*multiple, 1) * share * rate
-	// It begins anywhere under the shortest job, lest all send in step or a short one finds a long one's budget.
 	w.budget = cmp.Or(w.budget, d.rng.Float64()*slices.Min(d.run)*d.slow[w.Kind])
 	w.budget += mean * (d.now - cmp.Or(w.filled, d.now)).Seconds()
 	w.budget, w.filled = min(w.budget, max(cost, mean*span)), d.now
@@ -606,7 +608,7 @@
 }
 
 func (d *Dispatcher) send(j *job, w *worker) {
-	if !d.allowed(j, w) {
+	if j == nil || !d.allowed(j, w) {
 		return
 	}
 	w.budget, w.retryAt = w.budget-d.cost(j, w.Kind), d.now+trial
@@ -679,7 +681,7 @@
 func (d *Dispatcher) judge(j *job, t *attempt, o Outcome) {
 	switch w := t.w; o {
 	case OK:
-		ran := max((d.now - cmp.Or(t.started, t.sent)).Seconds(), leastRun)
+		ran := min(max((d.now-cmp.Or(t.started, t.sent)).Seconds(), leastRun), mostRun)
 		d.took[j.Class] += smooth * ((d.now - t.sent).Seconds() - d.took[j.Class])
 		if d.coldShare(w) >= 1 {
 			x := min(ran/max(d.run[j.Class]*d.slow[w.Kind], leastRun), 10)
@@ -722,9 +724,7 @@
 			next = j
 		}
 	}
-	if next != nil {
-		d.send(next, w)
-	}
+	d.send(next, w)
 }
 
 // look comes round every tick while jobs are open: held jobs, silent workers, overdue attempts.
--- a/failures_test.go
+++ b/failures_test.go
@@ -896,3 +896,58 @@
 		learned(rt, d)
 	})
 }
+
+// Many dispatchers round one fleet, each with a few jobs a second, hardly meet a worker twice. What they did not know of a
+// worker counted as nothing, so all of them sent to the fast kind, which was full, while the slow one stood idle.
+func TestManyDispatchersFillAllKinds(t *testing.T) {
+	c := ready(t, 60, func(s *Settings) {
+		s.Dispatchers, s.ReportByWord, s.ParallelTries, s.Report = 80, true, false, Report{0, -1, 1, -1, -1, -1}
+	})
+	to := [2]int{}
+	for id := JobID(1); id <= 240; id++ { // one at a time: its own slots are none at all
+		if !c.arrive(id, int(id)%5) {
+			continue
+		}
+		w := c.jobs[id].sends[0].to
+		c.event(Event{Kind: EventNote, Job: id, Worker: w.Worker, Note: NoteStarted})
+		if c.load = (Load{N: 2, Values: [4]float64{4, 0.01 * float64(id%7)}}); w.Kind == 0 && id > 30 {
+			c.load.Values[0], c.load.Values[1] = 0, float64(3+id%3)
+		}
+		c.advance(time.Duration(100+100*w.Kind) * time.Millisecond)
+		if c.outcome(id, 0, OK); id > 100 {
+			to[w.Kind]++
+		}
+	}
+	if to[1] < to[0] {
+		t.Errorf("the full fast kind gets %d jobs, the idle slow one %d", to[0], to[1])
+	}
+}
+
+// Where all are full, jobs are refused; with nothing sent nothing is learned of when that is over. Refusals kept
+// themselves up for good: up to half of all jobs, with workers three quarters idle.
+func TestRefusalsDoNotKeepThemselvesUp(t *testing.T) {
+	c := ready(t, 60, func(s *Settings) {
+		s.Dispatchers, s.ReportByWord, s.ParallelTries, s.Report = 80, true, false, Report{0, -1, 1, -1, -1, -1}
+	})
+	refused := 0
+	for id := JobID(1); id <= 900; id++ {
+		sent := c.arrive(id, int(id)%5)
+		for n := 0; !sent && !c.jobs[id].answered && n < 100; n++ {
+			c.advance(10 * time.Millisecond)
+			sent = len(c.jobs[id].sends) > 0
+		}
+		if !sent {
+			refused += int(id / 601) // of those after the jam
+			continue
+		}
+		c.event(Event{Kind: EventNote, Job: id, Worker: c.jobs[id].sends[0].to.Worker, Note: NoteStarted})
+		if c.load = (Load{N: 2, Values: [4]float64{4, 0.01 * float64(id%7)}}); id > 100 && id < 500 {
+			c.load.Values[0], c.load.Values[1] = 0, float64(30+id%7)
+		}
+		c.advance(100 * time.Millisecond)
+		c.outcome(id, 0, OK)
+	}
+	if refused > 60 {
+		t.Errorf("%d of 300 jobs are refused long after the jam", refused)
+	}
+}
