Refuse shared jobs from a chance of 0.25 to be late on, worthier ones far later

Ruled out: a lack of reports (starts and lying jobs tell within 0.3 s), the draw of two kinds.

At fault: tooLate = 0.7 and denser = 4 in pick(): a job too many kept all later ones waiting.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -36,10 +36,10 @@
 	margin     = 0.2              // of a slot that may lack when a worker counts as free
 	learn      = 0.12             // weight of what one report says of others' slots: it is old and noisy
 	longest    = 0.25             // of the aim that a job may wait at a worker; refused otherwise
-	denser     = 4                // times as long for one that is worth more for its time, at most
+	denser     = 8                // times as long for one that is worth more for its time, at most
 	wideFrom   = 20               // dispatchers: each sees a worker too rarely to wait for its slots
 	blend      = 2                // seconds over which what workers of a kind hold is averaged
-	tooLate    = 0.7              // chance of being late at which a job is refused, if worth least for its time
+	tooLate    = 0.25             // chance of being late at which a job is refused, if worth least
 	wayPrice   = 0.1              // chance of being late that a second of way counts as: long ways have a price
 	jammed     = 4                // times its slots at which a worker is as full as it can seem
 	mostSlow   = 32               // times slower or faster than the measure, a kind at most
@@ -344,7 +344,7 @@
 			}
 		}
 		for n, k := range kinds {
-			if best != nil && (!d.sees || d.wide && n > 1) || j.Key != 0 && n > 0 && len(j.tries) == 0 {
+			if best != nil && !d.sees || j.Key != 0 && n > 0 && len(j.tries) == 0 {
 				break // a key leaves its kind only once turned away there
 			} else if j.Key == 0 { // one of each kind where it can be told how soon they answer, else the first
 				w := d.pickOfTwo(reach[k], j, late || d.wide)
--- a/failures_test.go
+++ b/failures_test.go
@@ -896,3 +896,23 @@
 		t.Errorf("%d of 300 jobs stay near, with room there", near)
 	}
 }
+
+// Late answers are worth little and keep later jobs waiting: with all kinds busy, two thirds of the jobs of some seconds
+// came late where a fifth had to be refused. What is likely late is refused at once, what is worth most goes through.
+func TestLikelyLateJobsAreRefused(t *testing.T) {
+	c := ready(t, 60, func(s *Settings) { shared(s); s.Classes[4].Worth = 20 })
+	for id, tc := range []struct {
+		held  float64
+		class int
+		sent  bool
+	}{{2, 0, true}, {6, 0, false}, {6, 4, true}, {16, 4, false}} {
+		for k := range c.d.usual {
+			c.d.usual[k], c.d.room[k] = tc.held, 4
+		}
+		job := JobID(id + 1)
+		c.event(Event{Kind: EventJob, Job: job, Class: tc.class, Tenant: id, Slots: 1, Deadline: c.now + 4*time.Second})
+		if sent := len(c.jobs[job].sends) > 0; sent != tc.sent || c.jobs[job].answered == sent {
+			t.Errorf("others hold %v of 4 slots, class %d: sent %v, answered %v", tc.held, tc.class, sent, c.jobs[job].answered)
+		}
+	}
+}
