Fit the label's pool to its share, and try the next pool for likely late jobs

Ruled out: tenants beyond their share (the excess rule never acted), zones.

At fault: rebuild() gave the label nine tenths of its share, so 0.66 of the workers, and pick() looked at the next pool only where nobody in the own one could take the job at all, while it refused jobs for being likely late there.

Change: a label gets its share, and at most nine tenths of a kind; pick() judges the chance to be late pool by pool.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -14,7 +14,7 @@
 const (
 	buckets    = 2                // few and large: small pools fill up unseen, and keys would be in each
 	unlabelled = 0                // the bucket, and the label, of those who keep to the leftovers
-	labelled   = 0.9              // of each kind goes to labels at most; the rest is always left over
+	labelled   = 0.9              // of each kind goes to a label at most; some are always left over
 	smooth     = 0.05             // weight of a new sample in running means: the last twenty or so count
 	memory     = 10 * time.Second // over which arrivals are counted
 	overShare  = 1.3              // a tenant asking this much more of its share than the middle one is over it
@@ -158,7 +158,7 @@
 				slices.SortStableFunc(free, func(a, b *worker) int {
 					return cmp.Compare(hash(uint64(b.Worker), uint64(l)), hash(uint64(a.Worker), uint64(l)))
 				})
-				n = max(min(int(math.Round(d.ready[kind]*labelled*d.shares[l])), n-1), 0)
+				n = max(min(int(math.Round(d.ready[kind]*min(labelled, d.shares[l]))), n-1), 0)
 			}
 			d.pools[l][kind], free = free[:n], free[n:]
 		}
@@ -359,9 +359,11 @@
 				}
 			}
 		}
+		if best != nil && d.wide && d.expect(best, j) > 1-(1-tooLate)/d.dense(j) {
+			best = nil
+		}
 	}
-	if best != nil && (d.wide && d.expect(best, j) > 1-(1-tooLate)/d.dense(j) ||
-		!d.wide && d.wait(best, j.Slots) > longest*d.class(j).Aim.Seconds()*d.dense(j)) {
+	if best != nil && !d.wide && d.wait(best, j.Slots) > longest*d.class(j).Aim.Seconds()*d.dense(j) {
 		best = nil
 	}
 	return best, ready
@@ -417,10 +419,8 @@
 		if n < 2 {
 			w = two[n]
 		}
-		near := best != nil && !(best.prompt && d.linked(best)) && w.Zone == d.set.Zone && best.Zone != w.Zone
-		if best != nil && d.wide { // between equals
-			near = d.expect(w, j) < d.expect(best, j)
-		}
+		near := best != nil && (d.wide && d.expect(w, j) < d.expect(best, j) || // between equals
+			!d.wide && !(best.prompt && d.linked(best)) && w.Zone == d.set.Zone && best.Zone != w.Zone)
 		if (best == nil || w.out*best.Weight < best.out*w.Weight || w.out == best.out && near) && d.fit(w, j) &&
 			(late || d.wait(w, j.Slots) == 0) {
 			best = w
--- a/failures_test.go
+++ b/failures_test.go
@@ -921,3 +921,32 @@
 		}
 	}
 }
+
+// The label's pool had nine tenths of its tenants' share of the workers, the leftovers the rest: the larger tenants' jobs
+// met workers a third busier than the others', and stayed there, refused as too likely late, while those had room.
+func TestPoolsFitTheirShares(t *testing.T) {
+	c := ready(t, 200, shared)
+	for l, share := range c.d.shares {
+		for kind, members := range c.d.pools[l] {
+			if got := float64(len(members)) / c.d.ready[kind]; math.Abs(got-share) > 0.02 {
+				t.Errorf("label %d has %.2f of the jobs and %.2f of kind %d", l, share, got, kind)
+			}
+		}
+	}
+	tenant := slices.Index(c.d.labels, 1)
+	full := c.d.pools[1]
+	for k := range full {
+		c.d.room[k] = 4
+		for _, w := range full[k] {
+			w.others, w.told = 16, c.now
+		}
+	}
+	if !c.arrive(1, tenant) {
+		t.Fatal("a job is refused as its pool is full, with all other workers idle")
+	}
+	for _, members := range full {
+		if slices.Contains(members, c.d.workers[c.jobs[1].sends[0].to.Worker]) {
+			t.Error("it was sent to the full pool")
+		}
+	}
+}
