--- a/dispatcher.go
+++ b/dispatcher.go
@@ -97,7 +97,7 @@
 	way                               [2][2]float64   // seconds to a start without waiting: own zone, linked
 	rate, good                        []float64       // by tenant: arrivals and answers, fading
 	born, arrived, looked, awake      time.Duration   // first list, last job and look; since when it runs
-	let, spare, mean                  float64         // parts of all and of the excess let in; running time
+	let, spare, mean, unit            float64         // parts of all and excess let in; run; middle slow
 	sees, wide, sized, ticking, asked bool            // workers tell, are shared, sized; looks set; watching
 	call                              uint32          // number of the timer for the next call to discovery
 }
@@ -110,7 +110,7 @@
 	}
 	d := &Dispatcher{set: s, rng: rand.New(rand.NewPCG(seed, seed)), tick: 50 * time.Millisecond,
 		workers: make(map[WorkerID]*worker), jobs: make(map[JobID]*job), shares: []float64{0}, spare: leastSpare,
-		call: closeToken, let: 1}
+		call: closeToken, let: 1, unit: 1}
 	for _, c := range d.set.Classes {
 		d.took, d.run = append(d.took, c.Aim.Seconds()/2), append(d.run, max(c.Aim.Seconds()/2, leastRun))
 		d.tick = min(d.tick, max(cmp.Or(c.Aim, time.Second)/ticks, s.Tick, time.Millisecond))
@@ -286,7 +286,7 @@
 // over tells whether a job is beyond its tenant's share; what the middle tenant is served stands for all.
 func (d *Dispatcher) over(j *job) bool {
 	var part []float64
-	fade := math.Exp(-(d.now - d.arrived).Seconds() / memory.Seconds())
+	fade := d.fade(d.arrived, memory.Seconds())
 	for i, t := range d.set.Tenants {
 		d.rate[i] *= fade
 		if d.good[i] *= fade; t.PerSec > 0 {
@@ -392,7 +392,7 @@
 			loads[k], reach[k] = expHash(j.Key, uint64(k)), nearest(members, j.Key)
 		}
 		if loads[k] /= size; !d.sized { // known by speed and slots, then
-			loads[k] *= d.slow[k] / max(d.room[k], 1)
+			loads[k] *= d.slow[k] / d.slots(k)
 		}
 	}
 	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(loads[a], loads[b]) })
@@ -431,9 +431,16 @@
 
 // wait is for how long a job would lie at a worker: 0 where a slot is free, or nothing tells.
 func (d *Dispatcher) wait(w *worker, slots float64) float64 {
-	room := max(d.room[w.Kind], 1) // one is surely there; a kind that is full from the start may never show more
-	lack := max(w.out+d.others(w)+slots-room-margin, 0) * float64(count(d.sees))
-	return lack / room * d.mean * d.slow[w.Kind] * w.pace / d.coldShare(w)
+	lack := max(w.out+d.others(w)+slots-d.slots(w.Kind)-margin, 0) * float64(count(d.sees))
+	return lack / d.slots(w.Kind) * d.mean * d.slow[w.Kind] * w.pace / d.coldShare(w)
+}
+
+// slots is how many a worker has: one surely; a kind that is full from the start may never show more.
+func (d *Dispatcher) slots(kind int) float64 { return max(d.room[kind], 1) }
+
+// fade is what is left of something since t, if most of it goes in s seconds.
+func (d *Dispatcher) fade(t time.Duration, s float64) float64 {
+	return math.Exp(-(d.now - t).Seconds() / s)
 }
 
 // linked tells whether an idle connection to a worker is surely there.
@@ -446,9 +453,8 @@
 		return d.wait(w, j.Slots) + d.run[j.Class]*slow
 	}
 	use := (w.out + d.others(w)) / room
-	use /= math.Pow(1+use*use*use*use, 0.25)                    // what is at work, of what is held
-	unit := slices.Sorted(slices.Values(d.slow))[len(d.slow)/2] // a job's own time is that of the middle kind
-	slack, way := c.Aim.Seconds()+(c.Stretch*unit-slow)*d.run[j.Class], *d.wayTo(w)
+	use /= math.Pow(1+use*use*use*use, 0.25) // what is at work, of what is held
+	slack, way := c.Aim.Seconds()+(c.Stretch*d.unit-slow)*d.run[j.Class], *d.wayTo(w)
 	late := math.Pow(use, math.Sqrt(2*room+2)-1) * math.Exp(-max(slack-way, 0)*room*(1-use)/(d.mean*slow))
 	return late + wayPrice*way
 }
@@ -460,7 +466,7 @@
 
 // mix keeps what own slots were a while ago, when the reports of now were made.
 func (d *Dispatcher) mix(w *worker) {
-	w.past += (w.out - w.past) * (1 - math.Exp(-(d.now-w.mixed).Seconds()/ago))
+	w.past += (w.out - w.past) * (1 - d.fade(w.mixed, ago))
 	w.mixed = d.now
 }
 
@@ -476,7 +482,7 @@
 // others is how many slots others hold at a worker; the longer nothing was learned there, what its kind says.
 func (d *Dispatcher) others(w *worker) float64 {
 	usual := d.usual[w.Kind] * d.coldShare(w)
-	return usual + (w.others-usual)*math.Exp(-(d.now-w.told).Seconds()/forget)
+	return usual + (w.others-usual)*d.fade(w.told, forget)
 }
 
 // start learns from when a job began: a worker that begins it at once had room, one that is late had none.
@@ -487,13 +493,12 @@
 		*t.way = max(*t.way*0.68, leastRun)
 	}
 	d.room[w.Kind] = max(d.room[w.Kind], w.runs)
-	others, room := d.others(w), max(d.room[w.Kind], 1)
-	if w.others, w.told = max(min(others, room-w.out), 0), d.now; took > t.due {
-		w.others = others
+	if took > t.due {
 		d.late(w, took-t.due)
-	} else {
-		d.learn(w.Kind, min(d.usual[w.Kind], room-1))
+		return
 	}
+	w.others, w.told = max(min(d.others(w), d.slots(w.Kind)-w.out), 0), d.now
+	d.learn(w.Kind, min(d.usual[w.Kind], d.slots(w.Kind)-1))
 }
 
 // report learns from a load report what others hold.
@@ -506,22 +511,20 @@
 	if x := math.Round(l.Values[r.FreeSlots]); x > d.room[w.Kind] && x < math.MaxInt32 {
 		d.room[w.Kind] = x
 	}
-	held := max(max(d.room[w.Kind], 1)+r.Waiting(l)-w.past, 0)
+	held := max(d.slots(w.Kind)+r.Waiting(l)-w.past, 0)
 	w.others, w.told = d.others(w)+learn*(held-d.others(w)), d.now
 	d.learn(w.Kind, held)
 }
 
 // late learns from a job that waits at a worker.
 func (d *Dispatcher) late(w *worker, wait float64) {
-	room := max(d.room[w.Kind], 1)
-	w.others, w.told = max(d.others(w), room-w.out, 0), d.now
-	d.learn(w.Kind, room*(1+wait/(d.mean*d.slow[w.Kind])))
+	w.others, w.told = max(d.others(w), d.slots(w.Kind)-w.out, 0), d.now
+	d.learn(w.Kind, d.slots(w.Kind)*(1+wait/(d.mean*d.slow[w.Kind])))
 }
 
 // learn takes what others hold at one worker into the mean of its kind.
 func (d *Dispatcher) learn(kind int, held float64) {
-	d.usual[kind] += (1 - math.Exp(-(d.now-d.news[kind]).Seconds()/blend)) *
-		(min(held, jammed*max(d.room[kind], 1)) - d.usual[kind])
+	d.usual[kind] += (1 - d.fade(d.news[kind], blend)) * (min(held, jammed*d.slots(kind)) - d.usual[kind])
 	d.news[kind] = d.now
 }
 
@@ -552,8 +555,7 @@
 	return 1
 }
 
-// warm tells whether j may go to a cold worker: by chance, so that all dispatchers together send about what a
-// warm one bears x cold share.
+// warm tells whether j may go to a cold worker: by chance, all together what a warm one bears x cold share.
 func (d *Dispatcher) warm(w *worker, j *job) bool {
 	share := d.coldShare(w)
 	if share >= 1 {
@@ -561,7 +563,7 @@
 	}
 	n, span, multiple := float64(d.set.Dispatchers), d.set.FallSpan.Seconds(), d.set.FallMultiple
 	cost := max(d.cost(j, w.Kind), 1e-3)
-	known := memory.Seconds() * (1 - math.Exp(-(d.now-d.born).Seconds()/memory.Seconds()))
+	known := memory.Seconds() * (1 - d.fade(d.born, memory.Seconds()))
 	rate := max(d.served[w.Kind]/max(known, 1)/max(d.ready[w.Kind], 1), leastWork/n,
 		slotWork*d.room[w.Kind]*float64(count(d.sees))/n)
 	limit := multiple * share * rate * n * span / cost // jobs that all may send in a span
@@ -691,6 +693,7 @@
 			measure := slices.IndexFunc(d.tried, func(n float64) bool { return n > 0 }) // the first kind at work
 			if first := max(smooth/4, 1/(d.tried[w.Kind]+4)); w.Kind != measure {       // at first most is guessed
 				d.slow[w.Kind] = min(max(d.slow[w.Kind]*(1+first*(x-1)), 1./mostSlow), mostSlow)
+				d.unit = slices.Sorted(slices.Values(d.slow))[len(d.slow)/2] // a job's own time is the middle kind's
 			}
 			d.mean += smooth * (ran/d.slow[w.Kind] - d.mean)
 			d.run[j.Class] += smooth * (ran/d.slow[w.Kind] - d.run[j.Class])
--- a/failures_test.go
+++ b/failures_test.go
@@ -729,27 +729,45 @@
 	})
 }
 
+// shared sets a deployment up in which 80 dispatchers share the workers, which report free slots and queues.
+func shared(s *Settings) {
+	s.Dispatchers, s.ReportByWord, s.ParallelTries, s.Report = 80, true, false, Report{0, -1, 1, -1, -1, -1}
+	s.ColdShare, s.WarmAfter, s.FallMultiple, s.FallSpan = 0.3, 9*time.Second, 3, time.Second
+}
+
+// work is how a worker takes a job: how long until it starts and until it is done, and what it then reports.
+type work struct {
+	way, run    time.Duration
+	free, queue float64
+}
+
+// serve lets n jobs come, each when the one before is done: its own slots are none at all.
+func (c *checker) serve(n JobID, at func(id JobID, w Entry) work) {
+	for id := JobID(1); id <= n; id++ {
+		if c.arrive(id, int(id)%5) {
+			w := at(id, c.jobs[id].sends[0].to)
+			c.advance(w.way)
+			c.event(Event{Kind: EventNote, Job: id, Worker: c.jobs[id].sends[0].to.Worker, Note: NoteStarted})
+			c.load = Load{N: 2, Values: [4]float64{w.free, w.queue + 0.01*float64(id%7)}}
+			c.advance(w.run)
+			c.outcome(id, 0, OK)
+		}
+	}
+}
+
 // Many dispatchers round one fleet, each with a few jobs a second, hardly meet a worker twice. What they did not know of a
 // worker counted as nothing, so all of them sent to the fast kind, which was full, while the slow one stood idle.
 func TestManyDispatchersFillAllKinds(t *testing.T) {
-	c := ready(t, 60, func(s *Settings) {
-		s.Dispatchers, s.ReportByWord, s.ParallelTries, s.Report = 80, true, false, Report{0, -1, 1, -1, -1, -1}
-	})
 	to := [2]int{}
-	for id := JobID(1); id <= 240; id++ { // one at a time: its own slots are none at all
-		if !c.arrive(id, int(id)%5) {
-			continue
-		}
-		w := c.jobs[id].sends[0].to
-		c.event(Event{Kind: EventNote, Job: id, Worker: w.Worker, Note: NoteStarted})
-		if c.load = (Load{N: 2, Values: [4]float64{4, 0.01 * float64(id%7)}}); w.Kind == 0 && id > 30 {
-			c.load.Values[0], c.load.Values[1] = 0, float64(3+id%3)
-		}
-		c.advance(time.Duration(100+100*w.Kind) * time.Millisecond)
-		if c.outcome(id, 0, OK); id > 100 {
+	ready(t, 60, shared).serve(240, func(id JobID, w Entry) work {
+		if id > 100 {
 			to[w.Kind]++
 		}
-	}
+		if w.Kind == 0 && id > 30 {
+			return work{run: 100 * time.Millisecond, queue: float64(3 + id%3)}
+		}
+		return work{run: time.Duration(100+100*w.Kind) * time.Millisecond, free: 4}
+	})
 	if to[1] < to[0] {
 		t.Errorf("the full fast kind gets %d jobs, the idle slow one %d", to[0], to[1])
 	}
@@ -758,38 +776,19 @@
 // Where all are full, jobs are refused; with nothing sent nothing is learned of when that is over. Refusals kept
 // themselves up for good: up to half of all jobs, with workers three quarters idle.
 func TestRefusalsDoNotKeepThemselvesUp(t *testing.T) {
-	c := ready(t, 60, func(s *Settings) {
-		s.Dispatchers, s.ReportByWord, s.ParallelTries, s.Report = 80, true, false, Report{0, -1, 1, -1, -1, -1}
-	})
-	refused := 0
-	for id := JobID(1); id <= 900; id++ {
-		sent := c.arrive(id, int(id)%5)
-		for n := 0; !sent && !c.jobs[id].answered && n < 100; n++ {
-			c.advance(10 * time.Millisecond)
-			sent = len(c.jobs[id].sends) > 0
+	refused := 300 // long after the jam, but for those that are sent
+	ready(t, 60, shared).serve(900, func(id JobID, _ Entry) work {
+		refused -= int(id / 601)
+		if id > 100 && id < 500 {
+			return work{run: 100 * time.Millisecond, queue: float64(30 + id%7)}
 		}
-		if !sent {
-			refused += int(id / 601) // of those after the jam
-			continue
-		}
-		c.event(Event{Kind: EventNote, Job: id, Worker: c.jobs[id].sends[0].to.Worker, Note: NoteStarted})
-		if c.load = (Load{N: 2, Values: [4]float64{4, 0.01 * float64(id%7)}}); id > 100 && id < 500 {
-			c.load.Values[0], c.load.Values[1] = 0, float64(30+id%7)
-		}
-		c.advance(100 * time.Millisecond)
-		c.outcome(id, 0, OK)
-	}
+		return work{run: 100 * time.Millisecond, free: 4}
+	})
 	if refused > 60 {
 		t.Errorf("%d of 300 jobs are refused long after the jam", refused)
 	}
 }
 
-// shared sets a deployment up in which 80 dispatchers share the workers, which report free slots and queues.
-func shared(s *Settings) {
-	s.Dispatchers, s.ReportByWord, s.ParallelTries, s.Report = 80, true, false, Report{0, -1, 1, -1, -1, -1}
-	s.ColdShare, s.WarmAfter, s.FallMultiple, s.FallSpan = 0.3, 9*time.Second, 3, time.Second
-}
-
 // Each of 80 dispatchers saved up for a whole job before it sent one to a cold worker: 80 s with its part of what such
 // a worker bears, so that 36 new workers stood idle for seconds while a third of all jobs was refused. All together
 // they use it well now, and stay within the rule's budget.
@@ -846,14 +845,7 @@
 // until then all went on sending there.
 func TestJobsThatLieTellOfAJam(t *testing.T) {
 	c := ready(t, 60, shared)
-	for id := JobID(1); id <= 80; id++ {
-		if c.arrive(id, int(id)%5) {
-			c.event(Event{Kind: EventNote, Job: id, Worker: c.jobs[id].sends[0].to.Worker, Note: NoteStarted})
-			c.load = Load{N: 2, Values: [4]float64{4, 0.01 * float64(id%7)}}
-			c.advance(200 * time.Millisecond)
-			c.outcome(id, 0, OK)
-		}
-	}
+	c.serve(80, func(JobID, Entry) work { return work{run: 200 * time.Millisecond, free: 4} })
 	if c.d.room[0] != 4 || c.d.usual[0] > 2 || c.d.usual[1] > 2 {
 		t.Fatalf("idle workers: %v slots, others hold %v", c.d.room, c.d.usual)
 	}
@@ -878,22 +870,14 @@
 func TestTheWayToAWorkerCounts(t *testing.T) {
 	c := ready(t, 60, func(s *Settings) { shared(s); s.Classes[0].Aim = 200 * time.Millisecond })
 	near := 0
-	for id := JobID(1); id <= 400; id++ {
-		if !c.arrive(id, int(id)%5) {
-			continue
-		}
-		w, way := c.jobs[id].sends[0].to, time.Millisecond
+	c.serve(400, func(id JobID, w Entry) work {
+		some := time.Duration(id%3) * 20 * time.Millisecond // some wait a little
 		if w.Zone != c.s.Zone {
-			way = 120 * time.Millisecond
-		}
-		c.advance(way + time.Duration(id%3)*20*time.Millisecond) // some wait a little
-		c.event(Event{Kind: EventNote, Job: id, Worker: w.Worker, Note: NoteStarted})
-		c.load = Load{N: 2, Values: [4]float64{1, 0.01 * float64(id%7)}}
-		c.advance(50 * time.Millisecond)
-		if c.outcome(id, 0, OK); id > 100 && w.Zone == c.s.Zone {
-			near++
+			return work{way: 120*time.Millisecond + some, run: 50 * time.Millisecond, free: 1}
 		}
-	}
+		near += count(id > 100)
+		return work{way: time.Millisecond + some, run: 50 * time.Millisecond, free: 1}
+	})
 	if own, far := c.d.way[1][0], c.d.way[0][0]; own > 0.05 || far < 0.08 || far > 0.2 {
 		t.Errorf("ways learned: %.3f s in its zone, %.3f s beyond", own, far)
 	}
