Weigh own-zone workers by themselves, and refuse by what a job can still earn

Change: each kind's own-zone members and the others are two draws of two with a mean of their own; a job is refused by the chance to be late by waiting, against its worth times the chance to be answered before its client leaves, times the late share where its first try is past its aim.

Both tests fail without the change.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -8,45 +8,44 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"time"
 )
 
 const (
-	buckets    = 2                // few and large: small pools fill up unseen, and keys would be in each
-	unlabelled = 0                // the bucket, and the label, of those who keep to the leftovers
-	labelled   = 0.9              // of each kind goes to a label at most; some are always left over
-	smooth     = 0.05             // weight of a new sample in running means: the last twenty or so count
-	memory     = 10 * time.Second // over which arrivals are counted
-	overShare  = 1.3              // a tenant asking this much more of its share than the middle one is over it
-	strain     = 0.8              // what is left of spare when a job finds no room
-	relief     = 0.005            // what an answer adds to spare
-	leastSpare = 0.02             // so that it can grow again
-	silences   = 3                // a worker silent for this many usual answer times is suspect
-	slowFrom   = 2                // a worker this many times slower than its kind gets less
-	fetchSlots = 2                // own slots more at a key's first worker that send a job to its second
-	keyWorkers = 3                // of a kind in a pool that may hold one key
-	windowPart = 0.7              // of a Keyed window is used, for the way there
-	sigmas     = 3.5              // of chance are kept off a bound that counts of random events must hold
-	slotWork   = 0.5              // of its slots at least a worker can keep at work: it may have fewer cores
-	leastWork  = 0.1              // slot time a second that any worker surely takes from all dispatchers
-	trial      = time.Second      // between trials of a suspect
-	ticks      = 8                // looks at held and silent jobs within the shortest aim
-	backUp     = 0.1              // less of all jobs is let in when one starts late; a fifth of the starts may
-	ago        = 0.7              // seconds that a report is old, about
-	forget     = 5                // seconds in which a worker counts mostly as one of its kind again
-	margin     = 0.2              // of a slot that may lack when a worker counts as free
-	learn      = 0.12             // weight of what one report says of others' slots: it is old and noisy
-	longest    = 0.25             // of the aim that a job may wait at a worker; refused otherwise
-	denser     = 8                // times as long for one that is worth more for its time, at most
-	wideFrom   = 20               // dispatchers: each sees a worker too rarely to wait for its slots
-	blend      = 2                // seconds over which what workers of a kind hold is averaged
-	tooLate    = 0.25             // chance of being late at which a job is refused, if worth least
-	wayPrice   = 0.1              // chance of being late that a second of way counts as: long ways have a price
-	jammed     = 4                // times its slots at which a worker is as full as it can seem
-	mostSlow   = 32               // times slower or faster than the measure, a kind at most
-
-	leastRun, mostRun     = 1e-4, 3600 // seconds that any job runs: both its lines may come in one write
-	tickToken, closeToken = 0, 1       // for looks, late closings; calls to discovery count on from there
+	buckets, unlabelled, labelled = 2, 0, 0.9 // few, large; the leftovers'; of a kind to a label at most
+
+	smooth, memory = 0.05, 10 * time.Second // weight of a sample in running means; span of arrivals
+
+	overShare, sigmas = 1.3, 3.5 // of the middle tenant's part is too much; kept off bounds that must hold
+
+	strain, relief, leastSpare = 0.8, 0.005, 0.02 // of spare: left when a job finds no room; an answer's; least
+
+	silences, slowFrom = 3, 2 // usual answer times until suspect; times slower than its kind, gets less
+
+	fetchSlots, keyWorkers = 2, 3 // own slots more at a key's first worker for its next; of a kind hold it
+
+	windowPart, backUp = 0.7, 0.1 // of a Keyed window is used; less of all jobs is let in when one starts late
+
+	slotWork, leastWork = 0.5, 0.1 // of its slots, and slots, that any worker keeps at work
+
+	trial, ticks = time.Second, 8 // between trials of a suspect; looks at open jobs within the shortest aim
+
+	ago, forget, blend = 0.7, 5, 2 // seconds: a report's age; until a worker counts as its kind; kinds' mean
+
+	margin, learn = 0.2, 0.12 // of a slot may lack at a free worker; weight of a report, old and noisy
+
+	longest, denser = 0.25, 8 // of the aim a job may wait, if worth least; times as long, at most
+
+	wideFrom = 20 // dispatchers: each sees a worker too rarely to wait for its slots
+
+	tooLate, wayPrice = 0.25, 0.1 // chance to be late: refused, if worth least; a second of way counts as
+
+	jammed, mostSlow = 4, 32 // times its slots a worker can seem to hold; slower than the measure, a kind
+
+	leastRun, mostRun = 1e-4, 3600 // seconds that any job runs: both its lines may come in one write
+
+	tickToken, closeToken = 0, 1 // for looks, late closings; calls to discovery count on from there
 )
 
 // worker is what this dispatcher knows of one listed worker.
@@ -91,9 +90,9 @@
 	jobs                              map[JobID]*job
 	open                              []*job          // by arrival; ended ones leave at the next look
 	took, run                         []float64       // by class: usual seconds to an answer, and of running
-	ready, room, slow                 []float64       // by kind: workers, slots, relative time
-	served, tried, usual              []float64       // by kind: use, OKs, what others hold at a worker
-	news                              []time.Duration // by kind: when usual was learned
+	ready, room, slow, served, tried  []float64       // by kind: workers, slots, relative time, use, OKs
+	usual                             []float64       // by place: what others hold at a worker
+	news                              []time.Duration // by place: when usual was learned
 	way                               [2][2]float64   // seconds to a start without waiting: own zone, linked
 	rate, good                        []float64       // by tenant: arrivals and answers, fading
 	born, arrived, looked, awake      time.Duration   // first list, last job and look; since when it runs
@@ -117,10 +116,10 @@
 	}
 	kinds := func(v float64) []float64 { return slices.Repeat([]float64{v}, d.set.Kinds) }
 	d.ready, d.room, d.slow, d.served = kinds(0), kinds(0), kinds(1), kinds(0)
-	d.mean, d.tried, d.usual = slices.Min(d.run), kinds(0), kinds(0)
+	d.mean, d.tried, d.usual = slices.Min(d.run), kinds(0), slices.Concat(kinds(0), kinds(0))
 	d.rate, d.good = make([]float64, len(s.Tenants)), make([]float64, len(s.Tenants))
 	d.sees = s.ReportByWord && s.TellsStart && s.Report.FreeSlots >= 0 && s.Report.Queue >= 0
-	d.wide, d.news = d.sees && s.Dispatchers >= wideFrom, make([]time.Duration, d.set.Kinds)
+	d.wide, d.news = d.sees && s.Dispatchers >= wideFrom, make([]time.Duration, 2*d.set.Kinds)
 	d.bucket()
 	d.rebuild()
 	return d, nil
@@ -161,6 +160,7 @@
 				n = max(min(int(math.Round(d.ready[kind]*min(labelled, d.shares[l]))), n-1), 0)
 			}
 			d.pools[l][kind], free = free[:n], free[n:]
+			slices.SortStableFunc(d.pools[l][kind], func(a, b *worker) int { return d.place(b) - d.place(a) })
 		}
 	}
 }
@@ -348,9 +348,12 @@
 			if best != nil && !d.sees || j.Key != 0 && n > 0 && len(j.tries) == 0 {
 				break // a key leaves its kind only once turned away there
 			} else if j.Key == 0 { // one of each kind where it can be told how soon they answer, else the first
-				w := d.pickOfTwo(reach[k], j, late || d.wide)
-				if best == nil || w != nil && d.expect(w, j) < d.expect(best, j) {
-					best = w
+				near := sort.Search(len(reach[k]), func(i int) bool { return !d.wide || !d.near(reach[k][i]) })
+				for _, members := range [][]*worker{reach[k][:near], reach[k][near:]} { // the own zone's by themselves
+					w := d.pickOfTwo(members, j, late || d.wide)
+					if best == nil || w != nil && d.expect(w, j)[0] < d.expect(best, j)[0] {
+						best = w
+					}
 				}
 			}
 			for i, w := range reach[k] { // the nearest to the key leads until it has more own slots
@@ -359,7 +362,7 @@
 				}
 			}
 		}
-		if best != nil && d.wide && d.expect(best, j) > 1-(1-tooLate)/d.dense(j) {
+		if best != nil && d.wide && d.expect(best, j)[1] > d.bears(best, j) {
 			best = nil
 		}
 	}
@@ -402,6 +405,9 @@
 // pickOfTwo takes the one with fewer own slots for its size. The first has an idle connection and began its
 // last job at once, if one is like that: where own slots are mostly none, that is all there is to see.
 func (d *Dispatcher) pickOfTwo(members []*worker, j *job, late bool) (best *worker) {
+	if len(members) == 0 {
+		return nil
+	}
 	first, second, links := d.rng.IntN(len(members)), 0, 0
 	if len(members) > 1 {
 		second = (first + 1 + d.rng.IntN(len(members)-1)) % len(members)
@@ -419,7 +425,7 @@
 		if n < 2 {
 			w = two[n]
 		}
-		near := best != nil && (d.wide && d.expect(w, j) < d.expect(best, j) || // between equals
+		near := best != nil && (d.wide && d.expect(w, j)[0] < d.expect(best, j)[0] || // between equals
 			!d.wide && !(best.prompt && d.linked(best)) && w.Zone == d.set.Zone && best.Zone != w.Zone)
 		if (best == nil || w.out*best.Weight < best.out*w.Weight || w.out == best.out && near) && d.fit(w, j) &&
 			(late || d.wait(w, j.Slots) == 0) {
@@ -446,28 +452,43 @@
 // linked tells whether an idle connection to a worker is surely there.
 func (d *Dispatcher) linked(w *worker) bool { return w.out == 0 && d.now-w.served < d.set.ConnIdle }
 
-// expect is the time to an answer; where many share workers, the chance to be late, by Sakasegawa's queue.
-func (d *Dispatcher) expect(w *worker, j *job) float64 {
+// expect is the time to an answer; where many share workers, the chance to be late, and by waiting alone.
+func (d *Dispatcher) expect(w *worker, j *job) [2]float64 {
 	c, room, slow := d.class(j), max(d.room[w.Kind]*d.coldShare(w), 1), d.slow[w.Kind]*w.pace
 	if !d.wide {
-		return d.wait(w, j.Slots) + d.run[j.Class]*slow
+		return [2]float64{d.wait(w, j.Slots) + d.run[j.Class]*slow}
 	}
 	use := (w.out + d.others(w)) / room
 	use /= math.Pow(1+use*use*use*use, 0.25) // what is at work, of what is held
-	slack, way := c.Aim.Seconds()+(c.Stretch*d.unit-slow)*d.run[j.Class], *d.wayTo(w)
-	late := math.Pow(use, math.Sqrt(2*room+2)-1) * math.Exp(-max(slack-way, 0)*room*(1-use)/(d.mean*slow))
-	return late + wayPrice*way
+	gain, way, served := (c.Stretch*d.unit-slow)*d.run[j.Class], *d.wayTo(w), room*(1-use)/(d.mean*slow)
+	left := c.Aim.Seconds() - way // a job's own running time is as good as exponential
+	late := math.Exp(-max(left+max(gain, 0), 0) / max(-gain, leastRun))
+	waits := math.Pow(use, math.Sqrt(2*room+2)-1) / (1 + max(gain, 0)*served)
+	waits *= math.Exp(-max(left+min(gain, 0), 0) * served)
+	return [2]float64{late + (1-late)*waits + wayPrice*way, waits}
 }
 
-// wayTo is how long a job takes to a worker that has room.
-func (d *Dispatcher) wayTo(w *worker) *float64 {
-	return &d.way[count(w.Zone == d.set.Zone)][count(d.linked(w))]
+// bears is the chance of being late by waiting at which a job is refused, by what it may still earn.
+func (d *Dispatcher) bears(w *worker, j *job) float64 {
+	c, left := d.class(j), (j.Deadline - d.now).Seconds()
+	v := d.dense(j) * (1 - math.Exp(-max(left-*d.wayTo(w), 0)/(d.run[j.Class]*d.slow[w.Kind])))
+	if j.Repeat && c.Deadline > 0 && left+c.Aim.Seconds() < c.Deadline.Seconds() {
+		v *= c.Late // its first try came too long ago
+	}
+	return max(1-(1-tooLate)/v, tooLate*min(v, 1))
 }
 
+// wayTo is how long a job takes to a worker that has room.
+func (d *Dispatcher) wayTo(w *worker) *float64 { return &d.way[count(d.near(w))][count(d.linked(w))] }
+
+func (d *Dispatcher) near(w *worker) bool { return w.Zone == d.set.Zone }
+
+// place is a worker's kind in the own zone or elsewhere; it counts only where many share workers.
+func (d *Dispatcher) place(w *worker) int { return 2*w.Kind + count(d.wide && d.near(w)) }
+
 // mix keeps what own slots were a while ago, when the reports of now were made.
 func (d *Dispatcher) mix(w *worker) {
-	w.past += (w.out - w.past) * (1 - d.fade(w.mixed, ago))
-	w.mixed = d.now
+	w.past, w.mixed = w.past+(w.out-w.past)*(1-d.fade(w.mixed, ago)), d.now
 }
 
 // dense is how much more a job is worth for its running time than those of the least such class.
@@ -481,7 +502,7 @@
 
 // others is how many slots others hold at a worker; the longer nothing was learned there, what its kind says.
 func (d *Dispatcher) others(w *worker) float64 {
-	usual := d.usual[w.Kind] * d.coldShare(w)
+	usual := d.usual[d.place(w)] * d.coldShare(w)
 	return usual + (w.others-usual)*d.fade(w.told, forget)
 }
 
@@ -498,7 +519,7 @@
 		return
 	}
 	w.others, w.told = max(min(d.others(w), d.slots(w.Kind)-w.out), 0), d.now
-	d.learn(w.Kind, min(d.usual[w.Kind], d.slots(w.Kind)-1))
+	d.learn(w, min(d.usual[d.place(w)], d.slots(w.Kind)-1))
 }
 
 // report learns from a load report what others hold.
@@ -513,19 +534,20 @@
 	}
 	held := max(d.slots(w.Kind)+r.Waiting(l)-w.past, 0)
 	w.others, w.told = d.others(w)+learn*(held-d.others(w)), d.now
-	d.learn(w.Kind, held)
+	d.learn(w, held)
 }
 
 // late learns from a job that waits at a worker.
 func (d *Dispatcher) late(w *worker, wait float64) {
 	w.others, w.told = max(d.others(w), d.slots(w.Kind)-w.out, 0), d.now
-	d.learn(w.Kind, d.slots(w.Kind)*(1+wait/(d.mean*d.slow[w.Kind])))
+	d.learn(w, d.slots(w.Kind)*(1+wait/(d.mean*d.slow[w.Kind])))
 }
 
-// learn takes what others hold at one worker into the mean of its kind.
-func (d *Dispatcher) learn(kind int, held float64) {
-	d.usual[kind] += (1 - d.fade(d.news[kind], blend)) * (min(held, jammed*d.slots(kind)) - d.usual[kind])
-	d.news[kind] = d.now
+// learn takes what others hold at one worker into the mean of its kind there.
+func (d *Dispatcher) learn(w *worker, held float64) {
+	k := d.place(w)
+	held = min(held, jammed*d.slots(w.Kind)) - d.usual[k]
+	d.usual[k], d.news[k] = d.usual[k]+(1-d.fade(d.news[k], blend))*held, d.now
 }
 
 // nearest loads the dice by the key, alike at all dispatchers: the few members that rank highest for it.
@@ -606,11 +628,6 @@
 	})
 }
 
-// never tells whether an outcome proves that the attempt never ran.
-func (d *Dispatcher) never(o Outcome) bool {
-	return o == Full && !d.set.FullUnproven || o == ConnectFailed || o == Moot
-}
-
 func (d *Dispatcher) send(j *job, w *worker) {
 	if j == nil || !d.allowed(j, w) {
 		return
@@ -663,11 +680,11 @@
 		k := t.w.Kind
 		d.room[k] += max(smooth, 1-d.room[k]) * (slots - d.room[k])
 	}
-	t.done, t.never = true, d.never(ev.Outcome)
+	o := ev.Outcome // some prove that it never ran
+	t.done, t.never = true, o == Full && !d.set.FullUnproven || o == ConnectFailed || o == Moot
 	d.mix(t.w)
 	d.report(t.w, &ev.Load)
-	t.w.out -= j.Slots
-	t.w.runs -= float64(min(t.started, 1)) // if it had begun
+	t.w.out, t.w.runs = t.w.out-j.Slots, t.w.runs-float64(min(t.started, 1)) // if it had begun
 	if t.w.shut = false; ev.Outcome != OK {
 		t.w.broke = d.now
 	}
--- a/failures_test.go
+++ b/failures_test.go
@@ -881,9 +881,46 @@
 	if own, far := c.d.way[1][0], c.d.way[0][0]; own > 0.05 || far < 0.08 || far > 0.2 {
 		t.Errorf("ways learned: %.3f s in its zone, %.3f s beyond", own, far)
 	}
-	if near < 140 { // a third of all are
+	if near < 285 { // a third of all are near; picked from all of a kind, half the jobs paid for a far handshake
 		t.Errorf("%d of 300 jobs stay near, with room there", near)
 	}
+	for k := range c.d.room { // what is learned of the own zone's says nothing of those beyond, and the other way round
+		c.d.usual[2*k], c.d.usual[2*k+1] = 0, 16
+	}
+	clear(c.d.workers) // what was learned of each goes, and the list that follows brings all anew
+	entries := make([]Entry, len(c.d.order))
+	for i, w := range c.d.order {
+		entries[i] = w.Entry
+	}
+	c.event(Event{Kind: EventList, List: ListFull, Entries: entries})
+	for id := JobID(1000); id < 1020; id++ {
+		if !c.arrive(id, int(id)%5) || c.jobs[id].sends[0].to.Zone == c.s.Zone {
+			t.Errorf("job %d is refused, or stays in the full own zone", id)
+		}
+	}
+}
+
+// Once a job's first try was longer ago than its aim, or its client leaves sooner than a worker can answer, it earns next
+// to nothing: on a join day 1,258 of 2,180 jobs that ran out of time had under half a second and kept later ones waiting.
+func TestWhatCanEarnLittleGivesWay(t *testing.T) {
+	c := ready(t, 60, func(s *Settings) { shared(s); s.Classes[0].Late = 0.2 })
+	run := time.Duration(c.d.run[0] * float64(time.Second))
+	for id, tc := range []struct {
+		held     float64
+		patience time.Duration
+		repeat   bool
+		sent     bool
+	}{{4, 4 * time.Second, false, true}, {4, run / 10, false, false}, {4, time.Second, true, false},
+		{0, run / 10, false, true}, {0, time.Second, true, true}} { // where nobody waits there is nothing to lose
+		for k := range c.d.usual {
+			c.d.usual[k], c.d.room[k/2] = tc.held, 4
+		}
+		job := JobID(id + 1)
+		c.event(Event{Kind: EventJob, Job: job, Tenant: id, Slots: 1, Repeat: tc.repeat, Deadline: c.now + tc.patience})
+		if sent := len(c.jobs[job].sends) > 0; sent != tc.sent {
+			t.Errorf("others hold %v of 4 slots, %v left, repeat %v: sent %v", tc.held, tc.patience, tc.repeat, sent)
+		}
+	}
 }
 
 // Late answers are worth little and keep later jobs waiting: with all kinds busy, two thirds of the jobs of some seconds
@@ -896,7 +933,7 @@
 		sent  bool
 	}{{2, 0, true}, {6, 0, false}, {6, 4, true}, {16, 4, false}} {
 		for k := range c.d.usual {
-			c.d.usual[k], c.d.room[k] = tc.held, 4
+			c.d.usual[k], c.d.room[k/2] = tc.held, 4
 		}
 		job := JobID(id + 1)
 		c.event(Event{Kind: EventJob, Job: job, Class: tc.class, Tenant: id, Slots: 1, Deadline: c.now + 4*time.Second})
