Weigh zones where crossing is dear, and the slack, worth and errors of what runs once

Change: zones are weighed by themselves from a price of 0.05 on, the price counts beside the chance to be late; a waiting job keeps its own time's slack less what would wait behind it; worth_by is read; jobs whose failure is final keep off a worker in the measure of its latest errors.

--- a/api.go
+++ b/api.go
@@ -64,6 +64,11 @@
 // bound tells whether only some workers are open to the class.
 func (c *ClassSettings) bound() bool { return c.Kind >= 0 || len(c.BoundTo) > 0 || len(c.Zones) > 0 }
 
+// harmless tells whether a job of the class may be tried again anywhere, whatever became of its attempts.
+func (c *ClassSettings) harmless() bool {
+	return c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll
+}
+
 // TenantSettings describes one tenant.
 type TenantSettings struct {
 	Share  float64 // share of the service
@@ -143,6 +148,7 @@
 	MaxRetryAfter time.Duration
 
 	CrossZone    float64
+	WorthByWork  bool          // a job's worth grows with its running time
 	OverWorth    float64       // worth of traffic beyond a tenant's share, as a fraction
 	TailPart     float64       // part of the goal that goes by how few of a class miss their aim in any few seconds
 	BorneMisses  float64       // the share of misses that it bears in full
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -35,11 +35,13 @@
 
 	margin, learn = 0.2, 0.12 // of a slot may lack at a free worker; weight of a report, old and noisy
 
+	latest, shy = 0.4, 4 // weight of an outcome among latest errors; times that, what runs once keeps off
+
 	longest, denser = 0.25, 8 // of the aim a job may wait, if worth least; times as long, at most
 
-	wideFrom = 20 // dispatchers: each sees a worker too rarely to wait for its slots
+	wideFrom, dear = 20, 0.05 // dispatchers: they meet a worker too rarely to wait; or so dear a crossing
 
-	tooLate, wayPrice = 0.25, 0.1 // chance to be late: refused, if worth least; a second of way counts as
+	lossBorne, wayPrice = 0.2, 0.1 // of a job's worth, by waiting: refused beyond; a second of way counts as
 
 	jammed, mostSlow = 4, 32 // times its slots a worker can seem to hold; slower than the measure, a kind
 
@@ -53,11 +55,11 @@
 	Entry
 	suspect, prompt                    bool          // silent, gets trials only; began its last job at once
 	stray, shut, turn                  bool          // of unknown kind or zone; drains, is shut; cold: gets one
-	out, pace                          float64       // own slots; time over its kind's usual
+	out, pace, fails                   float64       // own slots; time over its kind's usual; latest errors
 	others, past, runs                 float64       // slots of others; own before; own at work
 	last                               Load          // the last report
 	told, mixed                        time.Duration // when others was last learned, and past
-	heard, served, broke               time.Duration // its last sign of life, OK, other end
+	heard, served, broke, failed       time.Duration // its last sign of life, OK, other end, error
 	fullFor, fullTill, retryAt, filled time.Duration // its pause after Full; its next trial; last draw when cold
 }
 
@@ -119,7 +121,8 @@
 	d.mean, d.tried, d.usual = slices.Min(d.run), kinds(0), slices.Concat(kinds(0), kinds(0))
 	d.rate, d.good = make([]float64, len(s.Tenants)), make([]float64, len(s.Tenants))
 	d.sees = s.ReportByWord && s.TellsStart && s.Report.FreeSlots >= 0 && s.Report.Queue >= 0
-	d.wide, d.news = d.sees && s.Dispatchers >= wideFrom, make([]time.Duration, 2*d.set.Kinds)
+	d.wide = d.sees && (s.Dispatchers >= wideFrom || s.CrossZone >= dear)
+	d.news = make([]time.Duration, 2*d.set.Kinds)
 	d.bucket()
 	d.rebuild()
 	return d, nil
@@ -315,10 +318,7 @@
 		d.send(j, w)
 	case j.inFlight():
 	case ready && !j.excess && !d.wide && d.now < j.holdTo && d.mayTry(j):
-		if !j.held {
-			d.spare = max(d.spare*strain, leastSpare)
-		}
-		j.held = true
+		d.spare, j.held = max(d.spare*math.Pow(strain, float64(count(!j.held))), leastSpare), true
 	default: // nobody can take it (in time): say so at once
 		d.end(j)
 	}
@@ -402,8 +402,7 @@
 	return order, reach
 }
 
-// pickOfTwo takes the one with fewer own slots for its size. The first has an idle connection and began its
-// last job at once, if one is like that: where own slots are mostly none, that is all there is to see.
+// pickOfTwo takes the one with fewer own slots for its size. One that is linked and prompt is the first.
 func (d *Dispatcher) pickOfTwo(members []*worker, j *job, late bool) (best *worker) {
 	if len(members) == 0 {
 		return nil
@@ -465,7 +464,7 @@
 	late := math.Exp(-max(left+max(gain, 0), 0) / max(-gain, leastRun))
 	waits := math.Pow(use, math.Sqrt(2*room+2)-1) / (1 + max(gain, 0)*served)
 	waits *= math.Exp(-max(left+min(gain, 0), 0) * served)
-	return [2]float64{late + (1-late)*waits + wayPrice*way, waits}
+	return [2]float64{late + (1-late)*waits + wayPrice*way + d.set.CrossZone*float64(count(!d.near(w))), waits}
 }
 
 // bears is the chance of being late by waiting at which a job is refused, by what it may still earn.
@@ -475,6 +474,7 @@
 	if j.Repeat && c.Deadline > 0 && left+c.Aim.Seconds() < c.Deadline.Seconds() {
 		v *= c.Late // its first try came too long ago
 	}
+	tooLate := min(lossBorne/max(1-c.Late, lossBorne), 1)
 	return max(1-(1-tooLate)/v, tooLate*min(v, 1))
 }
 
@@ -493,11 +493,11 @@
 
 // dense is how much more a job is worth for its running time than those of the least such class.
 func (d *Dispatcher) dense(j *job) float64 {
-	least := math.Inf(1)
+	least, fixed := math.Inf(1), float64(count(!d.set.WorthByWork)) // else it is as dense in a long job
 	for i, c := range d.set.Classes {
-		least = min(least, c.Worth/d.run[i])
+		least = min(least, c.Worth/math.Pow(d.run[i], fixed))
 	}
-	return max(min(d.class(j).Worth/d.run[j.Class]/least, denser), 1)
+	return max(min(d.class(j).Worth/math.Pow(d.run[j.Class], fixed)/least, denser), 1)
 }
 
 // others is how many slots others hold at a worker; the longer nothing was learned there, what its kind says.
@@ -566,7 +566,8 @@
 func (d *Dispatcher) fit(w *worker, j *job) bool {
 	return w.State == Ready && d.now >= w.fullTill &&
 		(!w.suspect || d.now >= w.retryAt && d.class(j).Effect == Safe) &&
-		(w.pace <= slowFrom || d.rng.Float64()*w.pace <= 1) && d.allowed(j, w)
+		(w.pace <= slowFrom || d.rng.Float64()*w.pace <= 1) && d.allowed(j, w) &&
+		(w.fails == 0 || d.class(j).harmless() || d.rng.Float64() > shy*w.fails*d.fade(w.failed, memory.Seconds()))
 }
 
 // coldShare is the part of its capacity that a worker surely has; 1 when warm.
@@ -643,8 +644,7 @@
 // end is the gate for final answers: a refusal only where a further try is harmless, else a failure.
 func (d *Dispatcher) end(j *job) {
 	kind, c, back := Refuse, d.class(j), d.tick.Seconds()*(0.5+d.rng.Float64())/max(d.let, leastSpare)
-	harmless := c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll
-	if !harmless && slices.ContainsFunc(j.tries, func(t attempt) bool { return !t.never }) {
+	if !c.harmless() && slices.ContainsFunc(j.tries, func(t attempt) bool { return !t.never }) {
 		kind, back = Fail, 0
 	}
 	for k := range d.usual { // less is learned now: in doubt less is held, or refusals keep themselves up
@@ -685,12 +685,12 @@
 	d.mix(t.w)
 	d.report(t.w, &ev.Load)
 	t.w.out, t.w.runs = t.w.out-j.Slots, t.w.runs-float64(min(t.started, 1)) // if it had begun
-	if t.w.shut = false; ev.Outcome != OK {
+	if t.w.shut = false; o != OK {
 		t.w.broke = d.now
 	}
 	d.shut(t.w)
-	d.judge(j, t, ev.Outcome)
-	if j.ended || ev.Closed || ev.Outcome == OK {
+	d.judge(j, t, o)
+	if j.ended || ev.Closed || o == OK {
 		d.finish(j)
 	} else if !j.inFlight() && d.mayTry(j) && !j.excess && !t.dropped {
 		d.try(j)
@@ -716,13 +716,15 @@
 			d.run[j.Class] += smooth * (ran/d.slow[w.Kind] - d.run[j.Class])
 			w.pace += 2 * smooth * (x - w.pace)
 		}
-		w.heard, w.served, w.suspect, w.fullFor = d.now, d.now, false, 0
+		w.heard, w.served, w.suspect, w.fullFor, w.fails = d.now, d.now, false, 0, w.fails*(1-latest)
 		d.spare = min(d.spare+relief, 1)
 		d.good[j.Tenant]++
 		d.refill(w)
 	case Full:
 		w.heard = d.now
 		d.busy(j, w, len(j.tries) > 1 || j.excess && j.Key == 0) // a key's full worker says little of the pool
+	case Error:
+		w.fails, w.failed = min(w.fails+latest, 1), d.now
 	case ConnectFailed:
 		w.suspect, w.retryAt = true, d.now+trial
 	}
@@ -730,9 +732,7 @@
 
 // busy leaves a worker alone for about the time in which it frees a slot.
 func (d *Dispatcher) busy(j *job, w *worker, strained bool) {
-	if strained {
-		d.spare = max(d.spare*strain, leastSpare)
-	}
+	d.spare = max(d.spare*math.Pow(strain, float64(count(strained))), leastSpare)
 	w.fullFor = min(max(2*w.fullFor, d.tick), seconds(d.took[j.Class])+d.tick)
 	w.fullTill = d.now + w.fullFor
 }
@@ -756,14 +756,14 @@
 	}
 	d.looked, d.open = d.now, slices.DeleteFunc(d.open, func(j *job) bool { return d.jobs[j.Job] != j })
 	for _, j := range d.open {
-		if d.set.TellsStart && d.now > j.aim && d.class(j).Late == 0 {
-			d.drop(j, true) // it is worth nothing any more; its place in the queue is
-		}
 		for i := range j.tries {
 			t := &j.tries[i]
 			usual := max(seconds(silences*d.took[j.Class]), 2*d.tick, d.set.Progress)
 			if t.done {
 				continue
+			} else if slack := max(d.class(j).Stretch-1, 0)*d.run[j.Class] - d.wait(t.w, j.Slots); d.set.TellsStart &&
+				d.class(j).Late == 0 && d.now > j.aim+seconds(max(slack, 0)) {
+				d.drop(j, true) // it is worth nothing any more, or less than its place in the queue
 			} else if d.now-max(t.sent, t.w.heard, d.awake) > usual && !t.w.suspect {
 				t.w.suspect, t.w.retryAt = true, d.now+trial
 			}
--- a/failures_test.go
+++ b/failures_test.go
@@ -971,3 +971,91 @@
 		}
 	}
 }
+
+// few sets a deployment up in which a handful of dispatchers pay for crossing zones, late answers earn nothing, worth
+// grows with the work and one class must never run twice.
+func few(s *Settings) {
+	shared(s)
+	s.Dispatchers, s.CrossZone, s.WorthByWork, s.Progress = 4, 0.08, true, 2*time.Second
+}
+
+// With four dispatchers zones were hardly looked at: own-zone workers only broke ties, and with a slow kind beside a fast
+// one nine in ten jobs crossed (price 0.058 to 0.075 of G on each quick day). A slow kind that is still in time will do.
+func TestJobsStayInTheirZoneWhereCrossingIsDear(t *testing.T) {
+	for _, tc := range []struct {
+		price     float64
+		from, too int
+	}{{0.08, 285, 300}, {0.01, 0, 200}} { // a third of the workers are near
+		near := 0
+		ready(t, 60, func(s *Settings) { few(s); s.CrossZone = tc.price }).serve(400, func(id JobID, w Entry) work {
+			near += count(w.Zone == 0 && id > 100)
+			return work{way: time.Millisecond, run: time.Duration(100+60*w.Kind) * time.Millisecond, free: 4}
+		})
+		if near < tc.from || near > tc.too {
+			t.Errorf("crossing costs %v: %d of 300 jobs stay in their zone", tc.price, near)
+		}
+	}
+}
+
+// Where late answers earn nothing, a job that had not begun by the fixed part of its aim was cancelled, and as one that
+// may run only once it had failed for good: 10 to 30 % of all jobs on most days. The aim grows with the job's own time.
+func TestWaitingJobsKeepTheSlackOfTheirOwnTime(t *testing.T) {
+	for _, queue := range []float64{0, 40} { // it goes sooner where many would wait behind it
+		c := ready(t, 60, func(s *Settings) { few(s); s.Classes[1].Stretch = 3 })
+		c.serve(60, func(JobID, Entry) work { return work{run: 300 * time.Millisecond, free: 4} })
+		slack := seconds(2 * c.d.run[1])
+		c.event(Event{Kind: EventJob, Job: 900, Class: 1, Slots: 1, Deadline: c.now + 4*time.Second})
+		came, w := c.now, c.d.workers[c.jobs[900].sends[0].to.Worker]
+		for !c.d.jobs[900].tries[0].dropped && c.now < came+3*time.Second {
+			c.advance(10 * time.Millisecond)
+			w.others, w.told = queue, c.now
+		}
+		waited := c.now - came - c.s.Classes[1].Aim
+		if late := waited - slack; queue == 0 && late.Abs() > 60*time.Millisecond || queue > 0 && waited > 60*time.Millisecond {
+			t.Errorf("queue %v: dropped %v after its aim, its own time leaves it %v", queue, waited, slack)
+		}
+	}
+}
+
+// Worth that grows with the work is as dense in long classes as in short ones. Taken as fixed, the shorter class
+// counted as two and a half times as dense and was let into queues that made it late.
+func TestWorthByWorkIsDenseAlike(t *testing.T) {
+	for byWork, want := range map[bool]float64{true: 1.25, false: 2.5} {
+		s := site()
+		s.WorthByWork, s.Classes[0].Worth, s.Classes[1].Worth = byWork, 10, 8
+		s.Classes[2], s.Classes[3], s.Classes[4] = s.Classes[1], s.Classes[1], s.Classes[1]
+		d := must(t, s, 1)
+		d.run = []float64{0.4, 0.8, 0.8, 0.8, 0.8}
+		if got := d.dense(&job{}); math.Abs(got-want) > 1e-9 {
+			t.Errorf("by work %v: the short class is %v times as dense, not %v", byWork, got, want)
+		}
+	}
+}
+
+// A worker that fails its jobs at once has no own slots and drew them all. Where a failure is final that is a loss each
+// time (6 % of the attempts of a day of quick errors); who can go elsewhere still uses what such a worker serves.
+func TestJobsThatRunOnceKeepOffFailingWorkers(t *testing.T) {
+	for class, most := range []int{100, 12, 12, 12, 100} {
+		c, failed := ready(t, 8, few), 0
+		c.serve(60, func(JobID, Entry) work { return work{run: 100 * time.Millisecond, free: 4} })
+		bad := c.jobs[60].sends[0].to.Worker
+		for id := JobID(101); id <= 300; id++ {
+			c.event(Event{Kind: EventJob, Job: id, Class: class, Tenant: int(id) % 5, Slots: 1, Deadline: c.now + 4*time.Second})
+			for k := 0; k < len(c.jobs[id].sends); k++ {
+				c.advance(20 * time.Millisecond)
+				c.event(Event{Kind: EventNote, Job: id, Attempt: k, Worker: c.jobs[id].sends[k].to.Worker, Note: NoteStarted})
+				c.load = Load{N: 2, Values: [4]float64{4, 0.01 * float64(id%7)}}
+				if c.jobs[id].sends[k].to.Worker == bad {
+					failed++
+					c.outcome(id, k, Error)
+				} else {
+					c.advance(100 * time.Millisecond)
+					c.outcome(id, k, OK)
+				}
+			}
+		}
+		if failed > most || failed == 0 {
+			t.Errorf("class %d: %d of 200 jobs meet the failing worker, the bound is %d", class, failed, most)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -114,6 +114,7 @@
 		RetryAfter:    p.flag("limits.retry_after"),
 		MaxRetryAfter: p.span("limits.max_retry_after"),
 		CrossZone:     p.float("deductions.cross_zone", 0),
+		WorthByWork:   p.m["worth_by"] == "work",
 		OverWorth:     p.float("over_share_worth", 1),
 		TellsStart:    p.flag("specifics.tells_start"),
 		Progress:      p.span("specifics.progress"),
