Test many dispatchers round one discovery, and time decisions and list changes

A test in moved time starts 60 dispatchers round a discovery that takes 40 calls a second one after the other, kills two thirds of them together, ends all watches and turns all away for 8 s, then ends all watches again while it is up.

--- /dev/null
+++ b/decide_bench_test.go
@@ -0,0 +1,63 @@
+// What a decision and a change of the list cost, by the number of workers. Fleets of 2,000 are beyond any scored day.
+
+package ivyfold
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var sizes = []int{10, 60, 200, 2000}
+
+// crowded is a dispatcher, one of 300, that has been at work with n workers for a while.
+func crowded(b *testing.B, n int) (*Dispatcher, []Entry, *time.Duration, func(id JobID)) {
+	s := site()
+	s.Dispatchers, s.ReportByWord, s.ParallelTries, s.Report = 300, true, false, Report{0, -1, 1, -1, -1, -1}
+	d, list, now := must(b, s, 1), fleet(n), time.Minute
+	d.Handle(now, &Event{Kind: EventList, List: ListFull, Entries: list}, nil)
+	var acts []Action
+	job := func(id JobID) { // a job that comes, is sent, starts and is done
+		now += 200 * time.Millisecond
+		acts = d.Handle(now, &Event{Kind: EventJob, Job: id, Tenant: int(id) % 5, Slots: 1, Deadline: now + 5*time.Second}, acts[:0])
+		for _, a := range acts {
+			if a.Kind == Send {
+				d.Handle(now+time.Millisecond, &Event{Kind: EventNote, Job: id, Worker: a.Worker, Note: NoteStarted}, nil)
+				d.Handle(now+100*time.Millisecond, &Event{Kind: EventOutcome, Job: id, Worker: a.Worker, Outcome: OK, Closed: true,
+					Load: Load{N: 2, Values: [4]float64{float64(id % 3), 0.01 * float64(id%97)}}}, nil)
+			}
+		}
+		d.Handle(now+150*time.Millisecond, &Event{Kind: EventTimer, Token: tickToken}, nil)
+	}
+	for id := JobID(1); id <= 500; id++ {
+		job(id)
+	}
+	return d, list, &now, job
+}
+
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			_, _, _, job := crowded(b, n)
+			id := JobID(1000)
+			for b.Loop() {
+				id++
+				job(id)
+			}
+		})
+	}
+}
+
+func BenchmarkListChange(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d, list, now, _ := crowded(b, n)
+			acts, change := []Action(nil), list[:1:1]
+			for b.Loop() {
+				*now += time.Millisecond
+				change[0].State = Ready + Draining - change[0].State
+				acts = d.Handle(*now, &Event{Kind: EventList, List: ListDelta, Entries: change}, acts[:0])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/herd_test.go
@@ -0,0 +1,206 @@
+// Many dispatchers round one discovery that takes its callers one after the other: what each does for itself when it
+// starts, is killed, loses its watch or is turned away must not add up to a storm, nor cost anybody a job.
+
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+	"ivyfold/internal/floor"
+	"ivyfold/internal/roster"
+)
+
+// crowd is many dispatchers round one discovery and a few workers, all on one network in memory.
+type crowd struct {
+	t      *testing.T
+	net    *Net
+	list   *Roster
+	known  []config.Worker
+	birth  time.Time
+	mu     sync.Mutex
+	calls  [][]time.Duration // by dispatcher: when it called
+	lost   []string          // jobs that were not served
+	served int
+	jobs   sync.WaitGroup
+}
+
+// start brings dispatcher i up; what it gives ends it at once, as a kill does.
+func (c *crowd) start(i, life int) (kill func()) {
+	n := Node(c.t, c.known, "")
+	n.Seed, n.Module.Self, n.Module.Dispatchers = uint64(i*1000+life), i, len(c.calls)
+	counters := new(dispatch.Counters)
+	f, watch := floor.New(n, counters), roster.New(n)
+	f.Dial = c.net.Dial
+	watch.Dial = func(ctx context.Context, _, address string) (net.Conn, error) {
+		c.mu.Lock()
+		c.calls[i] = append(c.calls[i], time.Since(c.birth))
+		c.mu.Unlock()
+		return c.net.Dial(ctx, address)
+	}
+	core, err := dispatch.New(n, counters, f, nil, watch, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	watch.Listed = core.Listed
+	ctx, cancel := context.WithCancel(context.Background())
+	go core.Run(ctx)
+	go watch.Run(ctx)
+	go func() { // a job a second, and none is let to die with its dispatcher: that loss is the kill's, not discovery's
+		time.Sleep(time.Duration(i) * 15 * time.Millisecond)
+		for k := 0; ctx.Err() == nil; k++ {
+			id := fmt.Sprintf("n%d.%d.%d", i, life, k)
+			c.jobs.Add(1)
+			err := core.Take(&dispatch.Job{ID: id, Target: "/seat-check/x", Body: []byte("done/20ms"), Slots: 1, Patience: 5 * time.Second,
+				Reply: func(a dispatch.Answer) {
+					c.mu.Lock()
+					if c.served++; a.Verdict != dispatch.Served && ctx.Err() == nil {
+						c.lost = append(c.lost, id)
+					}
+					c.mu.Unlock()
+					c.jobs.Done()
+				}})
+			if err != nil {
+				c.t.Errorf("%s: %v", id, err)
+				c.jobs.Done()
+			}
+			time.Sleep(time.Second)
+		}
+	}()
+	return func() {
+		cancel()
+		core.Ended()
+		for _, w := range c.known {
+			f.CloseIdle(w)
+		}
+	}
+}
+
+// between counts the calls of all in a span, and gives the most by one dispatcher and in any tenth of a second.
+func (c *crowd) between(from, to time.Duration) (all, byOne, crest int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var at []time.Duration
+	for _, calls := range c.calls {
+		n := len(at)
+		for _, t := range calls {
+			if t >= from && t < to {
+				at = append(at, t)
+			}
+		}
+		byOne = max(byOne, len(at)-n)
+	}
+	slices.Sort(at)
+	for i, t := range at {
+		end, _ := slices.BinarySearch(at, t+100*time.Millisecond)
+		crest = max(crest, end-i)
+	}
+	return len(at), byOne, crest
+}
+
+// inStep counts the pairs whose calls of a span, three at least, all come within 20 ms of each other.
+func (c *crowd) inStep(from, to time.Duration) (pairs int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var rows [][]time.Duration
+	for _, calls := range c.calls {
+		row := slices.DeleteFunc(slices.Clone(calls), func(t time.Duration) bool { return t < from || t >= to })
+		for _, other := range rows {
+			alike := len(row) == len(other) && len(row) >= 3
+			for k := 0; alike && k < len(row); k++ {
+				alike = (row[k] - other[k]).Abs() < 20*time.Millisecond
+			}
+			if alike {
+				pairs++
+			}
+		}
+		rows = append(rows, row)
+	}
+	return pairs
+}
+
+func TestManyDispatchersRoundOneDiscovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const many = 60
+		const turn = 25 * time.Millisecond // discovery takes 40 calls a second
+		c := &crowd{t: t, net: &Net{Silent: map[string]bool{}}, birth: time.Now(), calls: make([][]time.Duration, many),
+			list: &Roster{Changes: make(chan string), Turn: turn, Bears: 600 * time.Millisecond}}
+		yard := &Yard{}
+		for i := range 8 {
+			name, address := fmt.Sprintf("s-%08x", (i+1)*0x1234567), fmt.Sprintf("127.0.1.%d:5000", i)
+			c.known = append(c.known, Listing(name, address, "ready"))
+			l := c.net.Listen(address)
+			t.Cleanup(func() { l.Close() })
+			go yard.Worker(l, name)
+		}
+		c.list.Whole = config.Roster{Generation: 8, Reset: true, Workers: c.known}
+		srv := &http.Server{Handler: c.list}
+		t.Cleanup(func() { srv.Close(); time.Sleep(time.Minute) })
+		go srv.Serve(c.net.Listen("127.0.0.1:8500"))
+		kills := make([]func(), many)
+		for i := range kills {
+			kills[i] = c.start(i, 0)
+		}
+		t.Cleanup(func() {
+			for _, kill := range kills {
+				kill()
+			}
+		})
+		// Each part of the day: what happens to all at once, what one may call then, and what all may within 0.1 s.
+		for _, part := range []struct {
+			name         string
+			lasts        time.Duration
+			do           func()
+			byOne, crest int
+			up           int // watches that stand at the end of it
+		}{
+			{"all start together", 10 * time.Second, func() {}, 2, 15, many},
+			{"nothing happens", 20 * time.Second, func() {}, 0, 0, many},
+			{"two thirds are killed and start again together", 10 * time.Second, func() {
+				for i := range many * 2 / 3 {
+					kills[i]()
+				}
+				for i := range many * 2 / 3 {
+					kills[i] = c.start(i, 1)
+				}
+			}, 2, 15, many},
+			{"all watches end and all are turned away", 8 * time.Second, func() {
+				c.list.set(func() { c.list.Status = http.StatusServiceUnavailable; c.list.drop() })
+			}, 10, many, 0},
+			{"discovery is back", 12 * time.Second, func() { c.list.set(func() { c.list.Status = 0 }) }, 5, 15, many},
+			{"it holds", 10 * time.Second, func() {}, 0, 0, many},
+			{"all watches end once more", 10 * time.Second, func() { c.list.set(c.list.drop) }, 6, many, many},
+			{"it holds again", 10 * time.Second, func() {}, 0, 0, many},
+		} {
+			began := time.Since(c.birth)
+			part.do()
+			time.Sleep(part.lasts)
+			all, byOne, crest := c.between(began, time.Since(c.birth))
+			pairs, up := c.inStep(began, time.Since(c.birth)), 0
+			c.list.set(func() { up = c.list.up })
+			t.Logf("%s: %d calls, %d by one at most, %d within 0.1 s at most, %d pairs in step", part.name, all, byOne, crest, pairs)
+			if byOne > part.byOne || crest > part.crest {
+				t.Errorf("%s: %d calls, %d by one, %d within 0.1 s; %d and %d are allowed", part.name, all, byOne, crest, part.byOne, part.crest)
+			}
+			if pairs > 0 || up != part.up {
+				t.Errorf("%s: %d pairs call in step; %d watches are up, not %d", part.name, pairs, up, part.up)
+			}
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		t.Logf("%d calls came, %d were turned away, %d jobs answered", len(c.list.Calls()), c.list.turned, c.served)
+		if len(c.lost) > 0 || c.served < 5000 {
+			t.Errorf("%d jobs were answered, %d of them not served: %s", c.served, len(c.lost), strings.Join(c.lost[:min(len(c.lost), 10)], ", "))
+		}
+	})
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -256,6 +256,46 @@
 	calls   []string
 	Status  int  // 0: 200
 	Mute    bool // no line tells that the watch is up
+
+	Turn, Bears time.Duration // calls are taken one after the other, each for so long; who would wait longer gets 503
+	free        time.Time     // when the last call taken is through
+	over        chan struct{} // closed when all watches end
+	turned, up  int           // calls turned away; watches that stand
+}
+
+// set changes what the roster does from now on.
+func (r *Roster) set(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
+// drop ends all watches; call it within set.
+func (r *Roster) drop() {
+	if r.over != nil {
+		close(r.over)
+	}
+	r.over = make(chan struct{})
+}
+
+// queue keeps a call waiting for its turn; it tells whether there was one.
+func (r *Roster) queue() bool {
+	r.mu.Lock()
+	now := time.Now()
+	begin := now
+	if r.free.After(now) {
+		begin = r.free
+	}
+	end, ok := now.Add(r.Bears), begin.Sub(now) <= r.Bears
+	if ok {
+		r.free = begin.Add(r.Turn)
+		end = r.free
+	} else {
+		r.turned++
+	}
+	r.mu.Unlock()
+	time.Sleep(time.Until(end))
+	return ok
 }
 
 // Calls are the targets asked for so far.
@@ -268,7 +308,20 @@
 func (r *Roster) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.mu.Lock()
 	r.calls = append(r.calls, req.URL.String())
-	changes, status, whole := r.Changes, r.Status, r.Whole
+	r.mu.Unlock()
+	if r.Turn > 0 && !r.queue() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.mu.Lock()
+	if r.over == nil {
+		r.over = make(chan struct{})
+	}
+	changes, status, whole, over := r.Changes, r.Status, r.Whole, r.over
+	if status == 0 {
+		r.up++
+		defer r.set(func() { r.up-- })
+	}
 	r.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
@@ -300,6 +353,8 @@
 			}
 			io.WriteString(w, s+"\n")
 			w.(http.Flusher).Flush()
+		case <-over:
+			return
 		case <-req.Context().Done():
 			return
 		}
