Watch pushed lists from the start, and name settings that cannot be with what would be right

Change: where lists are pushed the watch comes up with the program and is called again whenever it ends or falls silent. A list of another deployment, or one older than the same watch has said, leaves the last good one in use, but for workers that leave; each is logged once. Modes (discovery, report.how, worth_by, effect, group) and numbers out of range stop the start with file, key, value and what would be right; a reload with one changes nothing. The planner's stand-in fleet wrote an effect that the wire does not know; it writes single_shot now.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -205,7 +205,7 @@
 	flatten(&lines, "", f.Settings)
 	var err error
 	if n.Module, err = wire.ParseSettings(lines.String()); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("NODE_CONFIG: %s: %w", getenv("NODE_CONFIG"), err)
 	}
 	if n.Classes, err = names(f.Settings, "classes"); err != nil {
 		return nil, err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -83,7 +83,8 @@
 			t.Errorf("%s: %v, %+v", k.to, err, n)
 		}
 	}
-	for _, text := range []string{"", whole[:len(whole)/2], whole + "}", whole + whole, strings.Replace(whole, "127.0.0.1:8500", "x", 1)} {
+	for _, text := range []string{"", whole[:len(whole)/2], whole + "}", whole + whole, strings.Replace(whole, "127.0.0.1:8500", "x", 1),
+		strings.Replace(whole, `"effect":"free"`, `"effect":"gratis"`, 1)} {
 		os.WriteFile(path, []byte(text), 0o600)
 		if _, err := config.Reload(getenv); err == nil {
 			t.Errorf("a file of %d bytes is read as whole", len(text))
@@ -105,6 +106,8 @@
 		{`"name":"univ-gaspesie"`, `"name":""`, "tenants.1.name"},
 		{`"max_attempts":3`, `"max_attempts":"x"`, "limits.max_attempts"},
 		{`"known":{`, `"known":{{`, "NODE_CONFIG"},
+		{`"discovery":"subscribe"`, `"discovery":"shout"`, `node.json: setting discovery: "shout" is not one of automatic, subscribe`},
+		{`"cold_from":0.3`, `"cold_from":3`, `node.json: setting invariants.cold_from: "3" is not in 0 to 1`},
 	} {
 		if _, err := load(t, strings.Replace(whole, k.from, k.to, 1), nil); err == nil || !strings.Contains(err.Error(), k.key) {
 			t.Errorf("%s: the error does not name %s: %v", k.to, k.key, err)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,7 +1,7 @@
 // Package roster keeps the watch on discovery's list of workers. It owns the
 // one call that is under way, the address it goes to, the version last heard of
-// there, and the watchdog that ends a watch gone silent. The first call comes when the module asks; after a
-// broken one this package calls again by itself, ever more rarely. It must never
+// there, and the watchdog that ends a watch gone silent. The first call comes when the module asks, or at once where lists
+// are pushed: there nobody asks. After a broken one this package calls again by itself, ever more rarely. It must never
 // have two calls out, judge a worker, or hide that a call has failed.
 package roster
 
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +31,12 @@
 	// Dial opens a connection; tests put their own in its place.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	node   *config.Node
 	lim    config.Limits
+	odd    [2]sync.Once // foreign and old lists are logged once
 	client *http.Client
 	asked  chan struct{}
+	pushed bool // an agent on this machine holds what it was sent, and gives it to whoever calls
 
 	mu         sync.Mutex
 	address    string
@@ -44,8 +48,9 @@
 
 // New makes a roster; the list that the node knows gives the version to go on from.
 func New(n *config.Node) *Roster {
-	r := &Roster{address: n.Discovery, lim: n.Limits, generation: n.Known.Generation, asked: make(chan struct{}, 1),
-		moved: make(chan struct{}, 1), hangUp: func(error) {}, Dial: (&net.Dialer{Timeout: n.Limits.RosterCall, KeepAlive: -1}).DialContext}
+	r := &Roster{node: n, address: n.Discovery, lim: n.Limits, generation: n.Known.Generation, asked: make(chan struct{}, 1),
+		pushed: n.Module.Discovery == ivyfold.Push,
+		moved:  make(chan struct{}, 1), hangUp: func(error) {}, Dial: (&net.Dialer{Timeout: n.Limits.RosterCall, KeepAlive: -1}).DialContext}
 	// Each call has a connection of its own: nothing is left for a library to send again.
 	r.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: n.Limits.RosterConns,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -104,6 +109,8 @@
 	if address, _, _ := r.called(r.hangUp); address == "" { // no discovery: the list is what the operator's file says
 		r.Listed(ivyfold.ListFull, nil)
 		first = nil
+	} else if r.pushed { // the module waits for lists that come unasked
+		r.Watch(true)
 	}
 	select {
 	case <-ctx.Done():
@@ -186,6 +193,7 @@
 	}
 	in := bufio.NewScanner(resp.Body)
 	in.Buffer(make([]byte, 0, 4<<10), r.lim.Roster)
+	newest := int64(0) // of this watch: what stands at its start is what discovery holds, whatever was known before
 	for in.Scan() {
 		dog.Reset(r.lim.RosterSilent)
 		up = true
@@ -205,18 +213,38 @@
 			}
 			return up, err
 		}
-		if !r.reached(list.Generation, moves) { // an old address has no say any more
-			return up, errMoved
-		}
 		kind := ivyfold.ListDelta
-		if list.Reset {
+		switch {
+		case r.foreign(list.Workers):
+			r.odd[0].Do(func() {
+				log.Printf("a list of %d workers, none of them of this deployment, is passed over", len(list.Workers))
+			})
+			continue
+		case list.Generation < newest:
+			// The newer one stays in use. Who was to leave may be told so twice, but never be spared for it.
+			r.odd[1].Do(func() {
+				log.Printf("a list of version %d came after version %d: only who leaves counts", list.Generation, newest)
+			})
+			list.Workers = slices.DeleteFunc(list.Workers, func(w config.Worker) bool { return w.State == "ready" })
+		case list.Reset:
 			kind = ivyfold.ListFull
 		}
+		newest = max(newest, list.Generation)
+		if !r.reached(newest, moves) { // an old address has no say any more
+			return up, errMoved
+		}
 		r.Listed(kind, list.Workers)
 	}
 	return up, in.Err()
 }
 
+// foreign tells whether a list has workers, and none of a kind and zone that the settings name.
+func (r *Roster) foreign(workers []config.Worker) bool {
+	return len(workers) > 0 && len(r.node.Zones) > 0 && len(r.node.Kinds) > 0 && !slices.ContainsFunc(workers, func(w config.Worker) bool {
+		return w.State == "gone" || slices.Contains(r.node.Zones, w.Zone) && slices.Contains(r.node.Kinds, w.Kind)
+	})
+}
+
 // whole gives the entries that stand whole in a line, as far as it can be read.
 func whole(text []byte) (out []config.Worker) {
 	in := json.NewDecoder(bytes.NewReader(text))
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -249,7 +249,7 @@
 	ns := func(s float64) int64 { return int64(dur(s)) }
 	var classes, tenants []any
 	var kinds, stretch, class []any
-	effect := map[string]string{"safe": "free", "keyed": "guarded", "unsafe": "unsafe"}
+	effect := map[string]string{"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
 	for _, c := range d.Classes {
 		classes = append(classes, map[string]any{"name": c.Name, "aim": ns(c.AimS), "deadline": ns(c.DeadlineS), "effect": effect[c.Effect], "group": "all",
 			"late_value": c.LateWorth, "value": c.Worth, "window": ns(c.WindowS)})
--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -55,6 +55,7 @@
 	client *http.Client
 	ends   []func()
 	spare  int // client connections allowed, where not the usual number
+	pushed bool
 }
 
 type options struct{ queues, amqp, lostQueue bool }
@@ -129,6 +130,9 @@
 	r.list.Whole = config.Roster{Generation: 8, Reset: true, Workers: listed}
 	r.list.mu.Unlock()
 	n := Node(r.t, listed, text)
+	if r.pushed {
+		n.Module.Discovery = ivyfold.Push
+	}
 	if r.spare > 0 {
 		n.Limits.PortalConns, n.Limits.PortalFresh = r.spare, r.spare/3
 	}
@@ -735,6 +739,66 @@
 	})
 }
 
+// Where lists are pushed nobody asks for them: the agent on the dispatcher's machine is called at the start, and again
+// whenever a watch at it ends. Before, it was not called at all, and a dispatcher knew what its start had told it.
+func TestPushedListsAreHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t)
+		r.pushed = true
+		r.start(options{})
+		if calls := r.list.Calls(); len(calls) != 1 {
+			t.Fatalf("calls %v", calls)
+		}
+		const drains = `{"generation":9,"reset":false,"instances":[{"instanceId":"s-0badcafe","hostPort":"127.0.1.0:5000",` +
+			`"zone":"montreal","machineType":"std-2c","lifecycle":"draining","weight":1}]}`
+		r.list.Changes <- drains
+		synctest.Wait()
+		if w := r.core.Workers(); w != [3]int{0, 3, 1} {
+			t.Errorf("workers by state: %v", w)
+		}
+		r.list.set(func() { r.list.Mute = true; r.list.drop() }) // discovery is down: the agent says what it holds, then nothing
+		time.Sleep(30 * time.Second)
+		if calls := len(r.list.Calls()); calls < 3 || calls > 20 || r.core.Workers() != [3]int{0, 4, 0} {
+			t.Errorf("%d calls in half a minute of silence, workers %v", calls, r.core.Workers())
+		}
+		r.list.Changes <- drains
+		synctest.Wait()
+		if w := r.core.Workers(); w != [3]int{0, 3, 1} {
+			t.Errorf("after the silence: workers by state %v", w)
+		}
+	})
+}
+
+// A list of another deployment, or one older than what the same watch has said, leaves the last good one in use; only
+// who leaves by an older list is not sent to any more.
+func TestForeignAndOldLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := world(t).start(options{})
+		for _, step := range []struct {
+			line string
+			want [3]int // gone, ready, draining
+		}{
+			{`{"generation":20,"reset":false,"instances":[]}`, [3]int{0, 4, 0}},
+			{`{"generation":30,"reset":true,"instances":[{"instanceId":"x-1","hostPort":"127.0.9.1:1","zone":"mars","machineType":"rover","lifecycle":"ready"}]}`, [3]int{0, 4, 0}},
+			{`{"generation":9,"reset":true,"instances":[]}`, [3]int{0, 4, 0}},
+			{`{"error":"no such list"}`, [3]int{0, 4, 0}},
+			{`{"generation":9,"reset":false,"instances":[{"instanceId":"s-0badcafe","hostPort":"127.0.1.0:5000","zone":"montreal","machineType":"std-2c","lifecycle":"draining"}]}`, [3]int{0, 3, 1}},
+			{`{"generation":8,"reset":false,"instances":[{"instanceId":"s-0badcafe","hostPort":"127.0.1.0:5000","zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, [3]int{0, 3, 1}},
+			{`{"generation":21,"reset":false,"instances":[{"instanceId":"s-0badcafe","hostPort":"127.0.1.0:5000","zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, [3]int{0, 4, 0}},
+			{`{"generation":22,"reset":true,"instances":[]}`, [3]int{0, 0, 0}},
+		} {
+			r.list.Changes <- step.line
+			synctest.Wait()
+			if w := r.core.Workers(); w != step.want {
+				t.Errorf("%s: workers by state %v, not %v", step.line, w, step.want)
+			}
+		}
+		if calls := r.list.Calls(); len(calls) != 1 {
+			t.Errorf("calls %v: the watch did not hold", calls)
+		}
+	})
+}
+
 // Discovery at another address: the old watch ends at once, the new one asks for everything whatever version the old
 // address was at, nothing that the old one says counts any more, and the job that is out goes on.
 func TestDiscoveryMoves(t *testing.T) {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -42,13 +43,45 @@
 	})
 }
 
-func (p *pairs) int(key string, otherwise int) int { return read(p, key, otherwise, strconv.Atoi) }
+// bad notes what is wrong with a value; the first such note is the error.
+func (p *pairs) bad(key, right string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("setting %s: %q is not %s", key, p.m[key], right)
+	}
+}
+
+// within reads a number that has bounds.
+func (p *pairs) within(key string, otherwise, least, most float64) float64 {
+	v := p.float(key, otherwise)
+	if p.m[key] != "" && !(v >= least && v <= most) {
+		p.bad(key, fmt.Sprintf("in %g to %g", least, most))
+	}
+	return v
+}
+
+// int reads a whole number from least on.
+func (p *pairs) int(key string, otherwise, least int) int {
+	v := read(p, key, otherwise, strconv.Atoi)
+	if p.m[key] != "" && v < least {
+		p.bad(key, fmt.Sprintf("%d or more", least))
+	}
+	return v
+}
 
 func (p *pairs) flag(key string) bool { return read(p, key, false, strconv.ParseBool) }
 
 // span reads nanoseconds, which may be written as a float.
 func (p *pairs) span(key string) time.Duration {
-	return time.Duration(min(max(p.float(key, 0), -math.MaxInt64), math.MaxInt64/2))
+	return time.Duration(min(p.within(key, 0, 0, math.MaxInt64), math.MaxInt64/2))
+}
+
+// mode reads one of a few words; none at all leaves what the settings do not state.
+func (p *pairs) mode(key string, words ...string) string {
+	v := p.m[key]
+	if v != "" && !slices.Contains(words, v) {
+		p.bad(key, "one of "+strings.Join(words, ", "))
+	}
+	return v
 }
 
 // list splits a list of simple values.
@@ -82,71 +115,72 @@
 		}
 	}
 	const most = 1 << 16
-	classes, tenants := p.int("classes.count", 0), p.int("tenants.count", 0)
-	for key, n := range map[string]int{"classes.count": classes, "tenants.count": tenants} {
-		if n < 0 || n > most {
-			return ivyfold.Settings{}, fmt.Errorf("setting %s: %d is out of range", key, n)
-		}
+	classes, tenants := int(p.within("classes.count", 0, 0, most)), int(p.within("tenants.count", 0, 0, most))
+	if p.err != nil {
+		return ivyfold.Settings{}, p.err
 	}
 	s := ivyfold.Settings{
-		Self:          p.int("position", 0),
-		Dispatchers:   p.int("balancers", 0),
-		Zone:          p.int("zone", 0),
+		Self:          p.int("position", 0, 0),
+		Dispatchers:   p.int("balancers", 0, 0),
+		Zone:          p.int("zone", 0, 0),
 		Kinds:         len(p.list("kinds")),
 		Zones:         len(p.list("zones")),
 		AskWithin:     p.span("invariants.ask_within"),
 		DrainGrace:    p.span("invariants.drain_grace"),
 		AnswerGrace:   p.span("invariants.grace_to_answer"),
-		ColdShare:     p.float("invariants.cold_from", 0),
+		ColdShare:     p.within("invariants.cold_from", 0, 0, 1),
 		WarmAfter:     p.span("invariants.warm_after"),
-		FallMultiple:  p.float("invariants.fall_multiple", 0),
+		FallMultiple:  p.within("invariants.fall_multiple", 0, 0, 1e6),
 		FallSpan:      p.span("invariants.fall"),
 		DrainClose:    p.span("invariants.drain_close"),
 		FullUnproven:  p.flag("invariants.full_unproven"),
 		TailPart:      p.float("goal.tail_part", 0),
 		BorneMisses:   p.float("goal.borne_misses", 0),
 		ConnIdle:      p.span("limits.conn_idle"),
-		MaxAttempts:   p.int("limits.max_attempts", 0),
+		MaxAttempts:   p.int("limits.max_attempts", 0, 0),
 		ParallelTries: p.flag("limits.parallel_tries"),
 		Cancel:        p.flag("limits.cancelling"),
 		Probes:        p.flag("limits.probes"),
 		Peers:         p.flag("limits.peers"),
 		RetryAfter:    p.flag("limits.retry_after"),
 		MaxRetryAfter: p.span("limits.max_retry_after"),
-		CrossZone:     p.float("deductions.cross_zone", 0),
-		WorthByWork:   p.m["worth_by"] == "work",
-		OverWorth:     p.float("over_share_worth", 1),
+		CrossZone:     p.within("deductions.cross_zone", 0, 0, 1e6),
+		WorthByWork:   p.mode("worth_by", "request", "work") == "work",
+		OverWorth:     p.within("over_share_worth", 1, 0, 1e6),
 		TellsStart:    p.flag("specifics.tells_start"),
 		Progress:      p.span("specifics.progress"),
 		Report:        report(p),
-		ReportByWord:  p.m["report.how"] == "piggyback",
+		ReportByWord:  p.mode("report.how", "piggyback", "pull", "silent") == "piggyback",
 		Tick:          p.span("round"),
 	}
-	if p.m["discovery"] == "subscribe" {
+	if p.mode("discovery", "automatic", "subscribe") == "subscribe" {
 		s.Discovery = ivyfold.Ask
 	}
+	if s.Zones > 0 && s.Zone >= s.Zones {
+		p.bad("zone", fmt.Sprintf("below %d, the number of zones", s.Zones))
+	}
 	kinds, priorities, stretches := p.list("specifics.class_kind"), p.list("specifics.class_priority"), p.list("specifics.class_stretch")
 	for i := range classes {
 		at := fmt.Sprintf("classes.%d.", i)
 		c := ivyfold.ClassSettings{
 			Aim:      p.span(at + "aim"),
-			Stretch:  p.float(at+"aim_stretch", 0),
+			Stretch:  p.within(at+"aim_stretch", 0, 0, 1e6),
 			Deadline: p.span(at + "deadline"),
 			Window:   p.span(at + "window"),
-			Worth:    p.float(at+"value", 1),
-			Late:     p.float(at+"late_value", 0),
+			Worth:    p.within(at+"value", 1, 0, 1e12),
+			Late:     p.within(at+"late_value", 0, 0, 1),
 			Stream:   p.flag(at + "stream"),
 			Kind:     -1,
 			BoundTo:  p.numbers(at + "bound_to"),
 			Zones:    p.numbers(at + "zones_open"),
 		}
-		switch p.m[at+"effect"] {
+		switch p.mode(at+"effect", "free", "guarded", "single_shot") { // not stated: it must never run twice
 		case "free":
 			c.Effect = ivyfold.Safe
 		case "guarded":
 			c.Effect = ivyfold.Keyed
 		}
-		switch p.m[at+"group"] {
+		switch p.mode(at+"group", "all", "zone", "cell") { // not stated: the narrowest
 		case "all":
 			c.Group = ivyfold.GroupAll
 		case "zone":
@@ -166,8 +200,8 @@
 			}
 			text := f.list[min(i, len(f.list)-1)]
 			v, err := strconv.ParseFloat(text, 64)
-			if err != nil {
-				return s, fmt.Errorf("setting specifics, class %d: %q is not a number", i, text)
+			if err != nil || !(v >= -1 && v < 1e6) {
+				return s, fmt.Errorf("setting specifics, class %d: %q is no number from -1 on", i, text)
 			}
 			f.set(v)
 		}
@@ -176,7 +210,7 @@
 	for i := range tenants {
 		at := fmt.Sprintf("tenants.%d.", i)
 		s.Tenants = append(s.Tenants, ivyfold.TenantSettings{
-			Share: p.float(at+"portion", 0), PerSec: p.float(at+"allowance_per_s", 0),
+			Share: p.within(at+"portion", 0, 0, 1e6), PerSec: p.within(at+"allowance_per_s", 0, 0, 1e12),
 		})
 	}
 	return s, p.err
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"reflect"
@@ -271,6 +272,7 @@
 invariants.full_unproven=true
 goal.tail_part=0.3
 goal.borne_misses=0.02
+worth_by=work
 `)
 	if err != nil {
 		t.Fatal(err)
@@ -281,7 +283,7 @@
 		c[1].Effect != ivyfold.Keyed || c[1].Group != ivyfold.GroupZone || c[1].Kind != 1 || c[1].Stretch != 2.5 || c[1].Worth != 1 {
 		t.Errorf("read %+v", s)
 	}
-	if s.Zones != 3 || s.DrainClose != 800*time.Millisecond || !s.FullUnproven || s.TailPart != 0.3 || s.BorneMisses != 0.02 ||
+	if s.Zones != 3 || s.DrainClose != 800*time.Millisecond || !s.FullUnproven || s.TailPart != 0.3 || s.BorneMisses != 0.02 || !s.WorthByWork ||
 		!slices.Equal(c[0].BoundTo, []int{1}) || len(c[0].Zones) > 0 || !slices.Equal(c[1].Zones, []int{0, 2}) || len(c[1].BoundTo) > 0 {
 		t.Errorf("read %+v", s)
 	}
@@ -290,6 +292,28 @@
 			t.Errorf("%s: error %v", bad, err)
 		}
 	}
+	for _, bad := range []struct{ key, value, right string }{ // key, value and what would be right are named
+		{"discovery", "shout", "one of automatic, subscribe"},
+		{"report.how", "post", "one of piggyback, pull, silent"},
+		{"worth_by", "weight", "one of request, work"},
+		{"classes.0.effect", "unsafe", "one of free, guarded, single_shot"},
+		{"classes.0.group", "house", "one of all, zone, cell"},
+		{"classes.0.window", "-5", "in 0 to"},
+		{"classes.0.late_value", "1.5", "in 0 to 1"},
+		{"classes.0.value", "-1", "in 0 to"},
+		{"invariants.cold_from", "1.1", "in 0 to 1"},
+		{"invariants.drain_grace", "-1", "in 0 to"},
+		{"limits.max_attempts", "-1", "0 or more"},
+		{"tenants.0.portion", "-0.5", "in 0 to"},
+		{"deductions.cross_zone", "-0.1", "in 0 to"},
+		{"zone", "5", "below 2, the number of zones"},
+		{"position", "-1", "0 or more"},
+	} {
+		_, err := ParseSettings("classes.count=1\ntenants.count=1\nzones=a,b\n" + bad.key + "=" + bad.value)
+		if err == nil || !strings.Contains(err.Error(), fmt.Sprintf("setting %s: %q is not %s", bad.key, bad.value, bad.right)) {
+			t.Errorf("%s=%s: error %v", bad.key, bad.value, err)
+		}
+	}
 }
 
 func FuzzServe(f *testing.F) {
--- a/rules_test.go
+++ b/rules_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -229,12 +230,12 @@
 }
 
 // play runs a seeded sequence of legal events with scripted outcomes and returns what was done.
-func play(t *testing.T, seed uint64, s Settings, keys uint64) []string {
+func play(t *testing.T, seed uint64, s Settings, keys uint64, jobs JobID) []string {
 	c := newChecker(t, s, seed)
 	rng := rand.New(rand.NewPCG(seed, 1))
 	list := fleet(24)
 	c.event(Event{Kind: EventList, List: ListCached, Entries: list})
-	for id := JobID(0); id < 3000; {
+	for id := JobID(0); id < jobs; {
 		for range rng.IntN(3) {
 			id++
 			c.event(Event{Kind: EventJob, Job: id, Class: rng.IntN(len(s.Classes)), Tenant: rng.IntN(7) - 1,
@@ -315,7 +316,9 @@
 			s.Classes[0].BoundTo, s.FullUnproven, s.DrainClose = []int{0}, true, 200*time.Millisecond
 			s.Probes, s.Report.FreeSlots, s.Cancel, s.ReportByWord = true, 0, false, true
 		},
-		"probes": func(s *Settings) { s.Probes, s.Report.FreeSlots = true, 0 },
+		"many share": shared,
+		"few, dear":  few,
+		"probes":     func(s *Settings) { s.Probes, s.Report.FreeSlots = true, 0 },
 		"reports": func(s *Settings) {
 			s.ReportByWord, s.ParallelTries, s.Report = true, false, Report{0, -1, 1, -1, -1, -1}
 		},
@@ -326,8 +329,8 @@
 				s := site()
 				change(&s)
 				keys := map[string]uint64{"keys": 1, "all at once": 1}[name]
-				first := play(t, seed, s, keys)
-				if !slices.Equal(first, play(t, seed, s, keys)) {
+				first := play(t, seed, s, keys, 3000)
+				if !slices.Equal(first, play(t, seed, s, keys, 3000)) {
 					t.Fatalf("seed %d: the same events gave other actions", seed)
 				}
 				if len(first) < 1000 {
@@ -338,6 +341,67 @@
 	}
 }
 
+// random draws settings within what the wire can say.
+func random(rng *rand.Rand) Settings {
+	flip := func() bool { return rng.IntN(2) == 0 }
+	ms := func(least, most int) time.Duration {
+		return time.Duration(least+rng.IntN(most-least+1)) * time.Millisecond
+	}
+	s := Settings{
+		Dispatchers: 1 + rng.IntN(300)>>rng.IntN(9), Kinds: 1 + rng.IntN(4), Zones: rng.IntN(6), Zone: rng.IntN(3),
+		Discovery: Discovery(rng.IntN(2)), AskWithin: ms(1000, 20000), DrainGrace: ms(100, 3000), AnswerGrace: 8 * time.Millisecond,
+		ColdShare: 0.1 + 0.8*rng.Float64(), WarmAfter: ms(1000, 20000), FallMultiple: 2 + 3*rng.Float64(), FallSpan: ms(300, 3000),
+		FullUnproven: flip(), ConnIdle: ms(0, 30000), MaxAttempts: rng.IntN(5), ParallelTries: flip(), Cancel: flip(), Probes: flip(),
+		Peers: flip(), RetryAfter: flip(), MaxRetryAfter: ms(0, 2000), CrossZone: 0.1 * rng.Float64() * float64(rng.IntN(2)),
+		WorthByWork: flip(), OverWorth: rng.Float64(), TellsStart: flip(), Progress: ms(0, 2000), ReportByWord: flip(),
+		Report: Report{-1, -1, -1, -1, -1, -1}, Tick: ms(1, 10),
+	}
+	if flip() {
+		s.DrainClose = ms(100, 1000)
+	}
+	at := rng.Perm(4)
+	for i, field := range []*int{&s.Report.FreeSlots, &s.Report.Queue, &s.Report.InFlight, &s.Report.Util} {
+		if rng.IntN(4) > 0 {
+			*field = at[i]
+		}
+	}
+	for range 1 + rng.IntN(4) {
+		c := ClassSettings{Aim: ms(0, 1000), Stretch: 3 * rng.Float64(), Deadline: ms(500, 12000), Effect: Effect(rng.IntN(3)),
+			Group: Group(rng.IntN(3)), Window: ms(0, 20000), Worth: 10 * rng.Float64(), Late: rng.Float64() * float64(rng.IntN(2)), Kind: -1}
+		if rng.IntN(6) == 0 {
+			c.BoundTo = []int{rng.IntN(s.Kinds)}
+		}
+		if rng.IntN(6) == 0 {
+			c.Zones = []int{rng.IntN(3), rng.IntN(3)}
+		}
+		s.Classes = append(s.Classes, c)
+	}
+	for range rng.IntN(9) {
+		s.Tenants = append(s.Tenants, TenantSettings{Share: rng.Float64(), PerSec: 30 * rng.Float64()})
+	}
+	return s
+}
+
+// The rules hold at deployments that nobody has described yet: 80 settings, some 600 jobs and as many steps each, always
+// the same ones. The cold budget is not among what the checker sees; its tests are TestColdWorkerIsNotPushedOver and
+// TestManyDispatchersShareAColdWorker.
+func TestRulesHoldOnRandomSettings(t *testing.T) {
+	sends, answers := 0, 0
+	for seed := range uint64(80) {
+		s := random(rand.New(rand.NewPCG(seed, 2)))
+		for _, line := range play(t, seed, s, seed%2, 600) {
+			sends += count(strings.Contains(line, fmt.Sprintf("{Kind:%d ", Send)))
+			answers += count(strings.Contains(line, fmt.Sprintf("{Kind:%d ", Refuse)) || strings.Contains(line, fmt.Sprintf("{Kind:%d ", Fail)))
+		}
+		if t.Failed() {
+			t.Fatalf("seed %d: %+v", seed, s)
+		}
+	}
+	if sends < 30000 || answers < 10000 {
+		t.Errorf("%d sends and %d refusals and failures: the settings leave too little to see", sends, answers)
+	}
+}
+
 func TestEveryOutcomeByEffectClass(t *testing.T) {
 	const again, refuse, fail, done = "again", "refuse", "fail", "done"
 	for _, tc := range []struct {
