Add the membership's state machine: probes, a jury's inquiry, and views that a majority agrees on

Need: dispatchers know of no other; the state that is to outlive a machine and the choices that are to add up stand on who is there. Off: nothing loads it yet.

Change: internal/membership, a machine without I/O, clock or goroutine. Probes with relays accuse; an accused member's jury (7 of the view by rendezvous hash) looks into it for longer than the longest pause that is borne, and only an answer or news of its own ends that; a majority of the jury makes it ripe, and a majority of the view agrees on the next view in ballots, batches of failures in one. A side without a majority takes nobody for failed, only for unknown. A member that was stopped itself accuses nobody; an ended life never comes back, a returned one is a new life. Datagrams of 256 bytes at most in CBOR (fxamacker/cbor) behind a version byte. internal/membership/world plays members in virtual time, with an auditor of the record.

--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,324 @@
+// Members in virtual time: what happens to them, and what their record must show at the end. No clock of the machine
+// plays a part, and every run is the same.
+
+package membership_test
+
+import (
+	"flag"
+	"slices"
+	"testing"
+	"time"
+
+	"ivyfold/internal/membership"
+	"ivyfold/internal/membership/world"
+)
+
+func init() { flag.Set("rapid.seed", "20261201") } // the same steps in every run
+
+// up is a world of n nodes that have found each other.
+func up(t *testing.T, n, zones int, seed uint64) *world.World {
+	t.Helper()
+	w := world.New(n, zones, seed)
+	for i, x := range w.Nodes {
+		w.At(time.Duration(i)*20*time.Millisecond, func() { w.Start(x) })
+	}
+	w.Run(20*time.Second + time.Duration(n)*50*time.Millisecond)
+	if id, ok := w.Agreed(); !ok {
+		t.Fatalf("%d nodes have not found each other after %v (%v)", n, w.Now, id)
+	}
+	return w
+}
+
+func audit(t *testing.T, w *world.World) {
+	t.Helper()
+	for i, f := range w.Audit() {
+		if i < 10 {
+			t.Error(f)
+		}
+	}
+}
+
+// settle runs a quiet stretch, after which all that are up must have one view of themselves.
+func settle(t *testing.T, w *world.World) {
+	t.Helper()
+	w.Run(w.Now + 30*time.Second)
+	if id, ok := w.Agreed(); !ok {
+		t.Errorf("no agreement 30 s after the last trouble (last view %v)", id)
+		for _, e := range w.Record[max(0, len(w.Record)-12):] {
+			t.Logf("%v %s: %+v %+v", e.At, w.Nodes[e.Node].Name, e.Change, e.Notice)
+		}
+	}
+	audit(t, w)
+}
+
+func TestACrashIsToldToAllInOneView(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{3, 9, 60} {
+		w := up(t, n, 3, 1)
+		var first, last []time.Duration
+		for k := range 5 {
+			x := w.Nodes[(n/2+7*k)%n]
+			life, at := x.Life, w.Now
+			w.Kill(x)
+			w.Run(w.Now + 12*time.Second)
+			failed := w.When(x.Name, life, membership.Failed, at)
+			if len(failed) != n-1 || failed[0] < 3*time.Second {
+				t.Fatalf("%d members: failed is known to %d, from %v on", n, len(failed), failed)
+			}
+			first, last = append(first, w.When(x.Name, life, membership.Suspect, at)[0]), append(last, failed[n-2])
+			if got := w.Views(at, w.Now); got != 1 {
+				t.Errorf("%d members: %d views for one crash", n, got)
+			}
+			w.Start(x)
+			settle(t, w)
+		}
+		slices.Sort(first)
+		slices.Sort(last)
+		t.Logf("%d members, 5 crashes: suspected by somebody after %v, failed for all after %v", n, first, last)
+		if first[2] > 1500*time.Millisecond || last[2] > 5500*time.Millisecond || last[4] > 9*time.Second {
+			t.Errorf("%d members: suspected after %v, failed for all after %v", n, first, last)
+		}
+	}
+}
+
+func TestNobodyThereIsTakenForFailed(t *testing.T) {
+	t.Parallel()
+	for name, trouble := range map[string]func(w *world.World){
+		"loss":   func(w *world.World) { w.Loss = 0.2 },
+		"loss30": func(w *world.World) { w.Loss = 0.3 },
+		"delays": func(w *world.World) {
+			w.Delay, w.Double = [2]time.Duration{time.Millisecond, 500 * time.Millisecond}, 0.2
+		},
+		"pauses": func(w *world.World) {
+			w.Loss = 0.05
+			for i := range 60 {
+				x := w.Nodes[i*5%len(w.Nodes)]
+				w.At(w.Now+time.Duration(i)*2*time.Second, func() { w.Stop(x, []time.Duration{500 * time.Millisecond, 3 * time.Second}[i%2]) })
+			}
+		},
+		"all stopped in turns": func(w *world.World) {
+			for i := range 4 * len(w.Nodes) {
+				x := w.Nodes[i%len(w.Nodes)]
+				w.At(w.Now+time.Duration(i)*700*time.Millisecond, func() { w.Stop(x, 2500*time.Millisecond) })
+			}
+		},
+		"one way": func(w *world.World) {
+			a, b := w.Nodes[0], w.Nodes[1]
+			w.Cut = func(from, to *world.Node) bool { return from == a && to == b }
+		},
+		"one link": func(w *world.World) {
+			a, b := w.Nodes[0], w.Nodes[1]
+			w.Cut = func(from, to *world.Node) bool { return from == a && to == b || from == b && to == a }
+		},
+		"a bad member": func(w *world.World) { // half of what it sends and gets is lost
+			n := 0
+			w.Cut = func(from, to *world.Node) bool { n++; return (from == w.Nodes[2] || to == w.Nodes[2]) && n%2 == 0 }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := up(t, 15, 3, 2)
+			trouble(w)
+			w.Run(w.Now + time.Minute)
+			w.Loss, w.Cut, w.Double, w.Delay = 0, nil, 0, [2]time.Duration{time.Millisecond, 5 * time.Millisecond}
+			settle(t, w)
+			for _, e := range w.Record {
+				if e.Change != nil && e.Change.State == membership.Failed {
+					t.Fatalf("%v: %s takes %s for failed", e.At, w.Nodes[e.Node].Name, e.Change.Name)
+				}
+			}
+		})
+	}
+}
+
+// A chain in which neighbours alone hear each other: too few hear the ends to say anything of the others, and nobody fails.
+func TestAChain(t *testing.T) {
+	t.Parallel()
+	w := up(t, 5, 1, 3)
+	w.Cut = func(from, to *world.Node) bool {
+		i, k := slices.Index(w.Nodes, from), slices.Index(w.Nodes, to)
+		return i-k > 1 || k-i > 1
+	}
+	w.Run(w.Now + time.Minute)
+	for _, e := range w.Record {
+		if e.Change != nil && e.Change.State == membership.Failed {
+			t.Errorf("%v: %s takes %s for failed", e.At, w.Nodes[e.Node].Name, e.Change.Name)
+		}
+	}
+	w.Cut = nil
+	settle(t, w)
+}
+
+// A cut of three and two: the larger side goes on, the smaller knows that it is one and says of nobody that he has failed.
+func TestACutAndItsEnd(t *testing.T) {
+	t.Parallel()
+	for _, small := range []int{1, 2} {
+		w := up(t, 5, 1, uint64(small))
+		side := func(n *world.Node) bool { return slices.Index(w.Nodes, n) < small }
+		for _, n := range w.Nodes[:small] {
+			w.Hurt(n)
+		}
+		w.Cut = func(from, to *world.Node) bool { return side(from) != side(to) }
+		began := w.Now
+		w.Run(w.Now + 20*time.Second)
+		for i, n := range w.Nodes {
+			m := n.Member.(*membership.Machine)
+			if v := m.View(); m.Quorum() != (i >= small) || i >= small && len(v.Members) != 5-small || i < small && len(v.Members) != 5 {
+				t.Errorf("%s: quorum %v, view %v of %d", n.Name, m.Quorum(), v.ViewID, len(v.Members))
+			}
+		}
+		for _, e := range w.Record {
+			if c := e.Change; c != nil && c.State == membership.Failed && e.At > began && e.Node < small {
+				t.Errorf("%s, on the smaller side, takes %s for failed", w.Nodes[e.Node].Name, c.Name)
+			}
+		}
+		w.Cut = nil
+		for _, n := range w.Nodes[:small] {
+			w.Ease(n)
+		}
+		settle(t, w)
+	}
+}
+
+func TestLeavingIsTold(t *testing.T) {
+	t.Parallel()
+	w := up(t, 9, 3, 4)
+	x := w.Nodes[4]
+	life, at := x.Life, w.Now
+	w.Tell(x, membership.Event{Kind: membership.Leave})
+	w.Run(w.Now + 3*time.Second)
+	w.Kill(x)
+	left := w.When(x.Name, life, membership.Left, at)
+	if len(left) != 8 || left[7] > 2*time.Second || len(w.When(x.Name, life, membership.Failed, at)) > 0 {
+		t.Errorf("known to %d, %v; failed for %d", len(left), left, len(w.When(x.Name, life, membership.Failed, at)))
+	}
+	settle(t, w)
+}
+
+// Two thirds are killed at once and come back within a second, cold: no majority has a memory, and yet they find together.
+func TestTwoThirdsStartAnew(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{3, 9, 24} {
+		w := up(t, n, 3, 5)
+		for _, x := range w.Nodes[:n*2/3] {
+			w.Kill(x)
+		}
+		w.Run(w.Now + 800*time.Millisecond)
+		for _, x := range w.Nodes[:n*2/3] {
+			w.Start(x)
+		}
+		settle(t, w)
+	}
+}
+
+func TestALongStopAndADeafMember(t *testing.T) {
+	t.Parallel()
+	w := up(t, 9, 3, 6)
+	x, at, life := w.Nodes[3], w.Now, w.Nodes[3].Life
+	w.Stop(x, 30*time.Second)
+	w.Run(w.Now + 20*time.Second)
+	if got := len(w.When(x.Name, life, membership.Failed, at)); got != 8 {
+		t.Errorf("stopped for 20 s, it has failed for %d of 8", got)
+	}
+	w.Run(w.Now + 10*time.Second)
+	settle(t, w)
+	y, at := w.Nodes[5], w.Now
+	y.Deaf = true
+	w.Hurt(y)
+	w.Run(w.Now + 20*time.Second)
+	if got := len(w.When(y.Name, y.Life, membership.Failed, at)); got != 8 {
+		t.Errorf("sending and hearing nothing, it has failed for %d of 8", got)
+	}
+	for _, e := range w.Record {
+		if c := e.Change; c != nil && c.State == membership.Failed && e.At > at && c.Name != y.Name {
+			t.Errorf("%s is taken for failed by %s, on a deaf member's word", c.Name, w.Nodes[e.Node].Name)
+		}
+	}
+	y.Deaf = false
+	w.Ease(y)
+	settle(t, w)
+}
+
+// One name at two places: both are told, the later start keeps it, and neither comes and goes.
+func TestOneNameTwice(t *testing.T) {
+	t.Parallel()
+	w := up(t, 6, 3, 7)
+	a, b := w.Nodes[2], w.Nodes[5]
+	w.Kill(b)
+	w.Run(w.Now + 15*time.Second)
+	b.Name = a.Name
+	w.Start(b)
+	w.Run(w.Now + 20*time.Second)
+	notices := map[int]map[string]int{}
+	for _, e := range w.Record {
+		if e.Notice != nil {
+			if notices[e.Node] == nil {
+				notices[e.Node] = map[string]int{}
+			}
+			notices[e.Node][e.Notice.Kind]++
+		}
+	}
+	if notices[2]["superseded"] != 1 || notices[2]["expelled"] > 0 || notices[5]["expelled"] > 0 {
+		t.Errorf("notices: %v", notices)
+	}
+	if v := b.Member.(*membership.Machine).View(); !v.Has(b.Name, b.Life) || len(v.Members) != 5 {
+		t.Errorf("view %+v", v)
+	}
+}
+
+func TestSeedsThatAreDead(t *testing.T) {
+	t.Parallel()
+	w := world.New(4, 1, 8)
+	w.Make = func(n *world.Node, seed uint64) (world.Member, error) {
+		return membership.New(membership.Config{Name: n.Name, Zone: n.Zone, At: n.Addr, Life: n.Life, Seed: seed, Seeds: w.Seeds(2)}, w.Now)
+	}
+	w.Start(w.Nodes[2])
+	w.Run(10 * time.Second) // alone
+	if v := w.Nodes[2].Member.(*membership.Machine).View(); len(v.Members) != 1 {
+		t.Errorf("with dead seeds it is in %+v", v)
+	}
+	w.Start(w.Nodes[0]) // a seed comes back, and another that knows only the seeds
+	w.Start(w.Nodes[3])
+	settle(t, w)
+}
+
+// A zone of thirds is lost and comes back: one change of the view each way is the aim.
+func TestAZoneIsLostInOneView(t *testing.T) {
+	t.Parallel()
+	w := up(t, 60, 3, 9)
+	at := w.Now
+	for i := 0; i < 60; i += 3 {
+		w.Kill(w.Nodes[i])
+	}
+	w.Run(w.Now + 15*time.Second)
+	if got := w.Views(at, w.Now); got != 1 {
+		t.Errorf("%d views for a zone lost", got)
+	}
+	settle(t, w)
+	for i := 0; i < 60; i += 3 {
+		w.Start(w.Nodes[i])
+	}
+	settle(t, w)
+}
+
+func TestRollingRestartAndGrowth(t *testing.T) {
+	t.Parallel()
+	w := up(t, 30, 3, 10)
+	for i := range 10 { // a tenth at a time
+		for _, x := range w.Nodes[3*i : 3*i+3] {
+			w.Tell(x, membership.Event{Kind: membership.Leave})
+		}
+		w.Run(w.Now + 2500*time.Millisecond)
+		for _, x := range w.Nodes[3*i : 3*i+3] {
+			w.Kill(x)
+			w.Start(x)
+		}
+	}
+	settle(t, w)
+	w = world.New(100, 3, 11)
+	for i, x := range w.Nodes {
+		w.At(time.Duration(max(i-2, 0))*100*time.Millisecond, func() { w.Start(x) })
+	}
+	w.Run(10 * time.Second)
+	settle(t, w)
+}
--- /dev/null
+++ b/internal/membership/world/world.go
@@ -0,0 +1,257 @@
+// Package world plays members in virtual time: datagrams with loss, delay, doubles
+// and cuts by direction, members that are stopped, killed and started again. It is
+// for measuring and testing the membership at sizes that processes don't reach. It
+// owns the clock and the network of the play, and the record that the auditor reads;
+// it must never look into a member, nor help one with what it could not know.
+package world
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"ivyfold/internal/membership"
+)
+
+// Member is what is played: the machine, or a baseline.
+type Member interface {
+	Handle(now time.Duration, ev membership.Event) *membership.Actions
+}
+
+// Node is one place of the world, with the process that runs there now.
+type Node struct {
+	Name    string
+	Zone    string
+	Addr    netip.AddrPort
+	Member  Member
+	Up      bool
+	Life    uint64
+	Started time.Duration
+	Ended   time.Duration // when it was killed or had left, if it is not up
+	Stopped time.Duration // until when it is stopped
+	Deaf    bool          // it sends, and nothing reaches it
+	Sent    uint64        // bytes, all lives
+	Trouble []Span        // in which others may take it for failed: killed, stopped for longer than is borne, cut off
+	waiting []delivery
+	wake    time.Duration
+	number  int
+}
+
+// Span is a stretch of time; To is 0 while it lasts.
+type Span struct{ From, To time.Duration }
+
+type delivery struct {
+	from netip.AddrPort
+	data []byte
+}
+
+// Entry is one line of the record.
+type Entry struct {
+	At     time.Duration
+	Node   int // who saw it
+	Life   uint64
+	Change *membership.Change
+	Notice *membership.Notice
+	View   *membership.View
+}
+
+// World is one play. All chance comes from its seed.
+type World struct {
+	Now    time.Duration
+	Nodes  []*Node
+	Loss   float64
+	Double float64
+	Delay  [2]time.Duration // of a datagram, from and to
+	Cut    func(from, to *Node) bool
+	Make   func(n *Node, seed uint64) (Member, error)
+	Record []Entry
+	Quiet  bool          // changes to suspect and back are not recorded
+	Bear   time.Duration // stops of up to this are no reason to take a member for failed
+
+	rng    *rand.Rand
+	queue  events
+	order  uint64
+	byAddr map[netip.AddrPort]*Node
+	lives  uint64
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	node  *Node
+	life  uint64
+	mail  *delivery // nil: its own time has come
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, k int) bool {
+	return e[i].at < e[k].at || e[i].at == e[k].at && e[i].order < e[k].order
+}
+func (e events) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
+func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return last
+}
+
+// New makes a world of n nodes in some zones. Nobody is up yet.
+func New(n, zones int, seed uint64) *World {
+	w := &World{Bear: 3 * time.Second, rng: rand.New(rand.NewPCG(seed, 1)), Delay: [2]time.Duration{time.Millisecond, 5 * time.Millisecond}, byAddr: map[netip.AddrPort]*Node{}}
+	for i := range n {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i >> 16), byte(i >> 8), byte(i)}), 7400)
+		w.Nodes = append(w.Nodes, &Node{Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i%zones), Addr: a, number: i})
+		w.byAddr[a] = w.Nodes[i]
+	}
+	w.Make = func(n *Node, seed uint64) (Member, error) {
+		return membership.New(membership.Config{Name: n.Name, Zone: n.Zone, At: n.Addr, Life: n.Life, Seed: seed, Seeds: w.Seeds(5)}, w.Now)
+	}
+	return w
+}
+
+// Seeds are the addresses of the first n nodes.
+func (w *World) Seeds(n int) (out []netip.AddrPort) {
+	for _, x := range w.Nodes[:min(n, len(w.Nodes))] {
+		out = append(out, x.Addr)
+	}
+	return out
+}
+
+func (w *World) push(e event) {
+	w.order++
+	e.order = w.order
+	heap.Push(&w.queue, e)
+}
+
+// At does something at a time.
+func (w *World) At(at time.Duration, do func()) { w.push(event{at: at, do: do}) }
+
+// Start brings a process up.
+func (w *World) Start(n *Node) {
+	w.lives += 1000
+	n.Up, n.Life, n.Started, n.Stopped, n.waiting = true, w.lives, w.Now, 0, nil
+	w.Ease(n)
+	m, err := w.Make(n, w.rng.Uint64())
+	if err != nil {
+		panic(err)
+	}
+	n.Member = m
+	w.handle(n, membership.Event{Kind: membership.Tick})
+}
+
+// Kill ends it without a word.
+func (w *World) Kill(n *Node) {
+	if n.Up {
+		n.Up, n.Member, n.Ended = false, nil, w.Now
+		w.Hurt(n)
+	}
+}
+
+// Hurt begins a stretch in which others may take a node for failed, and Ease ends it.
+func (w *World) Hurt(n *Node) { n.Trouble = append(n.Trouble, Span{From: w.Now}) }
+
+// Ease ends what Hurt began.
+func (w *World) Ease(n *Node) {
+	for i := range n.Trouble {
+		if n.Trouble[i].To == 0 {
+			n.Trouble[i].To = w.Now
+		}
+	}
+}
+
+// Stop keeps it from running for a while; what comes in waits.
+func (w *World) Stop(n *Node, d time.Duration) {
+	n.Stopped = max(n.Stopped, w.Now+d)
+	if d > w.Bear {
+		w.Hurt(n)
+		w.At(n.Stopped, func() { w.Ease(n) })
+	}
+	life := n.Life
+	w.At(n.Stopped, func() {
+		if n.Up && n.Life == life && w.Now >= n.Stopped {
+			mail := n.waiting
+			n.waiting = nil
+			for _, d := range mail {
+				w.handle(n, membership.Event{Kind: membership.Heard, From: d.from, Data: d.data})
+			}
+			w.handle(n, membership.Event{Kind: membership.Tick})
+		}
+	})
+}
+
+// Tell gives a member an event of its operator's.
+func (w *World) Tell(n *Node, ev membership.Event) { w.handle(n, ev) }
+
+// Run plays until a time.
+func (w *World) Run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.Now = max(w.Now, e.at)
+		switch n := e.node; {
+		case e.do != nil:
+			e.do()
+		case !n.Up || e.mail == nil && (n.Life != e.life || n.wake != e.at): // gone, or it wants to be called at another time now
+		case w.Now < n.Stopped:
+			if e.mail != nil && len(n.waiting) < 1000 {
+				n.waiting = append(n.waiting, *e.mail)
+			}
+		case e.mail == nil:
+			w.handle(n, membership.Event{Kind: membership.Tick})
+		case !n.Deaf:
+			w.handle(n, membership.Event{Kind: membership.Heard, From: e.mail.from, Data: e.mail.data})
+		}
+	}
+	w.Now = max(w.Now, until)
+}
+
+// handle gives a member one event and carries out what follows.
+func (w *World) handle(n *Node, ev membership.Event) {
+	if !n.Up {
+		return
+	}
+	acts := n.Member.Handle(w.Now, ev)
+	for _, o := range acts.Send {
+		n.Sent += uint64(len(o.Data))
+		to := w.byAddr[o.To]
+		if to == nil || w.Cut != nil && w.Cut(n, to) {
+			continue
+		}
+		for copies := 1 + count(w.Double > 0 && w.rng.Float64() < w.Double); copies > 0; copies-- {
+			if w.Loss > 0 && w.rng.Float64() < w.Loss {
+				continue
+			}
+			d := w.Delay[0] + time.Duration(w.rng.Int64N(int64(w.Delay[1]-w.Delay[0])+1))
+			w.push(event{at: w.Now + d, node: to, mail: &delivery{n.Addr, append([]byte(nil), o.Data...)}})
+		}
+	}
+	for i := range acts.Changes {
+		if c := acts.Changes[i]; !w.Quiet || c.State >= membership.Left {
+			w.Record = append(w.Record, Entry{At: w.Now, Node: n.number, Life: n.Life, Change: &c})
+		}
+	}
+	for i := range acts.Notices {
+		c := acts.Notices[i]
+		w.Record = append(w.Record, Entry{At: w.Now, Node: n.number, Life: n.Life, Notice: &c})
+	}
+	if acts.View != nil {
+		w.Record = append(w.Record, Entry{At: w.Now, Node: n.number, Life: n.Life, View: acts.View})
+	}
+	if n.wake != acts.Next || n.wake <= w.Now {
+		n.wake = acts.Next
+		w.push(event{at: n.wake, node: n, life: n.Life})
+	}
+}
+
+func count(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
