Carry the membership over UDP, show it, and play real processes with faults between them

Need: the membership has to be seen between processes of the program, not only in virtual time.

Change: internal/peers owns the socket, its budgets (20,000 reads a second, 200 of strangers, 256 kB/s sent) and an operator's record of changes; deploy/members.toml with NODE_MEMBERS turns it on where the settings allow talk among dispatchers, else the start says which of the two is missing. GET /members, through the agent too; gladepick members [--from] [--output] [--watch]. internal/faults starts processes on loopback, joins each pair by a relay that drops, delays, doubles and cuts by direction, follows a timeline (15 kinds, or a file), and has the auditor of the virtual world read the processes' own records.

--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -54,7 +54,7 @@
 commands below keep many of them running on a machine, ask after them, and plan.
 
 Exit codes: 0 done, 1 failed, 2 wrong use, 3 the goal cannot be met.`,
-	}, agentCommand(), statusCommand(), countersCommand(), drainCommand(), startCommand(), reloadCommand(), planCommand(), schemaCommand())
+	}, agentCommand(), statusCommand(), countersCommand(), drainCommand(), startCommand(), reloadCommand(), membersCommand(), planCommand(), schemaCommand())
 }
 
 // elsewhere is a command that gladepick-plus has: it reads its own flags and gives its own help.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -303,7 +303,7 @@
 	}
 	c := exec.Command(program)
 	c.Env = append(os.Environ(), "NODE_NAME="+in.Name, "NODE_LISTEN="+in.Listen, "NODE_DISCOVERY="+in.Discovery,
-		"NODE_CONFIG="+in.Config, "NODE_AMQP="+in.AMQP, "NODE_CAPTURE="+in.Capture)
+		"NODE_CONFIG="+in.Config, "NODE_AMQP="+in.AMQP, "NODE_CAPTURE="+in.Capture, "NODE_MEMBERS="+in.Members)
 	c.Stdout, c.Stderr = os.Stdout, os.Stderr
 	// A group of its own: what is typed at the agent's terminal reaches the instances through the agent only. And
 	// none outlives an agent that was killed.
@@ -328,6 +328,19 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(a.Statuses())
 	})
+	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) { // as the instance words it
+		listen, err := a.listens(r.FormValue("instance"))
+		var answer json.RawMessage
+		if err == nil {
+			err = ask(r.Context(), caller(), a.lim.Reply, http.MethodGet, "http://"+listen+"/members", &answer)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(answer)
+	})
 	act := func(do func(string) error) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			r.Body = http.MaxBytesReader(w, r.Body, a.lim.Body)
@@ -344,6 +357,26 @@
 	return mux
 }
 
+// listens is where an instance takes questions.
+func (a *Agent) listens(name string) (string, error) {
+	for _, in := range a.all {
+		if in.Instance.Name == name {
+			return in.Instance.Listen, nil
+		}
+	}
+	return "", fmt.Errorf("there is no instance %q", name)
+}
+
+// MembersOf asks for what an instance knows of other dispatchers: through the agent at an address, or straight from the
+// dispatcher that listens there, where no name is given.
+func MembersOf(ctx context.Context, address, name string) (answer json.RawMessage, err error) {
+	url := "http://" + address + "/members"
+	if name != "" {
+		url += "?instance=" + name
+	}
+	return answer, ask(ctx, caller(), 1<<24, http.MethodGet, url, &answer)
+}
+
 // ask makes one call and decodes its JSON answer.
 func ask(ctx context.Context, client *http.Client, most int, method, url string, into any) error {
 	req, err := http.NewRequestWithContext(ctx, method, url, nil)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -75,6 +75,11 @@
 	CaptureRows     int           // rows of each kind that wait for the recorder at most
 	CaptureGroup    int           // rows that the recorder writes at a time
 	CaptureRetry    time.Duration // pause after a disk that took nothing
+	PeerReads       int           // datagrams read in a second at most
+	PeerStrangers   int           // among them those taken in from addresses that are no member's
+	PeerMailbox     int           // datagrams that wait for the membership
+	PeerBytes       int           // sent to other dispatchers in a second at most
+	PeerFarewell    time.Duration // the others are told for so long that this one leaves
 }
 
 // AMQP sets up the second front and the workers that take jobs from queues.
@@ -104,6 +109,26 @@
 	Salt     string  `json:"salt"`      // subjects are hashed with it
 }
 
+// Members sets up the membership among dispatchers.
+type Members struct {
+	Path    string         // of the operator's file
+	Listen  netip.AddrPort // for datagrams
+	At      netip.AddrPort // where the others reach it
+	Peers   []Peer
+	Learn   bool // peers have no names: who is at an address shows in what comes from there
+	Period  time.Duration
+	Bear    time.Duration
+	Weight  float64
+	Version string
+	Events  string // a file that gets a JSON line for each change
+}
+
+// Peer is another dispatcher that may be asked for the way in.
+type Peer struct {
+	Name string // empty: not known
+	At   netip.AddrPort
+}
+
 // Worker is one line of the roster as discovery words it.
 type Worker struct {
 	ID          string  `json:"instanceId"`
@@ -136,6 +161,15 @@
 	Limits                  Limits
 	AMQP                    *AMQP    // nil: the front is off
 	Capture                 *Capture // nil: nothing is recorded
+	Members                 *Members // nil: it knows of no other dispatcher
+}
+
+// ZoneName is the name of this dispatcher's zone, empty where the settings name none.
+func (n *Node) ZoneName() string {
+	if z := n.Module.Zone; z < len(n.Zones) {
+		return n.Zones[z]
+	}
+	return ""
 }
 
 type nodeFile struct {
@@ -149,6 +183,8 @@
 		Sockets  *int     `json:"sockets"`
 	} `json:"limits"`
 	Known    Roster         `json:"known"`
+	Peers    []string       `json:"peers"`       // where the other dispatchers are reached, this one's own place among them
+	PeerAt   string         `json:"peer_listen"` // where this one listens for them
 	Settings map[string]any `json:"settings"`
 }
 
@@ -236,6 +272,11 @@
 			return nil, err
 		}
 	}
+	if path := getenv("NODE_MEMBERS"); path != "" {
+		if n.Members, err = loadMembers(path, n, &f); err != nil {
+			return nil, err
+		}
+	}
 	return n, nil
 }
 
@@ -262,7 +303,7 @@
 	}{
 		{"name", n.Name, later.Name}, {"listen", n.Listen, later.Listen}, {"limits", n.Limits, later.Limits},
 		{"settings", n.Module, later.Module}, {"settings.classes", n.Classes, later.Classes},
-		{"settings.tenants", n.Tenants, later.Tenants}, {"amqp", n.AMQP, later.AMQP},
+		{"settings.tenants", n.Tenants, later.Tenants}, {"amqp", n.AMQP, later.AMQP}, {"members", n.Members, later.Members},
 	} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
@@ -297,6 +338,7 @@
 		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
 		CaptureRows: 4096, CaptureGroup: 4096, CaptureRetry: time.Second,
+		PeerReads: 20000, PeerStrangers: 200, PeerMailbox: 1024, PeerBytes: 256 << 10, PeerFarewell: 400 * time.Millisecond,
 	}
 	// Bodies are counted by themselves; answers of half a body's size to all open jobs fit into a third of the memory.
 	l.OpenJobs = max(min(l.PortalConns, memory<<20/3/int(l.Body/2)), 16)
@@ -459,6 +501,84 @@
 	return a, nil
 }
 
+// loadMembers reads the operator's file for the membership. It needs the settings' permission too: neither alone turns it on.
+func loadMembers(path string, n *Node, f *nodeFile) (*Members, error) {
+	if !n.Module.Peers {
+		return nil, fmt.Errorf("NODE_MEMBERS: %s: the settings forbid talk among dispatchers (limits.peers is not true); start without the variable", path)
+	}
+	var t struct {
+		Members struct {
+			Listen   string  `toml:"listen"`
+			At       string  `toml:"at"`
+			PeriodMs int     `toml:"period_ms"`
+			BearMs   int     `toml:"bear_ms"`
+			Weight   float64 `toml:"weight"`
+			Version  string  `toml:"version"`
+			Events   string  `toml:"events"`
+			Peers    []struct {
+				Name    string `toml:"name"`
+				Address string `toml:"address"`
+			} `toml:"peer"`
+		} `toml:"members"`
+	}
+	if err := decodeTOML(path, &t); err != nil {
+		return nil, err
+	}
+	c := &t.Members
+	bad := func(key, format string, v ...any) (*Members, error) {
+		return nil, fmt.Errorf("%s: key members.%s: %s", path, key, fmt.Sprintf(format, v...))
+	}
+	m := &Members{Path: path, Period: time.Duration(c.PeriodMs) * time.Millisecond, Bear: time.Duration(c.BearMs) * time.Millisecond,
+		Weight: c.Weight, Version: c.Version, Events: c.Events}
+	if c.Listen == "" {
+		c.Listen = f.PeerAt // the platform's
+	}
+	if c.At == "" {
+		c.At = c.Listen
+	}
+	var err error
+	if m.Listen, err = netip.ParseAddrPort(c.Listen); err != nil {
+		return bad("listen", "%q is not an address and port", c.Listen)
+	}
+	if m.At, err = netip.ParseAddrPort(c.At); err != nil || m.At.Addr().IsUnspecified() || m.At.Port() == 0 {
+		return bad("at", "%q is not an address and port at which others reach it", c.At)
+	}
+	switch {
+	case c.PeriodMs != 0 && (c.PeriodMs < 50 || c.PeriodMs > 60000):
+		return bad("period_ms", "%d is not in 50 to 60000", c.PeriodMs)
+	case c.BearMs != 0 && (c.BearMs < 200 || c.BearMs > 600000):
+		return bad("bear_ms", "%d is not in 200 to 600000", c.BearMs)
+	case !(c.Weight >= 0 && c.Weight <= math.MaxFloat32):
+		return bad("weight", "%v is not 0 or more", c.Weight)
+	case len(c.Version) > 12:
+		return bad("version", "%q is longer than 12 bytes", c.Version)
+	case n.Name == "" || len(n.Name) > 24:
+		return nil, fmt.Errorf("name (NODE_NAME): %q: 1 to 24 bytes are right for a member (%s)", n.Name, path)
+	}
+	for i, p := range c.Peers {
+		at, err := netip.ParseAddrPort(p.Address)
+		if err != nil {
+			return bad(fmt.Sprintf("peer.%d.address", i), "%q is not an address and port", p.Address)
+		}
+		if p.Name == "" || len(p.Name) > 24 || slices.ContainsFunc(m.Peers, func(q Peer) bool { return q.Name == p.Name }) {
+			return bad(fmt.Sprintf("peer.%d.name", i), "%q is missing, double or longer than 24 bytes", p.Name)
+		}
+		m.Peers = append(m.Peers, Peer{p.Name, at})
+	}
+	if m.Learn = len(m.Peers) == 0; m.Learn {
+		for i, text := range f.Peers {
+			at, err := netip.ParseAddrPort(text)
+			if err != nil {
+				return nil, fmt.Errorf("NODE_CONFIG: peers.%d: %q is not an address and port", i, text)
+			}
+			if i != n.Module.Self {
+				m.Peers = append(m.Peers, Peer{At: at})
+			}
+		}
+	}
+	return m, nil
+}
+
 // Agent is what an operator's file says of an agent and its instances.
 type Agent struct {
 	Control   string // where status, counters and drain are asked for
@@ -477,6 +597,7 @@
 	Config    string `toml:"config"`
 	AMQP      string `toml:"amqp"`
 	Capture   string `toml:"capture"`
+	Members   string `toml:"members"`
 }
 
 // AgentLimits are the agent's sizes and times.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -135,6 +135,48 @@
 	}
 }
 
+// The membership needs the operator's file and the settings' permission, and says which of the two is missing.
+func TestMembersFile(t *testing.T) {
+	allowed := strings.Replace(whole, `"cancelling":true`, `"cancelling":true,"peers":true`, 1)
+	const good = "[members]\nlisten = \"127.0.0.1:7400\"\n[[members.peer]]\nname = \"n2\"\naddress = \"127.0.0.1:7401\"\n"
+	if n, err := load(t, allowed, nil); err != nil || n.Members != nil {
+		t.Errorf("without the file: %+v, %v", n, err)
+	}
+	if _, err := load(t, whole, map[string]string{"NODE_MEMBERS": write(t, "members.toml", good)}); err == nil || !strings.Contains(err.Error(), "limits.peers") {
+		t.Errorf("without the permission: %v", err)
+	}
+	for _, k := range []struct{ from, to, key string }{
+		{"", "", ""},
+		{`"127.0.0.1:7400"`, `"here"`, "members.listen"},
+		{"listen =", "at = \"0.0.0.0:7400\"\nlisten =", "members.at"},
+		{"listen =", "period_ms = 1\nlisten =", "members.period_ms"},
+		{"listen =", "bear_ms = -1\nlisten =", "members.bear_ms"},
+		{"listen =", "weight = -1.0\nlisten =", "members.weight"},
+		{"listen =", "version = \"much too long a version\"\nlisten =", "members.version"},
+		{"listen =", "colour = 1\nlisten =", "members.colour"},
+		{`"n2"`, `""`, "members.peer.0.name"},
+		{`"127.0.0.1:7401"`, `"there"`, "members.peer.0.address"},
+		{"[[members.peer]]", "[[members.peer]]\nname = \"n2\"\naddress = \"127.0.0.1:1\"\n[[members.peer]]", "members.peer.1.name"},
+	} {
+		n, err := load(t, allowed, map[string]string{"NODE_MEMBERS": write(t, "members.toml", strings.Replace(good, k.from, k.to, 1))})
+		if (err == nil) != (k.key == "") || err != nil && !(strings.Contains(err.Error(), k.key) && strings.Contains(err.Error(), "members.toml")) {
+			t.Errorf("%s: wanted an error that names %q: %v", k.to, k.key, err)
+		}
+		if err == nil && (len(n.Members.Peers) != 1 || n.Members.Learn || n.Members.At != n.Members.Listen) {
+			t.Errorf("%+v", n.Members)
+		}
+	}
+	// Without peers of the file's own the platform's count, but for this dispatcher's own place.
+	platform := strings.Replace(allowed, `"seed":`, `"peers":["127.0.2.1:7946","127.0.2.2:7946","127.0.2.3:7946"],"peer_listen":"127.0.0.1:7946","seed":`, 1)
+	n, err := load(t, platform, map[string]string{"NODE_MEMBERS": write(t, "members.toml", "[members]\n")})
+	if err != nil || !n.Members.Learn || len(n.Members.Peers) != 2 || n.Members.Listen.String() != "127.0.0.1:7946" {
+		t.Errorf("%v: %+v", err, n)
+	}
+	if n, err := load(t, allowed, map[string]string{"NODE_MEMBERS": "../../deploy/members.toml"}); err != nil || len(n.Members.Peers) != 2 {
+		t.Errorf("the file that is shipped: %v", err)
+	}
+}
+
 func TestAgentFile(t *testing.T) {
 	const good = "[agent]\ncontrol = \"127.0.0.1:7470\"\n[snmp]\nlisten = \"127.0.0.1:1161\"\n[[instance]]\nname = \"n0\"\nlisten = \"127.0.0.1:5000\"\nconfig = \"x\"\n"
 	for _, k := range []struct{ from, to, key string }{
--- /dev/null
+++ b/internal/faults/faults_test.go
@@ -0,0 +1,213 @@
+// Real processes with faults between them. CI plays a short, fixed part; `make faults` the long set, by the variables
+// FAULTS_KINDS, FAULTS_SIZES, FAULTS_SEEDS and FAULTS_FILE. A verdict comes from the processes' own records.
+
+package faults
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ivyfold/internal/peers"
+	"ivyfold/internal/standin"
+)
+
+const (
+	period = 150 * time.Millisecond
+	bear   = 1200 * time.Millisecond
+)
+
+var settings = strings.Replace(standin.Settings, `"cancelling":true`, `"cancelling":true,"peers":true`, 1)
+
+// program builds the dispatcher once for all tests.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "faults")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "gladepick")
+	out, err := exec.Command("go", "build", "-o", path, "ivyfold/cmd/gladepick").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+// play plays a timeline and fails the test for what its record shows.
+func play(t *testing.T, line Timeline, host int) *Outcome {
+	t.Helper()
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Play{Program: path, Dir: t.TempDir(), Host: host, Settings: settings, Period: period, Bear: bear}
+	out, err := p.Run(&line)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(out.Faults) > 0 || !out.Agreed && line.Kind != "one name twice" {
+		text, _ := json.Marshal(line)
+		t.Errorf("%s, %d nodes, seed %d: agreed %v, %d faults: %s\ntimeline: %s", line.Kind, line.Nodes, line.Seed, out.Agreed, len(out.Faults),
+			strings.Join(out.Faults[:min(len(out.Faults), 5)], "; "), text)
+		for _, e := range out.World.Record[max(0, len(out.World.Record)-40):] {
+			name := out.World.Nodes[e.Node].Name
+			switch {
+			case e.View != nil:
+				t.Logf("%v %s view %v of %d", e.At.Round(time.Millisecond), name, e.View.ViewID, len(e.View.Members))
+			case e.Change != nil:
+				t.Logf("%v %s: %s %d %v, %s", e.At.Round(time.Millisecond), name, e.Change.Name, e.Change.Life, e.Change.State, e.Change.Why)
+			case e.Notice != nil:
+				t.Logf("%v %s: %s, %s", e.At.Round(time.Millisecond), name, e.Notice.Kind, e.Notice.Text)
+			}
+		}
+		if os.Getenv("FAULTS_KEEP") != "" {
+			exec.Command("cp", "-r", p.Dir, os.Getenv("FAULTS_KEEP")).Run()
+		}
+	}
+	return out
+}
+
+// The part that CI plays: each kind once, five processes, always the same seed.
+func TestFaultsBetweenProcesses(t *testing.T) {
+	if os.Getenv("FAULTS_SEEDS") != "" || os.Getenv("FAULTS_FILE") != "" {
+		t.Skip("the long set is asked for")
+	}
+	gate := make(chan bool, 5) // plays at a time
+	for i, kind := range slices.Sorted(maps.Keys(Kinds)) {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			gate <- true
+			defer func() { <-gate }()
+			play(t, Draw(kind, 5, 1, bear.Seconds()), 100+i)
+		})
+	}
+}
+
+// What an operator is shown, asked straight from a dispatcher, and what is refused.
+func TestMembersAreShown(t *testing.T) {
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const host = 98
+	p := &Play{Program: path, Dir: t.TempDir(), Host: host, Settings: settings, Period: period, Bear: bear}
+	p.Look = func() {
+		from := fmt.Sprintf("127.%d.0.1:5000", host)
+		text, err := exec.Command(path, "members", "--from", from, "--output", "json").Output()
+		var s peers.Status
+		if err == nil {
+			err = json.Unmarshal(text, &s)
+		}
+		if err != nil || s.Name != "n0" || !s.Quorum || s.Size != 3 || len(s.Members) != 4 {
+			t.Errorf("%v: %s", err, text)
+		}
+		for _, m := range s.Members {
+			if want := map[string]string{"n0": "alive", "n1": "left", "n2": "alive", "n3": "alive"}[m.Name]; m.State != want || m.InView != (want == "alive") {
+				t.Errorf("%s is %s, in the view: %v", m.Name, m.State, m.InView)
+			}
+		}
+		table, err := exec.Command(path, "members", "--from", from).Output()
+		if err != nil || !strings.Contains(string(table), "quorum yes") || strings.Count(string(table), "\n") != 6 {
+			t.Errorf("%v: %s", err, table)
+		}
+		for _, args := range [][]string{{"members", "--output", "xml"}, {"members", "--from", from, "n0"}} {
+			var exit *exec.ExitError
+			if _, err := exec.Command(path, args...).Output(); !errors.As(err, &exit) || exit.ExitCode() != 2 {
+				t.Errorf("%v: %v, wrong use is exit code 2", args, err)
+			}
+		}
+	}
+	line := Timeline{Kind: "shown", Nodes: 4, Seed: 1, QuietS: 3, Steps: []Step{{AtS: 4, Do: "term", Nodes: []int{1}}}}
+	out, err := p.Run(&line)
+	if err != nil || len(out.Faults) > 0 || !out.Agreed {
+		t.Errorf("%v: %+v", err, out)
+	}
+}
+
+// The long set prints a line for each kind and size.
+func TestLongSet(t *testing.T) {
+	seeds, _ := strconv.Atoi(os.Getenv("FAULTS_SEEDS"))
+	if file := os.Getenv("FAULTS_FILE"); file != "" {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var line Timeline
+		if err := json.Unmarshal(text, &line); err != nil {
+			t.Fatalf("%s: %v", file, err)
+		}
+		out := play(t, line, 99)
+		t.Logf("%s: %d nodes, agreed %v, %d wrong accusations, %d views, detected after %v", file, line.Nodes, out.Agreed, out.Wrong, out.Views, out.Detected)
+		return
+	}
+	if seeds == 0 {
+		t.Skip("FAULTS_SEEDS and FAULTS_FILE are not set")
+	}
+	kinds := slices.Sorted(maps.Keys(Kinds))
+	if k := os.Getenv("FAULTS_KINDS"); k != "" {
+		kinds = strings.Split(k, ",")
+	}
+	at, _ := strconv.Atoi(os.Getenv("FAULTS_AT_ONCE"))
+	gate, host := make(chan bool, cmp.Or(at, 4)), 0
+	var mu sync.Mutex
+	var table []string
+	t.Run("plays", func(t *testing.T) {
+		for _, size := range strings.Split(cmp.Or(os.Getenv("FAULTS_SIZES"), "5"), ",") {
+			n, err := strconv.Atoi(size)
+			if err != nil {
+				t.Fatalf("FAULTS_SIZES: %v", err)
+			}
+			for _, kind := range kinds {
+				if Kinds[kind] == nil {
+					t.Fatalf("FAULTS_KINDS: %q is none of %v", kind, slices.Sorted(maps.Keys(Kinds)))
+				}
+				var detected []time.Duration
+				runs, wrong, views, bad := 0, 0, 0, 0
+				for seed := range seeds {
+					host++
+					own := host%140 + 100
+					t.Run(fmt.Sprintf("%s/%d/%d", kind, n, seed), func(t *testing.T) {
+						t.Parallel()
+						gate <- true
+						defer func() { <-gate }()
+						out := play(t, Draw(kind, n, uint64(seed+1), bear.Seconds()), own)
+						mu.Lock()
+						defer mu.Unlock()
+						runs, wrong, views, detected = runs+1, wrong+out.Wrong, views+out.Views, append(detected, out.Detected...)
+						if bad += min(len(out.Faults), 1); runs == seeds {
+							slices.Sort(detected)
+							line := fmt.Sprintf("| %s | %d | %d | %d | %d | %.1f |", kind, n, runs, bad, wrong, float64(views)/float64(runs))
+							if len(detected) > 0 {
+								line += fmt.Sprintf(" %.2f s | %.2f s |", detected[len(detected)/2].Seconds(), detected[len(detected)-1].Seconds())
+							} else {
+								line += " | |"
+							}
+							table = append(table, line)
+						}
+					})
+				}
+			}
+		}
+	})
+	slices.Sort(table)
+	t.Logf("\n| kind | nodes | runs | with a fault | wrong accusations | views a run | failed for all, median | worst |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n%s", strings.Join(table, "\n"))
+}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -49,7 +49,10 @@
 	// Book has the addresses at which this member reaches the others, by name, where those that they tell of themselves
 	// are not valid here. nil: what they tell.
 	Book map[string]netip.AddrPort
-	Seed uint64 // of its random numbers
+	// Learn takes the address from which a member was heard for its own, if it is one of the seeds: where each member has
+	// addresses of its own for the others, and no names to them.
+	Learn bool
+	Seed  uint64 // of its random numbers
 
 	Period  time.Duration // between two probes
 	Bear    time.Duration // a member may be silent for so long before its jury may say that it has failed
@@ -209,13 +212,11 @@
 }
 
 const (
-	relays     = 3                      // asked to ping for a member
-	mostHealth = 8                      // periods that an accusation may wait for the accuser's own health
-	grace      = 300 * time.Millisecond // called so late, a member was stopped itself
-	inquires   = 250 * time.Millisecond // between the pings of a juror
-	pings      = 6                      // that a juror has sent in vain at least
-	farewell   = 2 * time.Second        // a member that leaves goes on answering so long
-	spreads    = 3                      // times the logarithm of the members, a rumour is passed on
+	relays     = 3 // asked to ping for a member
+	mostHealth = 8 // periods that an accusation may wait for the accuser's own health
+	pings      = 6 // that a juror has sent in vain at least
+	farewell   = 4 // periods that a member that leaves goes on answering
+	spreads    = 3 // times the logarithm of the members, a rumour is passed on
 )
 
 // New makes a member. The time is that of the events.
@@ -246,7 +247,7 @@
 		m.acts.Next = m.now + time.Hour
 		return &m.acts
 	}
-	if late := m.now - m.next; late > grace {
+	if late := m.now - m.next; late > m.cfg.Period*3/5 { // called so late, it was stopped itself
 		m.paused(late)
 	}
 	switch ev.Kind {
@@ -296,7 +297,7 @@
 
 // work does all that is due, and finds out when something will be.
 func (m *Machine) work() {
-	if m.leaving > 0 && m.now >= m.leaving+farewell {
+	if m.leaving > 0 && m.now >= m.leaving+farewell*m.cfg.Period {
 		m.done = true
 		return
 	}
@@ -361,7 +362,7 @@
 		}
 		x := m.ring[m.turn]
 		m.turn++
-		if x.state == Left || x.state == Failed || m.table[x.Name] != x {
+		if x.state == Left || x.state == Failed || m.table[x.Name] != x || !x.addr.IsValid() {
 			continue
 		}
 		p := &probe{who: x, life: x.Life, sent: m.now}
@@ -515,7 +516,8 @@
 		m.drop(x)
 		return
 	}
-	if m.now >= q.asked+inquires {
+	every := m.cfg.Period / 2
+	if m.now >= q.asked+every {
 		q.asked = m.now
 		q.pings++
 		p := &probe{who: x, life: x.Life, sent: m.now, quiet: true}
@@ -524,12 +526,12 @@
 			m.send(r.addr, packet{Kind: ask, Seq: p.seq, For: x.Name, ForLife: x.Life})
 		}
 	}
-	m.soon(q.asked + inquires)
+	m.soon(q.asked + every)
 	age := m.now - q.began
 	if m.now-m.sign > m.cfg.Bear/2 || q.pings < pings { // who hears nobody has nothing to say of one
 		return
 	}
-	if m.now >= q.told+2*inquires {
+	if m.now >= q.told+2*every {
 		q.told = m.now
 		for _, name := range m.leaders(2) {
 			if name == m.me.Name {
@@ -576,6 +578,9 @@
 
 // send writes a datagram. What stands in it of others fills it up, first what concerns the one that it goes to.
 func (m *Machine) send(to netip.AddrPort, p packet) {
+	if !to.IsValid() {
+		return
+	}
 	p.From, p.Life, p.News = m.me.Name, m.me.Life, m.me.News
 	if p.View == (ViewID{}) {
 		p.View = m.view.ViewID
@@ -633,6 +638,9 @@
 	}
 	if x != nil && p.Life == x.Life {
 		x.heard = m.now
+		if m.cfg.Learn && x.addr != from && slices.Contains(m.cfg.Seeds, from) {
+			x.addr = from
+		}
 		m.fresher(x, p.News, "says something new of itself")
 	}
 	for _, raw := range p.Rumours {
@@ -796,6 +804,8 @@
 func (m *Machine) reach(r *Record) netip.AddrPort {
 	if a, ok := m.cfg.Book[r.Name]; ok {
 		return a
+	} else if m.cfg.Learn {
+		return netip.AddrPort{} // none before it is heard
 	}
 	return r.Addr()
 }
@@ -813,6 +823,9 @@
 		m.pass(rumour{Name: x.Name, Life: x.Life, News: x.News, State: Alive, Whole: &x.Record})
 	}
 	x.heard = m.now
+	if m.cfg.Learn && slices.Contains(m.cfg.Seeds, from) {
+		x.addr = from
+	}
 	if p.Seq == 0 { // not passed on yet: those that lead should know of it
 		for _, name := range m.leaders(2) {
 			if y := m.table[name]; y != nil && y != x {
@@ -915,3 +928,54 @@
 	slices.Sort(out)
 	return out
 }
+
+// Seen is what this member knows of one, itself included.
+type Seen struct {
+	Name     string   `json:"name"`
+	Zone     string   `json:"zone"`
+	Life     uint64   `json:"life"`
+	Address  string   `json:"address"`
+	State    string   `json:"state"`
+	SinceS   float64  `json:"since_s"`
+	By       []string `json:"accused_by,omitempty"`
+	InView   bool     `json:"in_view"`
+	Weight   float32  `json:"weight"`
+	Draining bool     `json:"draining"`
+	Version  string   `json:"version"`
+}
+
+// Members are all that this member knows of, by zone and name.
+func (m *Machine) Members() []Seen {
+	see := func(r *Record, addr netip.AddrPort, state State, since time.Duration, by []string) Seen {
+		return Seen{Name: r.Name, Zone: r.Zone, Life: r.Life, Address: addr.String(), State: state.String(), SinceS: (m.now - since).Seconds(),
+			By: slices.Clone(by), InView: m.view.has(r.Name, r.Life), Weight: r.Facts.Weight, Draining: r.Facts.Draining, Version: r.Facts.Version}
+	}
+	state := Alive
+	if m.leaving > 0 || m.done {
+		state = Left
+	}
+	out := []Seen{see(&m.me, m.cfg.At, state, m.born, nil)}
+	for _, x := range m.table {
+		out = append(out, see(&x.Record, x.addr, x.state, x.since, x.by))
+	}
+	slices.SortFunc(out, func(a, b Seen) int { return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Name, b.Name)) })
+	return out
+}
+
+// Addresses are those that a datagram of this fleet may come from.
+func (m *Machine) Addresses() map[netip.AddrPort]bool {
+	out := map[netip.AddrPort]bool{}
+	for _, a := range m.cfg.Seeds {
+		out[a] = true
+	}
+	for _, x := range m.table {
+		out[x.addr] = true
+	}
+	return out
+}
+
+// Name, Life, Joined and Health are this member's own.
+func (m *Machine) Name() string { return m.me.Name }
+func (m *Machine) Life() uint64 { return m.me.Life }
+func (m *Machine) Joined() bool { return m.joined }
+func (m *Machine) Health() int  { return m.health }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -130,8 +130,6 @@
 }
 
 const (
-	early     = 1500 * time.Millisecond // a juror's doubt of this age makes a change wait for it
-	fresh     = 1300 * time.Millisecond // a juror's word counts for so long
 	resend    = 150 * time.Millisecond
 	longBody  = 170 // bytes of a change or of records in a datagram
 	mostOut   = 12  // ranges in a change
@@ -219,12 +217,12 @@
 		for juror, d := range v.doubts[name] {
 			y := m.table[juror]
 			switch {
-			case m.now-d.at > fresh || d.life != x.Life || d.news != x.News:
+			case m.now-d.at > m.cfg.Period*13/5 || d.life != x.Life || d.news != x.News: // a juror says it again each period
 				delete(v.doubts[name], juror)
 			case juror != m.me.Name && (y == nil || y.state != Alive || v.place(juror) < 0):
 			case d.age >= m.cfg.Bear:
 				votes++
-			case d.age >= early:
+			case d.age >= m.cfg.Bear*9/20: // a change waits for it
 				close++
 			}
 		}
@@ -262,7 +260,7 @@
 		return
 	}
 	lead := m.leaders(1)
-	if m.leaving > 0 && m.now > m.leaving+farewell/2 || len(lead) == 0 || lead[0] != m.me.Name || !m.joined && !m.heir() || m.now < v.backoff {
+	if m.leaving > 0 && m.now > m.leaving+farewell*m.cfg.Period/2 || len(lead) == 0 || lead[0] != m.me.Name || !m.joined && !m.heir() || m.now < v.backoff {
 		if m.now < v.backoff {
 			m.soon(v.backoff)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"ivyfold/internal/config"
 	"ivyfold/internal/dispatch"
 	"ivyfold/internal/floor"
+	"ivyfold/internal/peers"
 	"ivyfold/internal/portal"
 	"ivyfold/internal/roster"
 )
@@ -60,6 +61,13 @@
 		}
 	}
 	front := portal.New(n, core)
+	var members *peers.Peers
+	if n.Members != nil {
+		if members, err = peers.New(n); err != nil {
+			return err
+		}
+		front.Members = func(ctx context.Context) (any, bool) { return members.Status(ctx) }
+	}
 	listener, err := net.Listen("tcp", n.Listen)
 	if err != nil {
 		return err
@@ -72,6 +80,9 @@
 		desk.Core = core
 		go desk.Run(ctx)
 	}
+	if members != nil {
+		go members.Run(ctx)
+	}
 	broken := make(chan error, 1)
 	go func() { broken <- front.Serve(listener) }()
 	go func() { // to the last moment: what has been taken is still sent on by the list, also while leaving
@@ -96,6 +107,9 @@
 	if desk != nil {
 		desk.Leave()
 	}
+	if members != nil {
+		members.Draining(ctx)
+	}
 	time.Sleep(n.Limits.Farewell)
 	late, done := context.WithTimeout(context.Background(), n.Limits.MostPatience)
 	defer done()
@@ -103,6 +117,9 @@
 	if desk != nil {
 		err = errors.Join(err, desk.Settled(late))
 	}
+	if members != nil {
+		members.Leave(late)
+	}
 	if recorded != nil {
 		cancel()
 		core.Ended()
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -29,6 +29,8 @@
 
 // Portal serves clients over HTTP/1.1.
 type Portal struct {
+	Members func(context.Context) (any, bool) // what GET /members shows; nil: the membership is off. Set before Serve
+
 	core    *dispatch.Core
 	node    *config.Node
 	lim     config.Limits
@@ -164,6 +166,18 @@
 	case "/counters":
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(p.core.Counts())
+	case "/members":
+		if p.Members == nil {
+			say(w, http.StatusNotFound, "the membership is off")
+			return
+		}
+		v, ok := p.Members(r.Context())
+		if !ok {
+			say(w, http.StatusServiceUnavailable, "the membership has ended")
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(v)
 	default:
 		say(w, http.StatusNotFound, "jobs come by POST")
 	}
