--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -86,7 +86,11 @@
 	ballot   uint32                        // 0: nothing is proposed
 	first    bool                          // the first round of the ballot is under way
 	body     []byte
-	best     uint32
+	own      []byte            // what it would propose if it is free to
+	best     uint32            // the latest ballot under which somebody has accepted something
+	held     map[string]string // what voters have accepted, by name
+	forced   bool              // it may stand already: nobody's veto counts
+	floor    uint32            // some voter has promised so much
 	yes      map[string]uint64 // lives that promised or accepted, by name
 	began    time.Duration
 	again    time.Duration // when to send it again
@@ -303,8 +307,11 @@
 	if !v.first {
 		v.ballot = 1
 	}
-	v.ballot = max(v.ballot, v.promised+1)
-	v.body, v.best, v.yes, v.began, v.again = encode(c), 0, map[string]uint64{}, m.now, m.now
+	if v.first || v.promised > 0 || v.floor > 0 {
+		v.first, v.ballot = true, max(v.ballot, v.promised+1, v.floor+1)
+	}
+	v.own, v.best, v.yes, v.began, v.again = encode(c), 0, map[string]uint64{}, m.now, m.now
+	v.body, v.held, v.forced = v.own, map[string]string{}, false
 	v.tries++
 	m.press()
 }
@@ -387,7 +394,10 @@
 				return
 			}
 		}
-		p := packet{Kind: accept, Seq: v.ballot, Body: v.body}
+		if v.first && m.promised() {
+			return
+		}
+		p := packet{Kind: accept, Seq: v.ballot, Body: v.body, Num: uint32(bit(v.forced))}
 		if v.first {
 			p = packet{Kind: prepare, Seq: v.ballot}
 		}
@@ -410,20 +420,22 @@
 			return
 		}
 		v.promised = v.ballot
-		if v.first && v.acceptedAt > v.best {
-			v.best, v.body = v.acceptedAt, v.acceptedBody
+		if v.first && v.acceptedAt > 0 {
+			v.held[name] = string(v.acceptedBody)
+			if v.acceptedAt > v.best {
+				v.best, v.body = v.acceptedAt, v.acceptedBody
+			}
 		}
 		if !v.first {
 			v.acceptedAt, v.acceptedBody = v.ballot, v.body
 		}
 	}
 	v.yes[name] = life
-	if 2*len(v.yes) <= len(v.Members) {
+	if v.first {
+		m.promised()
 		return
 	}
-	if v.first { // the second round, with what was accepted before if there was anything
-		v.first, v.yes, v.again = false, map[string]uint64{}, m.now
-		m.press()
+	if 2*len(v.yes) <= len(v.Members) {
 		return
 	}
 	num := uint32(0)
@@ -435,6 +447,42 @@
 	m.committed(step{v.ViewID, v.body, num}, true)
 }
 
+// promised ends the first round once a majority has promised; it tells whether it did. What was accepted before under the
+// latest ballot may stand already, and then it has to be proposed again, whoever is there by now. It cannot stand if too
+// few have accepted it, and then it is dropped: a cut that is over must not decide who goes.
+func (m *Machine) promised() bool {
+	v := &m.view
+	n := len(v.Members)
+	if 2*len(v.yes) <= n {
+		return false
+	}
+	if v.best > 0 {
+		same := 0
+		for _, body := range v.held {
+			if body == string(v.body) {
+				same++
+			}
+		}
+		if 2*(same+n-len(v.yes)) <= n {
+			v.body = v.own
+		} else if m.now < v.began+3*resend { // more promises may show it
+			return false
+		} else {
+			v.forced = true
+		}
+	}
+	v.first, v.yes, v.again = false, map[string]uint64{}, m.now
+	m.press()
+	return true
+}
+
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // committed goes over to the next view. Whoever led there tells the others.
 func (m *Machine) committed(s step, tell bool) {
 	v := &m.view
@@ -506,7 +554,7 @@
 		v.index[next.Members[i].Name] = i
 	}
 	v.rank()
-	v.promised, v.acceptedAt, v.acceptedBody, v.ballot, v.tries, v.fetch = 0, 0, nil, 0, 0, nil
+	v.promised, v.acceptedAt, v.acceptedBody, v.ballot, v.tries, v.fetch, v.floor = 0, 0, nil, 0, 0, nil, 0
 	clear(v.ripe)
 	clear(v.late)
 	v.tellLeft = 0
@@ -600,9 +648,15 @@
 		}
 		m.voter(p, from)
 	case promise, accepted:
-		if same && voter && v.ballot == p.Seq && v.ballot != 0 && v.first == (p.Kind == promise) {
-			if p.Kind == promise && p.Num > v.best && len(p.Body) > 0 {
-				v.best, v.body = p.Num, p.Body
+		switch {
+		case !same || !voter || v.ballot == 0:
+		case v.ballot < p.Seq: // somebody else's ballot is ahead
+			v.ballot, v.floor, v.backoff = 0, max(v.floor, p.Seq), m.now+time.Duration(m.rng.Int64N(int64(m.cfg.Period)))
+		case v.ballot == p.Seq && v.first == (p.Kind == promise):
+			if p.Kind == promise && len(p.Body) > 0 {
+				if v.held[p.From] = string(p.Body); p.Num > v.best {
+					v.best, v.body = p.Num, p.Body
+				}
 			}
 			m.vote(p.From, p.Life, false)
 		}
@@ -621,6 +675,7 @@
 func (m *Machine) voter(p *packet, from netip.AddrPort) {
 	v := &m.view
 	if p.Seq < v.promised {
+		m.send(from, packet{Kind: promise, Seq: v.promised}) // it learns how far others are
 		return
 	}
 	if p.Kind == prepare {
@@ -638,7 +693,7 @@
 			gone := &v.Members[i]
 			x := m.table[gone.Name]
 			mine := gone.Name == m.me.Name && gone.Life == m.me.Life && m.leaving == 0
-			if mine || x != nil && x.Life == gone.Life && x.state == Alive && x.met && m.now-x.answered < m.cfg.Bear/2 {
+			if p.Num == 0 && (mine || x != nil && x.Life == gone.Life && x.state == Alive && x.met && m.now-x.answered < m.cfg.Bear/2) {
 				m.send(from, packet{Kind: veto, Seq: p.Seq, For: gone.Name, ForLife: gone.Life})
 				return
 			}
--- a/internal/membership/world/world.go
+++ b/internal/membership/world/world.go
@@ -39,6 +39,18 @@
 	number  int
 }
 
+// Mischief is what may be done to one datagram.
+type Mischief uint8
+
+// The mischiefs.
+const (
+	Nothing Mischief = iota
+	Lost
+	Doubled
+	Late // by a second
+	Mischiefs
+)
+
 // Span is a stretch of time; To is 0 while it lasts.
 type Span struct{ From, To time.Duration }
 
@@ -67,12 +79,15 @@
 	Cut    func(from, to *Node) bool
 	Make   func(n *Node, seed uint64) (Member, error)
 	Record []Entry
-	Quiet  bool          // changes to suspect and back are not recorded
-	Bear   time.Duration // stops of up to this are no reason to take a member for failed
+	Quiet  bool                                   // changes to suspect and back are not recorded
+	Meddle func(nth int, from, to *Node) Mischief // with the nth datagram of the play; nil: nothing is done to any
+	Events int                                    // handled so far
+	Bear   time.Duration                          // stops of up to this are no reason to take a member for failed
 
 	rng    *rand.Rand
 	queue  events
 	order  uint64
+	mails  int
 	byAddr map[netip.AddrPort]*Node
 	lives  uint64
 }
@@ -216,6 +231,7 @@
 	if !n.Up {
 		return
 	}
+	w.Events++
 	acts := n.Member.Handle(w.Now, ev)
 	for _, o := range acts.Send {
 		n.Sent += uint64(len(o.Data))
@@ -223,11 +239,19 @@
 		if to == nil || w.Cut != nil && w.Cut(n, to) {
 			continue
 		}
-		for copies := 1 + count(w.Double > 0 && w.rng.Float64() < w.Double); copies > 0; copies-- {
+		m := Nothing
+		if w.Meddle != nil {
+			m = w.Meddle(w.mails, n, to)
+		}
+		w.mails++
+		if m == Lost {
+			continue
+		}
+		for copies := 1 + count(m == Doubled) + count(w.Double > 0 && w.rng.Float64() < w.Double); copies > 0; copies-- {
 			if w.Loss > 0 && w.rng.Float64() < w.Loss {
 				continue
 			}
-			d := w.Delay[0] + time.Duration(w.rng.Int64N(int64(w.Delay[1]-w.Delay[0])+1))
+			d := time.Duration(count(m == Late))*time.Second + w.Delay[0] + time.Duration(w.rng.Int64N(int64(w.Delay[1]-w.Delay[0])+1))
 			w.push(event{at: w.Now + d, node: to, mail: &delivery{n.Addr, append([]byte(nil), o.Data...)}})
 		}
 	}
