Found a fleet once who had a view has gone, and play the second deployment's ways

Founding now waits only while somebody with a view is heard.

Tests through a whole dispatcher with the second deployment's classes: 400 jobs with steps at random (a payout is never sent after a step that may have run, a batch-payout only in the same zone; refused only where nothing ran), and a cancel that stops the work.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,20 @@
 # Predictions against days on loopback sockets, in real time.
 bench-plan: build
 	PLAN_BENCH=1 go test ./internal/standin -run '^TestPredictions$$' -count=1 -v -timeout 20m
+
+# The membership: tables of sizes and protocols in virtual time, and each 50th of all pairs of faults in the explorer.
+.PHONY: membership faults
+MEMBERSHIP_SECONDS ?= 120
+MEMBERSHIP_SIZES ?= 10,100,300,1000
+MEMBERSHIP_STOPS ?= 3s
+MEMBERSHIP_PAIRS ?= 50
+membership:
+	MEMBERSHIP_SECONDS=$(MEMBERSHIP_SECONDS) MEMBERSHIP_SIZES=$(MEMBERSHIP_SIZES) MEMBERSHIP_STOPS=$(MEMBERSHIP_STOPS) go test ./internal/membership -run TestMeasure -count=1 -v -timeout 60m
+	MEMBERSHIP_PAIRS=$(MEMBERSHIP_PAIRS) go test ./internal/membership -run TestEveryPlaceOfAFault -count=1 -v -timeout 60m
+
+# Real processes with faults between them. FAULTS_KINDS=a,b FAULTS_SIZES=5,9 FAULTS_SEEDS=n choose the set, FAULTS_FILE a
+# timeline of one's own, FAULTS_AT_ONCE how many are played side by side.
+FAULTS_SIZES ?= 5
+FAULTS_SEEDS ?= 3
+faults:
+	FAULTS_KINDS=$(FAULTS_KINDS) FAULTS_SIZES=$(FAULTS_SIZES) FAULTS_SEEDS=$(FAULTS_SEEDS) FAULTS_FILE=$(FAULTS_FILE) FAULTS_AT_ONCE=$(FAULTS_AT_ONCE) go test ./internal/faults -run TestLongSet -count=1 -v -timeout 60m
--- a/internal/membership/measure_test.go
+++ b/internal/membership/measure_test.go
@@ -125,7 +125,10 @@
 		}
 		sizes = append(sizes, n)
 	}
-	loss := 0.2
+	loss, stops := 0.2, 3*time.Second
+	if v, err := time.ParseDuration(os.Getenv("MEMBERSHIP_STOPS")); err == nil {
+		stops = v
+	}
 	var mu sync.Mutex
 	var table []string
 	t.Run("plays", func(t *testing.T) {
@@ -141,7 +144,7 @@
 				t.Run(fmt.Sprintf("%s/%v/%d", k.kind, k.bear, n), func(t *testing.T) {
 					t.Parallel()
 					stretch := time.Duration(seconds) * time.Second * 100 / time.Duration(max(n, 100))
-					f := measure(k.kind, n, 1, k.bear, stretch, 3*time.Second, loss, 5)
+					f := measure(k.kind, n, 1, k.bear, stretch, stops, loss, 5)
 					line := fmt.Sprintf("| %5d | %-10s | %v | %.2f | %d | %d | %s | %s | %.1f | %.0f |", n, k.kind, k.bear, f.hours, f.failed, f.accused, median(f.first), median(f.last), float64(f.views)/5, f.rate)
 					mu.Lock()
 					defer mu.Unlock()
@@ -151,5 +154,5 @@
 		}
 	})
 	slices.Sort(table)
-	t.Logf("loss %v, stops up to 3 s, each member once in 30 s\n| members | protocol | silence borne | member-hours | taken for failed though there | accusations of those that are there | suspected by somebody | failed for all | views a crash | bytes a second sent |\n%s", loss, strings.Join(table, "\n"))
+	t.Logf("loss %v, stops up to %v, each member once in 30 s\n| members | protocol | silence borne | member-hours | taken for failed though there | accusations of those that are there | suspected by somebody | failed for all | views a crash | bytes a second sent |\n%s", loss, stops, strings.Join(table, "\n"))
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -106,9 +106,7 @@
 	tellNum  uint32
 	tellAt   time.Duration
 	tellLeft int
-	founder  map[string]bool
-	seen     bool // somebody who has a view has been heard
-	lower    bool // somebody who has none has been heard, whose address comes before
+	seen     time.Duration // when somebody who has a later view was last heard
 }
 
 type doubted struct {
@@ -595,7 +593,7 @@
 			return // that one founds, or tells of one
 		}
 	}
-	if m.view.seen || m.leaving > 0 {
+	if seen := m.view.seen; m.leaving > 0 || seen > 0 && m.now < seen+m.cfg.Found { // it may have gone since
 		return
 	}
 	v := &View{ViewID: ViewID{Fleet: uint32(xxhash.Sum64String(fmt.Sprint(m.me.Name, m.me.Life))), Epoch: 1, Number: 1}, Members: []Record{m.me}}
@@ -607,7 +605,7 @@
 // behind asks somebody that has a later view for it.
 func (m *Machine) behind(from netip.AddrPort) {
 	v := &m.view
-	v.seen = true
+	v.seen = m.now
 	if v.fetch != nil || m.now < v.behindAt {
 		return
 	}
--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -74,9 +74,7 @@
 		open = append(open, l)
 		go r.yard.Worker(l, name)
 	}
-	r.client = &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-		return r.net.Dial(ctx, address)
-	}}}
+	r.client = &http.Client{Transport: &http.Transport{DialContext: dialContext(r.net)}}
 	t.Cleanup(r.end)
 	r.ends = append(r.ends, func() {
 		r.client.CloseIdleConnections()
@@ -140,7 +138,7 @@
 	r.node, r.floor = n, floor.New(n, counters)
 	r.floor.Dial = r.net.Dial
 	watch := roster.New(n)
-	watch.Dial = func(ctx context.Context, _, address string) (net.Conn, error) { return r.net.Dial(ctx, address) }
+	watch.Dial = dialContext(r.net)
 	var queues dispatch.Floor
 	var fixed []config.Worker
 	if text != "" {
--- /dev/null
+++ b/internal/standin/payouts_test.go
@@ -0,0 +1,152 @@
+// The second deployment's ways through a whole dispatcher: a class that must never run twice, a key that is known in one
+// zone only, cancels that stop the work, lists that are pushed.
+
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ivyfold"
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+	"ivyfold/internal/floor"
+	"ivyfold/internal/roster"
+)
+
+// payouts is a dispatcher of that kind, with workers in two zones.
+func payouts(t *testing.T, workers int, stops bool) (*dispatch.Core, *Yard, map[string]string) {
+	c := &Net{Silent: map[string]bool{}}
+	yard, zones := &Yard{Stops: stops}, map[string]string{}
+	var known []config.Worker
+	for i := range workers {
+		w := Listing(fmt.Sprintf("s-%08x", (i+1)*0x1234567), fmt.Sprintf("127.0.1.%d:5000", i), "ready")
+		w.Zone = []string{"montreal", "sherbrooke"}[i%2]
+		zones[w.ID], known = w.Zone, append(known, w)
+		l := c.Listen(w.Address)
+		t.Cleanup(func() { l.Close() })
+		go yard.Worker(l, w.ID)
+	}
+	n := Node(t, known, "")
+	m := &n.Module
+	m.Discovery, m.CrossZone, m.WorthByWork, m.Dispatchers, m.ParallelTries = ivyfold.Push, 0.08, true, 4, true
+	m.Classes[0] = ivyfold.ClassSettings{Aim: 300 * time.Millisecond, Stretch: 2.5, Deadline: 6 * time.Second, Effect: ivyfold.Unsafe, Worth: 10, Kind: -1}
+	m.Classes[1] = ivyfold.ClassSettings{Aim: 250 * time.Millisecond, Stretch: 2.5, Deadline: 12 * time.Second, Effect: ivyfold.Keyed, Group: ivyfold.GroupZone,
+		Window: 20 * time.Second, Worth: 8, Kind: -1}
+	srv := &http.Server{Handler: &Roster{Changes: make(chan string), Whole: config.Roster{Generation: 8, Reset: true, Workers: known}}}
+	go srv.Serve(c.Listen("127.0.0.1:8500"))
+	counters := new(dispatch.Counters)
+	f, watch := floor.New(n, counters), roster.New(n)
+	f.Dial = c.Dial
+	watch.Dial = dialContext(c)
+	core, err := dispatch.New(n, counters, f, nil, watch, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	watch.Listed = core.Listed
+	ctx, cancel := context.WithCancel(context.Background())
+	go core.Run(ctx)
+	go watch.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		core.Ended()
+		for _, w := range known {
+			f.CloseIdle(w)
+		}
+		srv.Close()
+		time.Sleep(time.Minute)
+	})
+	time.Sleep(time.Second)
+	return core, yard, zones
+}
+
+// never are the steps that prove that nothing ran.
+var never = []string{"returned", "503"}
+
+func TestPayoutsNeverRunTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, yard, zones := payouts(t, 8, false)
+		rng := rapid.SliceOfN(rapid.SampledFrom([]string{"done", "done", "done", "done", "done", "done", "done/200ms", "done/20ms", "failed", "lost", "truncated", "foreign", "returned", "503", "503-maybe", "500", "break", "silent"}), 4, 4)
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		answers := map[string]int{}
+		for k := range 400 {
+			id := fmt.Sprintf("p%d", k)
+			steps := rng.Example(k)
+			j := &dispatch.Job{ID: id, Target: "/payout/x", Body: []byte(strings.Join(steps, ",")), Class: k % 2, Slots: 1, Patience: 6 * time.Second}
+			if k%2 == 1 {
+				j.Key, j.Patience = "key-"+id, 12*time.Second
+			}
+			all.Add(1)
+			j.Reply = func(a dispatch.Answer) {
+				defer all.Done()
+				mu.Lock()
+				defer mu.Unlock()
+				answers[id]++
+				sent := yard.Sent(id)
+				ran := slices.ContainsFunc(steps[:len(sent)], func(s string) bool { return !slices.Contains(never, s) })
+				if a.Verdict == dispatch.Refused && ran {
+					t.Errorf("%s, %v: refused, and it may have run", id, steps[:len(sent)])
+				}
+			}
+			if err := core.Take(j); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		all.Wait()
+		again := 0
+		for k := range 400 {
+			id := fmt.Sprintf("p%d", k)
+			steps, sent, ran := rng.Example(k), yard.Sent(id), ""
+			for i, to := range sent {
+				if ran != "" && (k%2 == 0 || zones[to] != zones[ran]) {
+					t.Errorf("%s of class %d, %v: sent to %v", id, k%2, steps, sent)
+				} else if ran != "" {
+					again++
+				}
+				if ran == "" && !slices.Contains(never, steps[min(i, 3)]) {
+					ran = to
+				}
+			}
+			if answers[id] != 1 {
+				t.Errorf("%s got %d answers", id, answers[id])
+			}
+		}
+		if len(yard.Broken) > 0 || again < 10 {
+			t.Errorf("%d jobs were sent again in their zone; broken: %v", again, yard.Broken)
+		}
+	})
+}
+
+// A payout that lies at its worker beyond its slack is recalled: the work stops, and as it may have run the job has failed
+// for good, well before its client leaves. It is not sent to the other worker.
+func TestCancelStopsTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core, yard, _ := payouts(t, 2, true)
+		for k := range 6 { // what a payout takes is learned: some 0.2 s
+			done := make(chan dispatch.Answer, 1)
+			core.Take(&dispatch.Job{ID: fmt.Sprint("w", k), Target: "/payout/x", Body: []byte("done/200ms"), Slots: 1, Patience: 6 * time.Second, Reply: func(a dispatch.Answer) { done <- a }})
+			if a := <-done; a.Verdict != dispatch.Served {
+				t.Fatalf("%+v", a)
+			}
+		}
+		began, done := time.Now(), make(chan dispatch.Answer, 1)
+		core.Take(&dispatch.Job{ID: "long", Target: "/payout/x", Body: []byte("done/5s"), Slots: 1, Patience: 6 * time.Second, Reply: func(a dispatch.Answer) { done <- a }})
+		a := <-done
+		time.Sleep(time.Second)
+		if took := time.Since(began) - time.Second; a.Verdict != dispatch.Failed || took < 300*time.Millisecond || took > 2*time.Second ||
+			len(yard.Sent("long")) != 1 || !slices.Contains(yard.Halted, "long") {
+			t.Errorf("%+v after %v, sent to %v, halted %v", a, took, yard.Sent("long"), yard.Halted)
+		}
+	})
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -107,6 +107,8 @@
 	Target map[string]string
 	out    map[string]int
 	Broken []string
+	Stops  bool // a cancel stops the work, as at the second deployment
+	Halted []string
 }
 
 // begin notes that a job has come whole. Its body is its script: a step for each attempt, the last for the rest.
@@ -188,6 +190,24 @@
 	}
 }
 
+// halted lets a job run, and tells whether its connection was closed meanwhile.
+func (y *Yard) halted(conn net.Conn, in *bufio.Reader, takes time.Duration) bool {
+	closed := make(chan bool, 1)
+	go func() {
+		_, err := in.Peek(1)
+		closed <- err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	}()
+	select {
+	case is := <-closed:
+		return is
+	case <-time.After(takes):
+	}
+	conn.SetReadDeadline(time.Now())
+	is := <-closed
+	conn.SetReadDeadline(time.Time{})
+	return is
+}
+
 func (y *Yard) serve(conn net.Conn, in *bufio.Reader, name string) bool {
 	r, err := http.ReadRequest(in)
 	if err != nil {
@@ -202,7 +222,15 @@
 	y.mu.Lock()
 	y.Heads[id], y.Bodies[id], y.Target[id] = r.Header, string(body), r.RequestURI
 	y.mu.Unlock()
-	time.Sleep(takes)
+	if y.Stops && y.halted(conn, in, takes) {
+		y.mu.Lock()
+		y.Halted = append(y.Halted, id)
+		y.mu.Unlock()
+		y.end(id)
+		return false
+	} else if !y.Stops {
+		time.Sleep(takes)
+	}
 	// The attempt is over for the worker before its last line is on its way.
 	answer := func(s string) bool {
 		_, err := io.WriteString(conn, s)
@@ -407,3 +435,8 @@
 func Dialer(n *Net) func(network, address string) (net.Conn, error) {
 	return func(_, address string) (net.Conn, error) { return n.Dial(context.Background(), address) }
 }
+
+// dialContext is the network in the form that discovery's client wants.
+func dialContext(n *Net) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) }
+}
