Ask once more before a change takes a member out, and drop jurors' words over a gap

Living, connected members were taken out.

Change: a voter that holds a member for alive asks it once more and waits a period before it accepts a change that takes it out (voter); words on others do not outlast a fetched view (adopt). Two more tests: an ended life stays over whatever news comes in late, a member that was stopped itself accuses nobody; each fails with its lines taken out.

--- a/internal/membership/export_test.go
+++ b/internal/membership/export_test.go
@@ -1,5 +1,7 @@
 package membership
 
+import "github.com/fxamacker/cbor/v2"
+
 // Born puts a member into a view that stands from the start: for plays of sizes whose growth is not the question.
 func (m *Machine) Born(v *View) {
 	m.adopt(v, "", false)
@@ -11,3 +13,9 @@
 	v.Digest = digest(v.ViewID, members)
 	return v
 }
+
+// Forged is a datagram of a member that passes on something of another.
+func Forged(from string, life uint64, id ViewID, name string, of uint64, news uint32, s State) []byte {
+	r := encode(rumour{Name: name, Life: of, News: news, State: s, By: from})
+	return append([]byte{version}, encode(packet{Kind: ping, From: from, Life: life, View: id, Seq: 1, Rumours: []cbor.RawMessage{r}})...)
+}
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -145,8 +145,9 @@
 	heard    time.Duration // its last datagram of any kind
 	wrong    int           // this member's accusations of it that proved wrong, fading
 	inquiry  *inquiry
-	met      bool // it has answered at all
-	public   bool // its accusation has been passed on: others believe it, and it has to refute it
+	met      bool          // it has answered at all
+	checked  time.Duration // since when it is asked once more, as a change takes it out
+	public   bool          // its accusation has been passed on: others believe it, and it has to refute it
 }
 
 // inquiry is what a juror does about an accused member.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -322,3 +322,74 @@
 	w.Run(10 * time.Second)
 	settle(t, w)
 }
+
+// News that is on its way when a life ends must not bring it back, however new it says it is; nor may a member that left
+// be taken for failed or accused.
+func TestAnEndedLifeStaysOver(t *testing.T) {
+	t.Parallel()
+	for _, end := range []membership.State{membership.Failed, membership.Left} {
+		w := up(t, 5, 1, 12)
+		x, y, z := w.Nodes[1], w.Nodes[0], w.Nodes[2]
+		life := x.Life
+		if end == membership.Left {
+			w.Tell(x, membership.Event{Kind: membership.Leave})
+			w.Run(w.Now + 2500*time.Millisecond)
+		}
+		w.Kill(x)
+		w.Run(w.Now + 12*time.Second)
+		id := z.Member.(*membership.Machine).View().ViewID
+		for _, s := range []membership.State{membership.Alive, membership.Suspect, membership.Left} {
+			w.Tell(y, membership.Event{Kind: membership.Heard, From: z.Addr, Data: membership.Forged(z.Name, z.Life, id, x.Name, life, 99, s)})
+			for _, seen := range y.Member.(*membership.Machine).Members() {
+				if seen.Name == x.Name && seen.State != end.String() {
+					t.Errorf("%v, then %v with later news: it is %s", end, s, seen.State)
+				}
+			}
+		}
+		settle(t, w)
+	}
+}
+
+// A member that was stopped itself hears first: what it did not hear meanwhile says nothing of the others.
+func TestAStoppedMemberAccusesNobody(t *testing.T) {
+	t.Parallel()
+	w := up(t, 12, 3, 13)
+	for k := range 12 {
+		x := w.Nodes[k]
+		at := w.Now + 2900*time.Millisecond
+		w.Stop(x, 2900*time.Millisecond)
+		w.Run(w.Now + 10*time.Second)
+		paused := false
+		for _, e := range w.Record {
+			if e.Node != k || e.At < at {
+				continue
+			}
+			if paused = paused || e.Notice != nil && e.Notice.Kind == "paused"; e.Change != nil && e.Change.State == membership.Suspect {
+				t.Errorf("%s, stopped till %v, accuses %s at %v", x.Name, at, e.Change.Name, e.At)
+			}
+		}
+		if !paused {
+			t.Errorf("%s does not say that it was stopped", x.Name)
+		}
+	}
+	audit(t, w)
+}
+
+// A cut of four and five, in which one of the five leaves: the five go on without it, and then there are four and four, and
+// no majority. When the cut ended the four took over the later view and still had their jurors' words on the others, and
+// a voter from there that had not probed them of late agreed.
+func TestOldWordsDoNotCountAfterACut(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		w := up(t, 9, 4, 100+seed)
+		side := func(n *world.Node) bool { return slices.Contains([]int{1, 4, 6, 7, 8}, slices.Index(w.Nodes, n)) }
+		w.Cut = func(from, to *world.Node) bool { return side(from) != side(to) }
+		w.Run(w.Now + 20*time.Millisecond)
+		w.Tell(w.Nodes[7], membership.Event{Kind: membership.Leave})
+		w.Run(w.Now + 2200*time.Millisecond)
+		w.Kill(w.Nodes[7])
+		w.Run(w.Now + time.Duration(9+seed)*time.Second)
+		w.Cut = nil
+		settle(t, w)
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -556,6 +556,9 @@
 	v.promised, v.acceptedAt, v.acceptedBody, v.ballot, v.tries, v.fetch, v.floor = 0, 0, nil, 0, 0, nil, 0
 	clear(v.ripe)
 	clear(v.late)
+	if !straight { // jurors' words from before a gap say nothing of now
+		clear(v.doubts)
+	}
 	v.tellLeft = 0
 	for i := range next.Members {
 		if r := &next.Members[i]; r.Name != m.me.Name {
@@ -687,17 +690,30 @@
 		m.Counters.Foreign++
 		return
 	}
-	for _, r := range c.Out { // nobody goes that this member hears
-		for i := r[0]; i <= r[1] && int(i) < len(v.Members); i++ {
+	waits := false
+	for _, r := range c.Out { // nobody goes that this member hears; whom it holds for alive it asks once more
+		for i := r[0]; i <= r[1] && int(i) < len(v.Members) && p.Num == 0; i++ {
 			gone := &v.Members[i]
 			x := m.table[gone.Name]
 			mine := gone.Name == m.me.Name && gone.Life == m.me.Life && m.leaving == 0
-			if p.Num == 0 && (mine || x != nil && x.Life == gone.Life && x.state == Alive && x.met && m.now-x.answered < m.cfg.Bear/2) {
+			if mine || x != nil && x.Life == gone.Life && x.state == Alive && x.met && m.now-x.answered < m.cfg.Bear/2 {
 				m.send(from, packet{Kind: veto, Seq: p.Seq, For: gone.Name, ForLife: gone.Life})
 				return
 			}
+			if x != nil && x.Life == gone.Life && x.state == Alive {
+				if m.now >= x.checked+m.cfg.Bear {
+					x.checked = m.now
+				}
+				if m.now < x.checked+m.cfg.Period { // it has that long to answer; the proposal comes again
+					m.ping(x, &probe{who: x, life: x.Life, sent: m.now, quiet: true})
+					waits = true
+				}
+			}
 		}
 	}
+	if waits {
+		return
+	}
 	v.promised, v.acceptedAt, v.acceptedBody = p.Seq, p.Seq, p.Body
 	m.send(from, packet{Kind: accepted, Seq: p.Seq})
 }
