Let a side that has just become the larger one hear the others before it takes them out

Ruled out by a print at each acceptance and decision: votes of the other side, stale answers.

Change: nothing is proposed without more than half of the view, and nobody is taken out before that has held for two periods (agree); a voter that is no juror asks once more whatever it has heard (voter); the wait for more promises counts from the majority. bear is 3 s by default, as a voter's question takes 0.3 s more.

--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -68,7 +68,7 @@
 		to   *time.Duration
 		v    time.Duration
 		name string
-	}{{&c.Period, 500 * time.Millisecond, "period"}, {&c.Bear, 3300 * time.Millisecond, "bear"}, {&c.Found, 2 * time.Second, "found"},
+	}{{&c.Period, 500 * time.Millisecond, "period"}, {&c.Bear, 3 * time.Second, "bear"}, {&c.Found, 2 * time.Second, "found"},
 		{&c.Hold, 3 * time.Second, "hold"}} {
 		if *f.to = cmp.Or(*f.to, f.v); *f.to < 10*time.Millisecond || *f.to > 10*time.Minute {
 			return fmt.Errorf("membership: %s: %v is not in 10ms to 10m", f.name, *f.to)
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -92,6 +92,8 @@
 	held     map[string]string // what voters have accepted, by name
 	forced   bool              // it may stand already: nobody's veto counts
 	floor    uint32            // some voter has promised so much
+	enough   time.Duration     // when a majority had promised
+	most     time.Duration     // since when more than half of the view seem to be there
 	yes      map[string]uint64 // lives that promised or accepted, by name
 	began    time.Duration
 	again    time.Duration // when to send it again
@@ -160,10 +162,10 @@
 }
 
 // Quorum tells whether this member's side has a majority of the view, as far as it can see.
-func (m *Machine) Quorum() bool {
-	if !m.joined {
-		return false
-	}
+func (m *Machine) Quorum() bool { return m.joined && m.most() }
+
+// most tells whether more than half of the view seem to be there.
+func (m *Machine) most() bool {
 	n := 0
 	for i := range m.view.Members {
 		name := m.view.Members[i].Name
@@ -262,8 +264,14 @@
 		m.press()
 		return
 	}
+	most := m.most()
+	if !most {
+		v.most = 0
+	} else if v.most == 0 {
+		v.most = m.now
+	}
 	lead := m.leaders(1)
-	if m.leaving > 0 && m.now > m.leaving+farewell*m.cfg.Period/2 || len(lead) == 0 || lead[0] != m.me.Name || !m.joined && !m.heir() || m.now < v.backoff {
+	if m.leaving > 0 && m.now > m.leaving+farewell*m.cfg.Period/2 || len(lead) == 0 || lead[0] != m.me.Name || !m.joined && !m.heir() || m.now < v.backoff || !most {
 		if m.now < v.backoff {
 			m.soon(v.backoff)
 		}
@@ -282,6 +290,10 @@
 		failed = append(failed, v.index[x.Name])
 		since = min(since, v.ripe[x.Name])
 	}
+	if since := v.most + 2*m.cfg.Period; m.now < since { // a cut has just ended: jurors are about to be answered
+		failed = nil
+		m.soon(since)
+	}
 	if len(failed) > 0 && waits && m.now < since+m.cfg.Hold {
 		failed = nil
 	}
@@ -310,7 +322,7 @@
 		v.first, v.ballot = true, max(v.ballot, v.promised+1, v.floor+1)
 	}
 	v.own, v.best, v.yes, v.began, v.again = encode(c), 0, map[string]uint64{}, m.now, m.now
-	v.body, v.held, v.forced = v.own, map[string]string{}, false
+	v.body, v.held, v.forced, v.enough = v.own, map[string]string{}, false, 0
 	v.tries++
 	m.press()
 }
@@ -464,7 +476,7 @@
 		}
 		if 2*(same+n-len(v.yes)) <= n {
 			v.body = v.own
-		} else if m.now < v.began+3*resend { // more promises may show it
+		} else if v.enough = cmp.Or(v.enough, m.now); m.now < v.enough+3*resend { // more promises may show it
 			return false
 		} else {
 			v.forced = true
@@ -556,9 +568,7 @@
 	v.promised, v.acceptedAt, v.acceptedBody, v.ballot, v.tries, v.fetch, v.floor = 0, 0, nil, 0, 0, nil, 0
 	clear(v.ripe)
 	clear(v.late)
-	if !straight { // jurors' words from before a gap say nothing of now
-		clear(v.doubts)
-	}
+	clear(v.doubts) // a change may be old news by the time it comes: jurors' words from before it say nothing of now
 	v.tellLeft = 0
 	for i := range next.Members {
 		if r := &next.Members[i]; r.Name != m.me.Name {
@@ -691,20 +701,20 @@
 		return
 	}
 	waits := false
-	for _, r := range c.Out { // nobody goes that this member hears; whom it holds for alive it asks once more
+	for _, r := range c.Out { // nobody goes that this member hears; it asks once more, if it has not done so as a juror
 		for i := r[0]; i <= r[1] && int(i) < len(v.Members) && p.Num == 0; i++ {
 			gone := &v.Members[i]
 			x := m.table[gone.Name]
 			mine := gone.Name == m.me.Name && gone.Life == m.me.Life && m.leaving == 0
-			if mine || x != nil && x.Life == gone.Life && x.state == Alive && x.met && m.now-x.answered < m.cfg.Bear/2 {
+			if mine || x != nil && x.Life == gone.Life && x.met && m.now-x.answered < m.cfg.Bear/2 {
 				m.send(from, packet{Kind: veto, Seq: p.Seq, For: gone.Name, ForLife: gone.Life})
 				return
 			}
-			if x != nil && x.Life == gone.Life && x.state == Alive {
+			if x != nil && x.Life == gone.Life && x.state <= Unknown && (x.inquiry == nil || x.inquiry.pings < pings || m.now-x.inquiry.began < m.cfg.Bear) {
 				if m.now >= x.checked+m.cfg.Bear {
 					x.checked = m.now
 				}
-				if m.now < x.checked+m.cfg.Period { // it has that long to answer; the proposal comes again
+				if m.now < x.checked+2*resend { // it has that long to answer; the proposal comes again
 					m.ping(x, &probe{who: x, life: x.Life, sent: m.now, quiet: true})
 					waits = true
 				}
