Look a member's place in the view up by the index everywhere, and drop a field nobody read

One place and one Has serve now. The fault rig's node kept whether it was leaving, which nobody read.

--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -105,7 +105,6 @@
 	process *exec.Cmd
 	over    chan struct{}
 	starts  int
-	leaving bool
 }
 
 // Outcome is what came of a play.
@@ -296,7 +295,6 @@
 		signal(syscall.SIGKILL)
 		p.world.Kill(w)
 	case "term":
-		n.leaving = true
 		signal(syscall.SIGTERM)
 		p.world.Kill(w)
 	case "stop":
@@ -354,7 +352,7 @@
 	c.Env = append(os.Environ(), "NODE_NAME="+n.name, "NODE_LISTEN="+fmt.Sprintf("127.%d.0.%d:5000", p.Host, i+1), "NODE_DISCOVERY=", "NODE_CONFIG="+conf, "NODE_MEMBERS="+members, "NODE_CAPTURE=", "NODE_AMQP=")
 	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	n.process, n.over, n.leaving = c, make(chan struct{}), false
+	n.process, n.over = c, make(chan struct{})
 	n.starts++
 	if err := c.Start(); err != nil {
 		return err
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -968,7 +968,7 @@
 func (m *Machine) Members() []Seen {
 	see := func(r *Record, addr netip.AddrPort, state State, since time.Duration, by []string) Seen {
 		return Seen{Name: r.Name, Zone: r.Zone, Life: r.Life, Address: addr.String(), State: state.String(), SinceS: (m.now - since).Seconds(),
-			By: slices.Clone(by), InView: m.view.has(r.Name, r.Life), Weight: r.Facts.Weight, Draining: r.Facts.Draining, Version: r.Facts.Version}
+			By: slices.Clone(by), InView: m.view.Has(r.Name, r.Life), Weight: r.Facts.Weight, Draining: r.Facts.Draining, Version: r.Facts.Version}
 	}
 	state := Alive
 	if m.leaving > 0 || m.done {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -377,7 +377,7 @@
 // waiting are the members that are there and not in the view with the life they have.
 func (m *Machine) waiting() (out []string) {
 	for name, x := range m.table {
-		if x.state == Alive && !m.view.has(name, x.Life) {
+		if x.state == Alive && !m.view.Has(name, x.Life) {
 			out = append(out, name)
 		}
 	}
@@ -385,9 +385,17 @@
 	return out
 }
 
-func (v *viewState) has(name string, life uint64) bool {
-	i, ok := v.index[name]
-	return ok && v.Members[i].Life == life
+// place and Has are those of the view, by the index: each datagram on views asks for its sender.
+func (v *viewState) place(name string) int {
+	if i, ok := v.index[name]; ok {
+		return i
+	}
+	return -1
+}
+
+func (v *viewState) Has(name string, life uint64) bool {
+	i := v.place(name)
+	return i >= 0 && v.Members[i].Life == life
 }
 
 // press sends what is proposed, again where nothing came back.
@@ -577,14 +585,14 @@
 	}
 	for i := range old {
 		r := &old[i]
-		if x := m.table[r.Name]; x != nil && x.Life == r.Life && !v.has(r.Name, r.Life) && !apart {
+		if x := m.table[r.Name]; x != nil && x.Life == r.Life && !v.Has(r.Name, r.Life) && !apart {
 			delete(v.doubts, r.Name)
 			if x.state != Left {
 				m.set(x, Failed, why)
 			}
 		}
 	}
-	m.joined = v.has(m.me.Name, m.me.Life)
+	m.joined = v.Has(m.me.Name, m.me.Life)
 	switch {
 	case apart: // two fleets that were founded apart: nobody has failed for that
 		m.notice("adopted", "there is another fleet, with view %v: it goes over to that", v.ViewID)
