Take keyed jobs for keeps: promises copied to other dispatchers, fenced and taken over

Need: a dispatcher that dies loses what it had taken on, and nobody knows whether it ran.

Change: internal/lease, a state machine without I/O: promises, epochs of owners, the gate for sends by class and window, and the owner's side (no send before its intent stands, no outcome told before it does). internal/replica, placement groups on go.etcd.io/raft: founding by all that the file names, one seat number for each copy, repair after a loss, copies given up by who leaves. internal/keep stands between fronts, core and floors, and takes over from dead owners. The core got two hooks for it and a Taker.

--- a/cmd/gladepick-plus/main.go
+++ b/cmd/gladepick-plus/main.go
@@ -1,6 +1,6 @@
 // Command gladepick-plus is the part of gladepick that needs large libraries. It
 // is not called by hand: gladepick hands over to it, for a dispatcher that is
-// recorded (without arguments) and for the commands plan and schema. This file
+// recorded or takes jobs for keeps (without arguments) and for the commands plan and schema. This file
 // owns that hand-over. It must never decide anything about a job.
 package main
 
@@ -16,14 +16,16 @@
 	"ivyfold/internal/config"
 	"ivyfold/internal/config/document"
 	"ivyfold/internal/dispatch"
+	"ivyfold/internal/keep"
 	"ivyfold/internal/node"
+	"ivyfold/internal/peers"
 )
 
 func main() { cli.Main(run) }
 
 func run(args []string, out io.Writer) error {
 	if len(args) == 0 {
-		return node.Run(record)
+		return node.Run(record, keeper)
 	}
 	return cli.Run(cli.Root(&cobra.Command{Use: "gladepick", Short: "The commands of gladepick that need large libraries"}, planCommand(), schemaCommand()), args, out)
 }
@@ -43,3 +45,6 @@
 	go r.Run()
 	return r.Close, nil
 }
+
+// keeper makes jobs be taken for keeps.
+func keeper(n *config.Node, members *peers.Peers) (node.Keeper, error) { return keep.New(n, members) }
--- a/cmd/gladepick/main.go
+++ b/cmd/gladepick/main.go
@@ -1,7 +1,7 @@
 // Command gladepick is the dispatcher and its operator's tool. Without
 // arguments it runs one dispatcher, as the NODE_ variables say; with them it is
 // a command line with one file a command. Start and memory of a dispatcher are
-// those of the platform, so what needs large libraries (recording, planning) is
+// those of the platform, so what needs large libraries (recording, planning, promises) is
 // another program, gladepick-plus, which must lie beside this one and takes over
 // where it is needed. This file owns the tree of commands. It must never decide
 // anything about a job, a worker or a message.
@@ -26,10 +26,10 @@
 	switch {
 	case len(args) > 0:
 		return cli.Run(root(), args, out)
-	case os.Getenv("NODE_CAPTURE") != "":
+	case os.Getenv("NODE_CAPTURE") != "" || os.Getenv("NODE_PROMISES") != "":
 		return plus(nil)
 	}
-	return node.Run(nil) // the dispatcher waits for no command line
+	return node.Run(nil, nil) // the dispatcher waits for no command line
 }
 
 // plus lets gladepick-plus take this process over, with these arguments.
@@ -40,7 +40,7 @@
 	}
 	path := filepath.Join(filepath.Dir(here), "gladepick-plus")
 	err = syscall.Exec(path, append([]string{path}, args...), os.Environ())
-	return errors.Join(errors.New("recording and planning need gladepick-plus beside this program"), &os.PathError{Op: "exec", Path: path, Err: err})
+	return errors.Join(errors.New("recording, planning and taking jobs for keeps need gladepick-plus beside this program"), &os.PathError{Op: "exec", Path: path, Err: err})
 }
 
 // root is the whole tree of commands.
@@ -54,7 +54,7 @@
 commands below keep many of them running on a machine, ask after them, and plan.
 
 Exit codes: 0 done, 1 failed, 2 wrong use, 3 the goal cannot be met.`,
-	}, agentCommand(), statusCommand(), countersCommand(), drainCommand(), startCommand(), reloadCommand(), membersCommand(), planCommand(), schemaCommand())
+	}, agentCommand(), statusCommand(), countersCommand(), drainCommand(), startCommand(), reloadCommand(), membersCommand(), leasesCommand(), planCommand(), schemaCommand())
 }
 
 // elsewhere is a command that gladepick-plus has: it reads its own flags and gives its own help.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
 	"runtime"
@@ -303,7 +304,7 @@
 	}
 	c := exec.Command(program)
 	c.Env = append(os.Environ(), "NODE_NAME="+in.Name, "NODE_LISTEN="+in.Listen, "NODE_DISCOVERY="+in.Discovery,
-		"NODE_CONFIG="+in.Config, "NODE_AMQP="+in.AMQP, "NODE_CAPTURE="+in.Capture, "NODE_MEMBERS="+in.Members)
+		"NODE_CONFIG="+in.Config, "NODE_AMQP="+in.AMQP, "NODE_CAPTURE="+in.Capture, "NODE_MEMBERS="+in.Members, "NODE_PROMISES="+in.Promises)
 	c.Stdout, c.Stderr = os.Stdout, os.Stderr
 	// A group of its own: what is typed at the agent's terminal reaches the instances through the agent only. And
 	// none outlives an agent that was killed.
@@ -328,19 +329,21 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(a.Statuses())
 	})
-	mux.HandleFunc("GET /members", func(w http.ResponseWriter, r *http.Request) { // as the instance words it
-		listen, err := a.listens(r.FormValue("instance"))
-		var answer json.RawMessage
-		if err == nil {
-			err = ask(r.Context(), caller(), a.lim.Reply, http.MethodGet, "http://"+listen+"/members", &answer)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadGateway)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		w.Write(answer)
-	})
+	for _, path := range []string{"/members", "/leases"} { // as the instance words it
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+			listen, err := a.listens(r.FormValue("instance"))
+			var answer json.RawMessage
+			if err == nil {
+				err = ask(r.Context(), caller(), a.lim.Reply, http.MethodGet, "http://"+listen+path+"?key="+url.QueryEscape(r.FormValue("key")), &answer)
+			}
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusBadGateway)
+				return
+			}
+			w.Header().Set("Content-Type", "application/json")
+			w.Write(answer)
+		})
+	}
 	act := func(do func(string) error) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
 			r.Body = http.MaxBytesReader(w, r.Body, a.lim.Body)
@@ -367,19 +370,22 @@
 	return "", fmt.Errorf("there is no instance %q", name)
 }
 
-// MembersOf asks for what an instance knows of other dispatchers: through the agent at an address, or straight from the
+// Told asks for what an instance tells of itself at a path: through the agent at an address, or straight from the
 // dispatcher that listens there, where no name is given.
-func MembersOf(ctx context.Context, address, name string) (answer json.RawMessage, err error) {
-	url := "http://" + address + "/members"
+func Told(ctx context.Context, address, path, name, key string) (answer json.RawMessage, err error) {
+	question := url.Values{}
 	if name != "" {
-		url += "?instance=" + name
+		question.Set("instance", name)
+	}
+	if key != "" {
+		question.Set("key", key)
 	}
-	return answer, ask(ctx, caller(), 1<<24, http.MethodGet, url, &answer)
+	return answer, ask(ctx, caller(), 1<<24, http.MethodGet, "http://"+address+path+"?"+question.Encode(), &answer)
 }
 
 // ask makes one call and decodes its JSON answer.
-func ask(ctx context.Context, client *http.Client, most int, method, url string, into any) error {
-	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+func ask(ctx context.Context, client *http.Client, most int, method, where string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, where, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/amqp/amqp.go
+++ b/internal/amqp/amqp.go
@@ -40,7 +40,8 @@
 
 // Desk holds both sides that speak to one broker.
 type Desk struct {
-	Core *dispatch.Core                                  // set before Run
+	Core dispatch.Taker                                  // set before Run
+	Kept bool                                            // keyed jobs are taken for keeps: the copies know of a redelivered one what the ledger doesn't
 	Dial func(network, address string) (net.Conn, error) // tests put their own in its place
 
 	node     *config.Node
@@ -234,7 +235,8 @@
 		go d.settle(p, typeMalformed, amqp.Table{"reason": err.Error()}, nil)
 		return
 	}
-	keyed := d.node.Module.Classes[j.Class].Effect != ivyfold.Safe
+	effect := d.node.Module.Classes[j.Class].Effect
+	keyed := effect != ivyfold.Safe && !(d.Kept && effect == ivyfold.Keyed)
 	name := m.Type + "\x00" + j.Key
 	if j.Key == "" {
 		name = "\x00" + j.ID
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,18 @@
 	PeerMailbox     int           // datagrams that wait for the membership
 	PeerBytes       int           // sent to other dispatchers in a second at most
 	PeerFarewell    time.Duration // the others are told for so long that this one leaves
+	CopyFrame       int           // bytes of one frame between dispatchers that keep copies
+	CopyQueue       int           // bytes of frames that wait for one of them at most; what is beyond is as good as lost
+	CopyDial        time.Duration // a connection to one of them comes up within it, and a frame goes out
+	CopyRetry       time.Duration // pause after a connection that failed
+	LeaseRoom       time.Duration // kept free before a client's deadline for the copies' word
+	LeaseLook       time.Duration // between two looks at a job that another dispatcher has
+	LeaseLinger     time.Duration // the copies are told of an outcome for so long after the deadline
+	LeasesMoved     int           // leases of a dead dispatcher that one command moves
+	LeasesTaken     int           // of those, jobs handed to the module in a round of LeaseRound
+	LeaseRound      time.Duration // between two looks at who is gone
+	LeaseFarewell   time.Duration // who leaves waits so long at most for others to get his copies
+	LeaseOrphan     time.Duration // a dispatcher is out of the view for so long before its leases move
 }
 
 // AMQP sets up the second front and the workers that take jobs from queues.
@@ -123,6 +135,25 @@
 	Events  string // a file that gets a JSON line for each change
 }
 
+// Promises sets up jobs that are taken for keeps: copied to other dispatchers before anything is done for them.
+type Promises struct {
+	Path    string // of the operator's file
+	Listen  netip.AddrPort
+	Peers   []Peer // the others, all named
+	Groups  int
+	Copies  int
+	Keep    time.Duration // outcomes are kept so long after the client's deadline
+	Skew    time.Duration // between two dispatchers' clocks at most
+	Most    int           // promises kept, open ones among them, over all groups
+	Events  string
+	CrashAt string // for trials: the process ends itself at this point
+	CrashOn int    // when it is reached for the nth time
+	Stops   bool   // or stops itself, until somebody wakes it
+}
+
+// CrashPoints are the places of Promises.CrashAt, in the order in which a job passes them.
+var CrashPoints = []string{"before-take", "taken", "before-intent", "intended", "sent", "worked", "ended", "told"}
+
 // Peer is another dispatcher that may be asked for the way in.
 type Peer struct {
 	Name string // empty: not known
@@ -159,9 +190,10 @@
 	Zones, Kinds            []string
 	LoadFields              []string // as workers word them, in the module's order
 	Limits                  Limits
-	AMQP                    *AMQP    // nil: the front is off
-	Capture                 *Capture // nil: nothing is recorded
-	Members                 *Members // nil: it knows of no other dispatcher
+	AMQP                    *AMQP     // nil: the front is off
+	Capture                 *Capture  // nil: nothing is recorded
+	Members                 *Members  // nil: it knows of no other dispatcher
+	Promises                *Promises // nil: jobs are not taken for keeps
 }
 
 // ZoneName is the name of this dispatcher's zone, empty where the settings name none.
@@ -277,6 +309,11 @@
 			return nil, err
 		}
 	}
+	if path := getenv("NODE_PROMISES"); path != "" {
+		if n.Promises, err = loadPromises(path, n, &f); err != nil {
+			return nil, err
+		}
+	}
 	return n, nil
 }
 
@@ -304,6 +341,7 @@
 		{"name", n.Name, later.Name}, {"listen", n.Listen, later.Listen}, {"limits", n.Limits, later.Limits},
 		{"settings", n.Module, later.Module}, {"settings.classes", n.Classes, later.Classes},
 		{"settings.tenants", n.Tenants, later.Tenants}, {"amqp", n.AMQP, later.AMQP}, {"members", n.Members, later.Members},
+		{"promises", n.Promises, later.Promises},
 	} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
@@ -339,6 +377,9 @@
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
 		CaptureRows: 4096, CaptureGroup: 4096, CaptureRetry: time.Second,
 		PeerReads: 20000, PeerStrangers: 200, PeerMailbox: 1024, PeerBytes: 256 << 10, PeerFarewell: 400 * time.Millisecond,
+		CopyFrame: min(16<<20, memory<<20/8), CopyQueue: memory << 20 / 16, CopyDial: time.Second, CopyRetry: 100 * time.Millisecond,
+		LeaseRoom: 150 * time.Millisecond, LeaseLook: 40 * time.Millisecond, LeaseLinger: 10 * time.Second, LeasesMoved: 64, LeasesTaken: 16,
+		LeaseRound: 100 * time.Millisecond, LeaseOrphan: 300 * time.Millisecond, LeaseFarewell: 15 * time.Second,
 	}
 	// Bodies are counted by themselves; answers of half a body's size to all open jobs fit into a third of the memory.
 	l.OpenJobs = max(min(l.PortalConns, memory<<20/3/int(l.Body/2)), 16)
@@ -501,6 +542,12 @@
 	return a, nil
 }
 
+// named is an address of another dispatcher in an operator's file.
+type named struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+}
+
 // loadMembers reads the operator's file for the membership. It needs the settings' permission too: neither alone turns it on.
 func loadMembers(path string, n *Node, f *nodeFile) (*Members, error) {
 	if !n.Module.Peers {
@@ -515,10 +562,7 @@
 			Weight   float64 `toml:"weight"`
 			Version  string  `toml:"version"`
 			Events   string  `toml:"events"`
-			Peers    []struct {
-				Name    string `toml:"name"`
-				Address string `toml:"address"`
-			} `toml:"peer"`
+			Peers    []named `toml:"peer"`
 		} `toml:"members"`
 	}
 	if err := decodeTOML(path, &t); err != nil {
@@ -579,6 +623,88 @@
 	return m, nil
 }
 
+// loadPromises reads the operator's file for promises. They stand on the membership, and need a path between dispatchers
+// that carries more than notes: where the platform itself carries datagrams for them, it is said to be the only one.
+func loadPromises(path string, n *Node, f *nodeFile) (*Promises, error) {
+	switch {
+	case !n.Module.Peers:
+		return nil, fmt.Errorf("NODE_PROMISES: %s: the settings forbid talk among dispatchers (limits.peers is not true); start without the variable", path)
+	case f.PeerAt != "":
+		return nil, fmt.Errorf("NODE_PROMISES: %s: this platform carries notes between dispatchers (peer_listen), and no other path leads from one to another; start without the variable", path)
+	case n.Members == nil:
+		return nil, fmt.Errorf("NODE_PROMISES: %s: promises stand on the membership; set NODE_MEMBERS too", path)
+	}
+	var t struct {
+		Promises struct {
+			Listen  string  `toml:"listen"`
+			Groups  int     `toml:"groups"`
+			Copies  int     `toml:"copies"`
+			KeepS   float64 `toml:"keep_s"`
+			SkewMs  int     `toml:"skew_ms"`
+			Most    int     `toml:"most"`
+			Events  string  `toml:"events"`
+			CrashAt string  `toml:"crash_at"`
+			CrashOn int     `toml:"crash_on"`
+			CrashBy string  `toml:"crash_by"`
+			Peers   []named `toml:"peer"`
+		} `toml:"promises"`
+	}
+	t.Promises.Groups, t.Promises.Copies, t.Promises.KeepS, t.Promises.SkewMs, t.Promises.Most, t.Promises.CrashOn = 16, 3, 600, 250, 100000, 1
+	if err := decodeTOML(path, &t); err != nil {
+		return nil, err
+	}
+	c := &t.Promises
+	bad := func(key, format string, v ...any) (*Promises, error) {
+		return nil, fmt.Errorf("%s: key promises.%s: %s", path, key, fmt.Sprintf(format, v...))
+	}
+	p := &Promises{Path: path, Groups: c.Groups, Copies: c.Copies, Keep: time.Duration(c.KeepS * float64(time.Second)), Skew: time.Duration(c.SkewMs) * time.Millisecond,
+		Most: c.Most, Events: c.Events, CrashAt: c.CrashAt, CrashOn: c.CrashOn, Stops: c.CrashBy == "stop"}
+	var err error
+	if p.Listen, err = netip.ParseAddrPort(c.Listen); err != nil {
+		return bad("listen", "%q is not an address and port", c.Listen)
+	}
+	switch {
+	case c.Groups < 1 || c.Groups > 256:
+		return bad("groups", "%d is not in 1 to 256", c.Groups)
+	case c.Copies < 1 || c.Copies > 7 || c.Copies%2 == 0:
+		return bad("copies", "%d is none of 1, 3, 5, 7", c.Copies)
+	case !(c.KeepS >= 1 && c.KeepS <= 7*86400):
+		return bad("keep_s", "%v is not in 1 to 604800", c.KeepS)
+	case c.SkewMs < 0 || c.SkewMs > 60000:
+		return bad("skew_ms", "%d is not in 0 to 60000", c.SkewMs)
+	case c.Most < 1 || c.Most > 1<<24:
+		return bad("most", "%d is not in 1 to %d", c.Most, 1<<24)
+	case c.CrashAt != "" && !slices.Contains(CrashPoints, c.CrashAt):
+		return bad("crash_at", "%q is none of %s", c.CrashAt, strings.Join(CrashPoints, ", "))
+	case c.CrashBy != "" && c.CrashBy != "kill" && c.CrashBy != "stop":
+		return bad("crash_by", "%q is not kill or stop", c.CrashBy)
+	case c.CrashOn < 1:
+		return bad("crash_on", "%d is not 1 or more", c.CrashOn)
+	}
+	for i, x := range n.Module.Classes {
+		if need := p.Skew + x.Window/10; x.Effect == ivyfold.Keyed && x.Window > 0 && need > x.Window/2 {
+			return bad("skew_ms", "%d: class %s may be repeated for %v only, which clocks so far apart leave no room in", c.SkewMs, n.Classes[i], x.Window)
+		}
+	}
+	for i, x := range c.Peers {
+		at, err := netip.ParseAddrPort(x.Address)
+		if err != nil {
+			return bad(fmt.Sprintf("peer.%d.address", i), "%q is not an address and port", x.Address)
+		}
+		if x.Name == "" || slices.ContainsFunc(c.Peers[:i], func(q named) bool { return q.Name == x.Name }) {
+			return bad(fmt.Sprintf("peer.%d.name", i), "%q is missing or double", x.Name)
+		}
+		if x.Name == n.Name { // its own: the files may be alike
+			continue
+		}
+		p.Peers = append(p.Peers, Peer{x.Name, at})
+	}
+	if len(p.Peers)+1 < c.Copies {
+		return bad("peer", "%d others are named, and %d copies need %d", len(p.Peers), c.Copies, c.Copies-1)
+	}
+	return p, nil
+}
+
 // Agent is what an operator's file says of an agent and its instances.
 type Agent struct {
 	Control   string // where status, counters and drain are asked for
@@ -598,6 +724,7 @@
 	AMQP      string `toml:"amqp"`
 	Capture   string `toml:"capture"`
 	Members   string `toml:"members"`
+	Promises  string `toml:"promises"`
 }
 
 // AgentLimits are the agent's sizes and times.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -177,6 +177,55 @@
 	}
 }
 
+// Promises need the membership, the permission and a path for more than notes, and say which is missing.
+func TestPromisesFile(t *testing.T) {
+	allowed := strings.Replace(whole, `"cancelling":true`, `"cancelling":true,"peers":true`, 1)
+	members := write(t, "members.toml", "[members]\nlisten = \"127.0.0.1:7400\"\n")
+	const good = "[promises]\nlisten = \"127.0.0.1:7500\"\ncopies = 3\n[[promises.peer]]\nname = \"n2\"\naddress = \"127.0.0.1:7501\"\n[[promises.peer]]\nname = \"n3\"\naddress = \"127.0.0.1:7502\"\n"
+	file := write(t, "promises.toml", good)
+	for text, want := range map[string]string{
+		whole: "limits.peers",
+		strings.Replace(allowed, `"seed":`, `"peer_listen":"127.0.0.1:7946","seed":`, 1): "peer_listen",
+		allowed: "NODE_MEMBERS",
+	} {
+		env := map[string]string{"NODE_PROMISES": file}
+		if want != "NODE_MEMBERS" && want != "limits.peers" {
+			env["NODE_MEMBERS"] = members
+		}
+		if _, err := load(t, text, env); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "promises.toml") {
+			t.Errorf("wanted an error that names %s: %v", want, err)
+		}
+	}
+	for _, k := range []struct{ from, to, key string }{
+		{"", "", ""},
+		{`"127.0.0.1:7500"`, `"here"`, "promises.listen"},
+		{"copies = 3", "copies = 2", "promises.copies"},
+		{"copies = 3", "copies = 5", "promises.peer"},
+		{"copies = 3", "groups = 0", "promises.groups"},
+		{"copies = 3", "keep_s = 0.5", "promises.keep_s"},
+		{"copies = 3", "skew_ms = -1", "promises.skew_ms"},
+		{"copies = 3", "skew_ms = 9000", "promises.skew_ms"},
+		{"copies = 3", "most = 0", "promises.most"},
+		{"copies = 3", "crash_at = \"anywhere\"", "promises.crash_at"},
+		{"copies = 3", "crash_by = \"luck\"", "promises.crash_by"},
+		{"copies = 3", "crash_on = 0", "promises.crash_on"},
+		{"copies = 3", "colour = 1", "promises.colour"},
+		{`"n2"`, `"n3"`, "promises.peer.1.name"},
+		{`"127.0.0.1:7501"`, `"there"`, "promises.peer.0.address"},
+	} {
+		n, err := load(t, allowed, map[string]string{"NODE_MEMBERS": members, "NODE_PROMISES": write(t, "promises.toml", strings.Replace(good, k.from, k.to, 1))})
+		if (err == nil) != (k.key == "") || err != nil && !(strings.Contains(err.Error(), k.key) && strings.Contains(err.Error(), "promises.toml")) {
+			t.Errorf("%s: wanted an error that names %q: %v", k.to, k.key, err)
+		}
+		if err == nil && (len(n.Promises.Peers) != 2 || n.Promises.Copies != 3 || n.Promises.Groups != 16) {
+			t.Errorf("%+v", n.Promises)
+		}
+	}
+	if n, err := load(t, allowed, map[string]string{"NODE_MEMBERS": members, "NODE_PROMISES": "../../deploy/promises.toml", "NODE_NAME": "n0"}); err != nil || len(n.Promises.Peers) != 2 {
+		t.Errorf("the file that is shipped: %v", err)
+	}
+}
+
 func TestAgentFile(t *testing.T) {
 	const good = "[agent]\ncontrol = \"127.0.0.1:7470\"\n[snmp]\nlisten = \"127.0.0.1:1161\"\n[[instance]]\nname = \"n0\"\nlisten = \"127.0.0.1:5000\"\nconfig = \"x\"\n"
 	for _, k := range []struct{ from, to, key string }{
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -63,6 +63,10 @@
 
 	// Reply gets the final answer, once, on the core's goroutine: it must not block.
 	Reply func(Answer)
+	// MayStart is asked just before an attempt's first byte, on any goroutine, and Ended told of each outcome that the
+	// module gets, on the core's: both for jobs that are kept elsewhere too (internal/keep). nil: nobody asks.
+	MayStart func() bool
+	Ended    func(a *Attempt, o ivyfold.Outcome)
 
 	number   ivyfold.JobID
 	until    time.Duration // when waiting for workers ends
@@ -93,6 +97,12 @@
 	CloseIdle(config.Worker)
 }
 
+// Taker is what a front gives its jobs to: the Core, or what keeps them and hands them on.
+type Taker interface {
+	Take(*Job) error // after nil the job's Reply is called once; after an error never
+	Leave(*Job)      // the client has gone
+}
+
 // Asker keeps the watch on the roster. It must not block.
 type Asker interface{ Watch(on bool) }
 
@@ -308,7 +318,9 @@
 
 // MayStart looks at the worker's state just before the first byte of a send goes out: a connection takes time to
 // come up, and the worker may have been told off meanwhile.
-func (a *Attempt) MayStart() bool { return !a.seat.leaving.Load() && a.Ctx.Err() == nil }
+func (a *Attempt) MayStart() bool {
+	return !a.seat.leaving.Load() && a.Ctx.Err() == nil && (a.Job.MayStart == nil || a.Job.MayStart())
+}
 
 // Note passes on that the job has started at the worker, or how far it is.
 func (a *Attempt) Note(kind ivyfold.NoteKind, share float64) {
@@ -344,6 +356,9 @@
 	j.out--
 	c.Counters.Outcomes[o].Add(1)
 	c.see(Moment{Sight: SawEnded, Job: j, Attempt: a, Outcome: o, Load: load})
+	if j.Ended != nil {
+		j.Ended(a, o)
+	}
 	if o == ivyfold.OK && !j.answered {
 		c.reply(j, Answer{Verdict: Served, Result: result})
 	}
--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -32,7 +32,7 @@
 // Step is one thing that is done to some nodes at a time.
 type Step struct {
 	AtS   float64 `json:"at_s"`
-	Do    string  `json:"do"` // start, kill, term, stop, cut, heal, loss, delay, double, deaf, hear, rename
+	Do    string  `json:"do"` // start, kill, term, stop, cut, heal, loss, delay, double, deaf, hear, rename, revive
 	Nodes []int   `json:"nodes,omitempty"`
 	To    []int   `json:"to,omitempty"`    // cut: what goes from Nodes to these is lost
 	ForS  float64 `json:"for_s,omitempty"` // stop
@@ -58,7 +58,7 @@
 	if t.Nodes < 1 || t.Nodes > 60 || t.QuietS < 0 || t.QuietS > 120 || len(t.Steps) > 1000 {
 		return errors.New("nodes are 1 to 60, quiet_s 0 to 120, steps 1000 at most")
 	}
-	known := []string{"start", "kill", "term", "stop", "cut", "heal", "loss", "delay", "double", "deaf", "hear", "rename"}
+	known := []string{"start", "kill", "term", "stop", "cut", "heal", "loss", "delay", "double", "deaf", "hear", "rename", "revive"}
 	for i, s := range t.Steps {
 		switch {
 		case !slices.Contains(known, s.Do):
@@ -86,6 +86,7 @@
 	Period   time.Duration
 	Bear     time.Duration
 	Look     func() // called after the quiet stretch, while all still run
+	Kept     *Trial // jobs are taken for keeps, and clients and workers are played; nil: only the membership is
 
 	line   *Timeline
 	nodes  []*node
@@ -130,6 +131,12 @@
 	if err := p.connect(); err != nil {
 		return nil, err
 	}
+	if p.Kept != nil {
+		if err := p.Kept.begin(p); err != nil {
+			return nil, err
+		}
+		defer p.Kept.end()
+	}
 	p.began = time.Now()
 	for i := range line.Nodes {
 		p.nodes = append(p.nodes, &node{name: fmt.Sprintf("n%d", i)})
@@ -171,6 +178,17 @@
 			for i := range p.cuts {
 				p.cuts[i].Store(false)
 			}
+		case "revive": // whoever has ended or stopped by himself goes on
+			for i, n := range p.nodes {
+				n.process.Process.Signal(syscall.SIGCONT)
+				select {
+				case <-n.over:
+					if err := p.start(i); err != nil {
+						return nil, err
+					}
+				default:
+				}
+			}
 		case "loss":
 			p.loss.Store(uint64(s.Share * (1 << 20)))
 		case "double":
@@ -181,6 +199,9 @@
 	}
 	time.Sleep(time.Duration(line.QuietS * float64(time.Second)))
 	p.world.Now = time.Since(p.began)
+	if p.Kept != nil {
+		p.Kept.settle()
+	}
 	if p.Look != nil {
 		p.Look()
 	}
@@ -329,6 +350,10 @@
 func (p *Play) start(i int) error {
 	n, w := p.nodes[i], p.world.Nodes[i]
 	conf, members := filepath.Join(p.Dir, fmt.Sprintf("node-%d.json", i)), filepath.Join(p.Dir, fmt.Sprintf("members-%d.toml", i))
+	env := []string(nil)
+	if p.Kept != nil {
+		env = p.Kept.tell(i)
+	}
 	text := fmt.Sprintf(`{"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s}`, p.line.Seed*1000+uint64(i),
 		strings.Replace(p.Settings, `"zone":0`, fmt.Sprintf(`"zone":%d`, i%2), 1))
 	var more strings.Builder
@@ -349,7 +374,8 @@
 	}
 	defer log.Close()
 	c := exec.Command(p.Program)
-	c.Env = append(os.Environ(), "NODE_NAME="+n.name, "NODE_LISTEN="+fmt.Sprintf("127.%d.0.%d:5000", p.Host, i+1), "NODE_DISCOVERY=", "NODE_CONFIG="+conf, "NODE_MEMBERS="+members, "NODE_CAPTURE=", "NODE_AMQP=")
+	c.Env = append(os.Environ(), "NODE_NAME="+n.name, "NODE_LISTEN="+fmt.Sprintf("127.%d.0.%d:5000", p.Host, i+1), "NODE_DISCOVERY=", "NODE_CONFIG="+conf, "NODE_MEMBERS="+members, "NODE_CAPTURE=", "NODE_AMQP=", "NODE_PROMISES=")
+	c.Env = append(c.Env, env...)
 	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	n.process, n.over = c, make(chan struct{})
--- /dev/null
+++ b/internal/keep/links_test.go
@@ -0,0 +1,100 @@
+// The carrier against peers that say what cannot be, and a keeper's settings.
+
+package keep
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ivyfold/internal/config"
+	"ivyfold/internal/replica"
+)
+
+func linksOf(t *testing.T, name string, peers ...config.Peer) (*links, chan []byte) {
+	t.Helper()
+	n := &config.Node{Name: name, Promises: &config.Promises{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Peers: peers},
+		Limits: config.Limits{CopyFrame: 1 << 20, CopyQueue: 1 << 20, CopyDial: time.Second, CopyRetry: 10 * time.Millisecond}}
+	l, err := open(n, hello{Form: 1, Name: name, Copy: 7, Start: 1}, new(atomic.Int64))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	heard := make(chan []byte, 16)
+	done := make(chan bool)
+	go func() {
+		l.run(ctx, func(_ replica.Place, data []byte) { heard <- data })
+		close(done)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return l, heard
+}
+
+// What a stranger sends is never handed on, and his connection ends; frames of a known peer are, in order.
+func TestStrangersAreNotHeard(t *testing.T) {
+	l, heard := linksOf(t, "a", config.Peer{Name: "b", At: netip.MustParseAddrPort("127.0.0.1:1")})
+	word := func(h hello) []byte { return frame(helloFrame, encode(h)) }
+	large := make([]byte, 5)
+	binary.BigEndian.PutUint32(large, 1<<30)
+	for name, data := range map[string][]byte{
+		"no hello":             frame(hostFrame, []byte("x")),
+		"an unknown name":      word(hello{Form: 1, Name: "z", Copy: 1}),
+		"a later form":         word(hello{Form: 2, Name: "b", Copy: 1}),
+		"no memory":            word(hello{Form: 1, Name: "b"}),
+		"nothing":              nil,
+		"noise":                []byte("GET / HTTP/1.1\r\n\r\n"),
+		"too large a frame":    append(word(hello{Form: 1, Name: "b", Copy: 1}), append(large, hostFrame)...),
+		"another memory later": append(word(hello{Form: 1, Name: "b", Copy: 1}), word(hello{Form: 1, Name: "b", Copy: 2})...),
+	} {
+		c, err := net.Dial("tcp", l.listen.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write(data)
+		if data == nil {
+			c.(*net.TCPConn).CloseWrite()
+		}
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if n, err := c.Read(make([]byte, 1)); n > 0 || err == nil {
+			t.Errorf("%s: it is answered", name)
+		} else if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			t.Errorf("%s: the connection stays", name)
+		}
+		c.Close()
+	}
+	if len(heard) > 0 {
+		t.Errorf("%q is handed on", <-heard)
+	}
+	c, err := net.Dial("tcp", l.listen.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write(append(word(hello{Form: 1, Name: "b", Copy: 3, Start: 9, Charter: 5}), append(frame(hostFrame, []byte("one")), frame(hostFrame, []byte("two"))...)...))
+	if a, b := string(<-heard), string(<-heard); a != "one" || b != "two" {
+		t.Errorf("%q and %q are heard", a, b)
+	}
+	if m, ok := l.met("b"); !ok || m.Copy != 3 || m.Charter != 5 {
+		t.Errorf("%+v is known of b", m)
+	}
+}
+
+// A peer that is not there costs no more than the queue's bytes; what does not fit is dropped and counted.
+func TestPeerThatIsNotThere(t *testing.T) {
+	l, _ := linksOf(t, "a", config.Peer{Name: "b", At: netip.MustParseAddrPort("127.0.0.1:1")})
+	for range 40 {
+		l.send(replica.Place{Name: "b", Copy: 1}, make([]byte, 100<<10))
+	}
+	l.send(replica.Place{Name: "nobody", Copy: 1}, []byte("x"))
+	k := l.out["b"]
+	k.mu.Lock()
+	held := k.held
+	k.mu.Unlock()
+	if held > 1<<20 || l.dropped.Load() < 30 {
+		t.Errorf("%d bytes wait, %d are dropped", held, l.dropped.Load())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,8 +26,20 @@
 // Record puts an observer on the core before it runs, and gives what ends it once the core has ended.
 type Record func(*config.Node, *dispatch.Counters, *dispatch.Core) (end func(context.Context) error, err error)
 
-// Run runs one dispatcher until SIGTERM has been served. record may be nil.
-func Run(record Record) error {
+// Keeper stands between the fronts, the core and the floors where jobs are taken for keeps.
+type Keeper interface {
+	dispatch.Taker
+	Floors(dispatch.Floor) dispatch.Floor // what stands before a floor; nil for none
+	Run(context.Context, *dispatch.Core)  // from before the first job on
+	Status(ctx context.Context, key string) (any, bool)
+	Farewell(context.Context) // gives up what this dispatcher has
+}
+
+// Keep makes a keeper for a node whose operator's file asks for one.
+type Keep func(*config.Node, *peers.Peers) (Keeper, error)
+
+// Run runs one dispatcher until SIGTERM has been served. record and keep may be nil.
+func Run(record Record, keep Keep) error {
 	reloads := make(chan os.Signal, 1) // from the first: by itself this signal would end the program
 	signal.Notify(reloads, syscall.SIGHUP)
 	n, err := config.Load(os.Getenv)
@@ -49,7 +61,24 @@
 		desk = amqp.New(n, counters)
 		queues, fixed = desk, desk.Workers()
 	}
-	core, err := dispatch.New(n, counters, floor.New(n, counters), queues, list, fixed)
+	var members *peers.Peers
+	if n.Members != nil {
+		if members, err = peers.New(n); err != nil {
+			return err
+		}
+	}
+	var floors dispatch.Floor = floor.New(n, counters)
+	var keeper Keeper
+	if n.Promises != nil {
+		if keep == nil {
+			return errors.New("NODE_PROMISES: this program cannot keep promises: gladepick-plus can")
+		}
+		if keeper, err = keep(n, members); err != nil {
+			return err
+		}
+		floors, queues = keeper.Floors(floors), keeper.Floors(queues)
+	}
+	core, err := dispatch.New(n, counters, floors, queues, list, fixed)
 	if err != nil {
 		return err
 	}
@@ -61,13 +90,13 @@
 		}
 	}
 	front := portal.New(n, core)
-	var members *peers.Peers
-	if n.Members != nil {
-		if members, err = peers.New(n); err != nil {
-			return err
-		}
+	var jobs dispatch.Taker = core
+	if members != nil {
 		front.Members = func(ctx context.Context) (any, bool) { return members.Status(ctx) }
 	}
+	if keeper != nil {
+		jobs, front.Jobs, front.Leases = keeper, keeper, keeper.Status
+	}
 	listener, err := net.Listen("tcp", n.Listen)
 	if err != nil {
 		return err
@@ -77,12 +106,15 @@
 	go core.Run(ctx)
 	go list.Run(ctx)
 	if desk != nil {
-		desk.Core = core
+		desk.Core, desk.Kept = jobs, keeper != nil
 		go desk.Run(ctx)
 	}
 	if members != nil {
 		go members.Run(ctx)
 	}
+	if keeper != nil {
+		go keeper.Run(ctx, core)
+	}
 	broken := make(chan error, 1)
 	go func() { broken <- front.Serve(listener) }()
 	go func() { // to the last moment: what has been taken is still sent on by the list, also while leaving
@@ -117,6 +149,9 @@
 	if desk != nil {
 		err = errors.Join(err, desk.Settled(late))
 	}
+	if keeper != nil {
+		keeper.Farewell(late)
+	}
 	if members != nil {
 		members.Leave(late)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -234,6 +234,14 @@
 	return s, ok
 }
 
+// View is the last view of this member, its own life, whether it is in a view, and whether its side has a majority.
+func (p *Peers) View(ctx context.Context) (v membership.View, life uint64, joined, quorum bool) {
+	p.call(ctx, func() {
+		v, life, joined, quorum = p.machine.View(), p.machine.Life(), p.machine.Joined(), p.machine.Quorum()
+	})
+	return v, life, joined, quorum
+}
+
 // Draining lets the others read that this dispatcher is on its way out.
 func (p *Peers) Draining(ctx context.Context) {
 	p.call(ctx, func() {
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -29,7 +29,9 @@
 
 // Portal serves clients over HTTP/1.1.
 type Portal struct {
-	Members func(context.Context) (any, bool) // what GET /members shows; nil: the membership is off. Set before Serve
+	Members func(context.Context) (any, bool)                 // what GET /members shows; nil: the membership is off. Set before Serve
+	Leases  func(ctx context.Context, key string) (any, bool) // what GET /leases shows; nil: jobs are not taken for keeps
+	Jobs    dispatch.Taker                                    // what takes the jobs; the core, if nothing else is set before Serve
 
 	core    *dispatch.Core
 	node    *config.Node
@@ -42,7 +44,7 @@
 
 // New makes a portal in front of a core.
 func New(n *config.Node, core *dispatch.Core) *Portal {
-	p := &Portal{core: core, node: n, lim: n.Limits, door: newDoor(n.Limits)}
+	p := &Portal{core: core, Jobs: core, node: n, lim: n.Limits, door: newDoor(n.Limits)}
 	p.server = &http.Server{
 		Handler: p, ReadTimeout: p.lim.ReadHead, IdleTimeout: p.lim.ClientIdle, MaxHeaderBytes: p.lim.Head,
 		ErrorLog: log.Default(),
@@ -118,7 +120,7 @@
 	rc.SetReadDeadline(time.Time{})
 	answers := make(chan dispatch.Answer, 1)
 	job.Reply = func(a dispatch.Answer) { answers <- a }
-	switch err := p.core.Take(job); {
+	switch err := p.Jobs.Take(job); {
 	case errors.Is(err, dispatch.ErrOpen):
 		bad(http.StatusConflict, err.Error())
 		return
@@ -142,7 +144,7 @@
 			say(w, http.StatusBadGateway, "the job failed")
 		}
 	case <-r.Context().Done():
-		p.core.Leave(job)
+		p.Jobs.Leave(job)
 	}
 }
 
@@ -167,22 +169,33 @@
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(p.core.Counts())
 	case "/members":
-		if p.Members == nil {
-			say(w, http.StatusNotFound, "the membership is off")
+		show(w, r, "the membership", p.Members)
+	case "/leases":
+		if p.Leases == nil {
+			show(w, r, "taking jobs for keeps", nil)
 			return
 		}
-		v, ok := p.Members(r.Context())
-		if !ok {
-			say(w, http.StatusServiceUnavailable, "the membership has ended")
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(v)
+		show(w, r, "taking jobs for keeps", func(ctx context.Context) (any, bool) { return p.Leases(ctx, r.URL.Query().Get("key")) })
 	default:
 		say(w, http.StatusNotFound, "jobs come by POST")
 	}
 }
 
+// show answers with what a part of the program tells of itself.
+func show(w http.ResponseWriter, r *http.Request, what string, tell func(context.Context) (any, bool)) {
+	if tell == nil {
+		say(w, http.StatusNotFound, what+" is off")
+		return
+	}
+	v, ok := tell(r.Context())
+	if !ok {
+		say(w, http.StatusServiceUnavailable, what+" has ended")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
 func say(w http.ResponseWriter, status int, text string) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
