Give every intent of a lease a number of its own, also where one was given up on its way

Cause: an owner that gave an intent up (no quorum's word in time) used its number again; if the first came in after all, the second passed as its repeat, and the record kept the first one's place and time. For classes bound to a zone or cell a successor could then send where nobody remembers the key.

Change: a number is never used again, and the table takes any later one. The explorer has two places and commands that come in after they were given up.

--- a/internal/lease/explore_test.go
+++ b/internal/lease/explore_test.go
@@ -66,12 +66,18 @@
 	client  bool
 	inner   bool  // the module has it
 	out     int   // attempts at workers that have not ended here
-	may     []int // attempts that may go out
+	may     []may // attempts that may go out
+	place   uint32
 	tries   int
 	result  string // that has come from a worker
 	stopped bool
 }
 
+type may struct {
+	attempt int
+	place   uint32 // of the worker: each place has a memory of its own, and a repeat is bound to it
+}
+
 type state struct {
 	table   *lease.Table
 	now     int64
@@ -82,7 +88,7 @@
 	answers []answer
 	came    []answer      // results on the way to holds: to, reply.Result
 	effects int           // of the job at the workers
-	ran     int64         // when they last remember to have run it; -1: not at all
+	ran     [2]int64      // by place, when they last remember to have run it; -1: not at all
 	told    []lease.Reply // what clients were told, without repeats
 	budget  [6]int        // crashes, stops, losses, doubles, second tries, seizures left
 }
@@ -105,7 +111,7 @@
 	fmt.Fprint(h, r)
 	fmt.Fprint(h, s.now, s.dead, s.stopped, s.effects, s.ran, s.told, s.budget)
 	for _, x := range s.holds {
-		fmt.Fprint(h, x.hold.Shape(), x.at, x.client, x.inner, x.out, x.may, x.tries, x.result)
+		fmt.Fprint(h, x.hold.Shape(), x.at, x.client, x.inner, x.out, x.may, x.place, x.tries, x.result)
 	}
 	for _, f := range s.flights {
 		fmt.Fprint(h, f.from, *f.command)
@@ -117,6 +123,7 @@
 }
 
 type explorer struct {
+	places  int
 	fault   mutant
 	seen    map[uint64]bool
 	deepest int
@@ -135,7 +142,7 @@
 			x.inner = true
 		case lease.Send:
 			if e.fault != unreserved {
-				x.may = append(x.may, a.Attempt)
+				x.may = append(x.may, may{a.Attempt, x.place})
 			}
 		case lease.Tell:
 			e.tell(s, lease.Reply{Verdict: a.Verdict, Result: a.Result})
@@ -154,7 +161,7 @@
 }
 
 func terms(now int64, sender uint64, fault mutant) lease.Terms {
-	t := lease.Terms{Again: again, Until: min(now+deadline, horizon), Keep: 100, Most: 10, Sender: sender}
+	t := lease.Terms{Again: again, Bound: true, Until: min(now+deadline, horizon), Keep: 100, Most: 10, Sender: sender}
 	if fault == forgetful {
 		t.Again = 100
 	}
@@ -194,6 +201,10 @@
 				n.flights = slices.Delete(n.flights, i, i+1)
 				e.act(n, f.from, n.holds[f.from].hold.Unsure(f.command))
 			})
+			add(fmt.Sprintf("give %d of %d up, and it comes yet", f.command.Kind, f.from), func(n *state) {
+				n.budget[2]--
+				e.act(n, f.from, n.holds[f.from].hold.Unsure(f.command))
+			})
 		}
 		if s.budget[3] > 0 {
 			add(fmt.Sprintf("double %d of %d", f.command.Kind, f.from), func(n *state) {
@@ -231,28 +242,31 @@
 			continue
 		}
 		if x.inner && x.out == 0 && len(x.may) == 0 && x.tries < 2 {
-			add(fmt.Sprintf("%d asks", i), func(n *state) {
-				y := &n.holds[i]
-				y.tries++
-				e.act(n, i, y.hold.Ask(y.tries-1, 0, n.now))
-				if e.fault == unreserved {
-					y.may = append(y.may, y.tries-1)
-				}
-			})
+			for place := range uint32(e.places) {
+				add(fmt.Sprintf("%d asks for %d", i, place), func(n *state) {
+					y := &n.holds[i]
+					y.tries, y.place = y.tries+1, place
+					e.act(n, i, y.hold.Ask(y.tries-1, place, n.now))
+					if e.fault == unreserved {
+						y.may = append(y.may, may{y.tries - 1, place})
+					}
+				})
+			}
 		}
 		if len(x.may) > 0 {
 			send := func(name string, ran, back bool) {
 				add(fmt.Sprintf("%d sends%s", i, name), func(n *state) {
 					y := &n.holds[i]
+					at := y.may[0].place
 					y.may = y.may[1:]
 					if y.hold.Left(n.now) <= 0 && e.fault != stale && e.fault != unfenced && e.fault != unreserved {
 						y.hold.Ended(true)
 						return
 					}
 					if ran {
-						if n.ran < 0 || n.now >= n.ran+remember {
+						if n.ran[at] < 0 || n.now >= n.ran[at]+remember {
 							n.effects++
-							n.ran = n.now
+							n.ran[at] = n.now
 						}
 					}
 					if back {
@@ -336,7 +350,7 @@
 
 // first is a client's try at A.
 func (e *explorer) first(budget [6]int) *state {
-	s := &state{table: lease.New(), now: begin, ran: -1, budget: budget}
+	s := &state{table: lease.New(), now: begin, ran: [2]int64{-1, -1}, budget: budget}
 	h, acts := lease.Begin("k", word(0), terms(begin, 1, e.fault), fresh, []byte("job"), begin)
 	s.holds = append(s.holds, holder{hold: h, at: 0, client: true})
 	e.act(s, 0, acts)
@@ -344,8 +358,8 @@
 }
 
 // explore goes through the states in the order of their depth, so that the shortest way to a fault is found.
-func explore(fault mutant, budget [6]int, most int) *explorer {
-	e := &explorer{fault: fault, seen: map[uint64]bool{}, whole: true}
+func explore(fault mutant, budget [6]int, places, most int) *explorer {
+	e := &explorer{places: places, fault: fault, seen: map[uint64]bool{}, whole: true}
 	queue := []*node{{state: e.first(budget)}}
 	for len(queue) > 0 && e.found == "" {
 		x := queue[0]
@@ -377,7 +391,7 @@
 
 // walk goes one way at random through a world, to its end.
 func walk(fault mutant, budget [6]int, seed uint64) string {
-	e := &explorer{fault: fault}
+	e := &explorer{places: 2, fault: fault}
 	rng := rand.New(rand.NewPCG(seed, 1))
 	s, way := e.first(budget), []string(nil)
 	for range 200 {
@@ -399,6 +413,7 @@
 	"a crash and a takeover":           {1, 0, 0, 0, 0, 1},
 	"a stop, a takeover and a waking":  {0, 1, 0, 0, 0, 1},
 	"a loss, a double, a second try":   {0, 0, 1, 1, 1, 0},
+	"two losses, a crash, a takeover":  {1, 0, 2, 0, 0, 1},
 	"a crash, a second try, takeovers": {1, 0, 0, 0, 1, 2},
 }
 
@@ -408,7 +423,11 @@
 		most = v
 	}
 	for name, b := range budgets {
-		e := explore(none, b, most)
+		places := 1
+		if b[5] > 0 && b[4] == 0 { // takeovers alone: then also where the second send goes
+			places = 2
+		}
+		e := explore(none, b, places, most)
 		t.Logf("%s: %d states, %d steps deep, all of them: %v", name, len(e.seen), e.deepest, e.whole)
 		if e.found != "" {
 			t.Errorf("%s: %s", name, e.found)
@@ -438,7 +457,7 @@
 		forgetful:  {1, 0, 0, 0, 0, 1},
 		unreserved: {1, 0, 0, 0, 0, 1},
 	} {
-		e := explore(fault, b, 60_000)
+		e := explore(fault, b, 1, 60_000)
 		if e.found == "" {
 			t.Errorf("fault %d is not found in %d states, %d deep", fault, len(e.seen), e.deepest)
 		}
--- a/internal/lease/hold.go
+++ b/internal/lease/hold.go
@@ -188,8 +188,12 @@
 		return nil
 	}
 	h.want = nil
-	acts := h.refuse(h.moot(nil))
-	if c.Kind == Intent { // the module may try again; nothing has gone out
+	acts := h.moot(nil)
+	if c.Kind != Intent {
+		acts = h.refuse(acts)
+	}
+	if c.Kind == Intent { // the module may try again, under another number: nothing has gone out, and this one may yet come in
+		h.attempt = c.Attempt
 		return acts
 	}
 	return h.leave(acts)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -340,10 +340,10 @@
 	if c.Attempt == r.Attempt && r.State == Sent { // the same command once more
 		return Reply{Word: Granted, Epoch: r.Epoch}
 	}
-	if c.Clean {
+	if c.Clean && c.Attempt > r.Attempt {
 		r.First = 0
 	}
-	if c.Attempt != r.Attempt+1 || !r.May(c.Now, c.Place) {
+	if c.Attempt <= r.Attempt || !r.May(c.Now, c.Place) { // one in between may have been given up on its way
 		return Reply{Word: Barred, Epoch: r.Epoch}
 	}
 	if r.since() == 0 {
