--- a/internal/faults/faults.go
+++ b/internal/faults/faults.go
@@ -307,7 +307,7 @@
 		if n.process != nil {
 			select {
 			case <-n.over:
-			case <-time.After(5 * time.Second):
+			case <-time.After(20 * time.Second): // who leaves may wait for others to get his copies
 				return fmt.Errorf("%s has not ended before its start", n.name)
 			}
 		}
--- a/internal/faults/promises.go
+++ b/internal/faults/promises.go
@@ -42,6 +42,7 @@
 	Asked    map[string]int
 	Open     []string // keys without an outcome at the end
 	Crashed  map[string]int
+	Founded  int // foundings that the dispatchers' records tell of
 	Tries    int
 	Refused  int
 	Broken   int
@@ -70,6 +71,14 @@
 
 const workers = 4
 
+// Copies are as many as a fleet of n gets here.
+func Copies(n int) int {
+	if n >= 9 {
+		return 5
+	}
+	return 3
+}
+
 func (t *Trial) worker(w int) string { return fmt.Sprintf("127.%d.200.%d:6000", t.play.Host, w+1) }
 func (t *Trial) discovery() string   { return fmt.Sprintf("127.%d.201.1:8500", t.play.Host) }
 func (t *Trial) copies(i, k int) string {
@@ -205,7 +214,7 @@
 		return []string{"NODE_DISCOVERY=" + t.discovery()}
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "[promises]\nlisten = %q\ngroups = 8\nkeep_s = 600\nskew_ms = 100\nevents = %q\n", t.copies(i, i), filepath.Join(t.play.Dir, fmt.Sprintf("promises-%d.jsonl", i)))
+	fmt.Fprintf(&b, "[promises]\nlisten = %q\ncopies = %d\ngroups = 8\nkeep_s = 600\nskew_ms = 100\nevents = %q\n", t.copies(i, i), Copies(t.play.line.Nodes), filepath.Join(t.play.Dir, fmt.Sprintf("promises-%d.jsonl", i)))
 	if at := t.Crash[i]; at != "" && t.play.nodes[i].starts == 0 {
 		part := strings.Split(at, ":")
 		fmt.Fprintf(&b, "crash_at = %q\ncrash_on = %s\ncrash_by = %q\n", part[0], part[1], part[2])
@@ -390,6 +399,7 @@
 	all.Wait()
 	for i := range t.play.nodes {
 		text, _ := os.ReadFile(filepath.Join(t.play.Dir, fmt.Sprintf("promises-%d.jsonl", i)))
+		t.Founded += strings.Count(string(text), `"notice":"founded`)
 		for _, point := range config.CrashPoints {
 			t.Crashed[point] += strings.Count(string(text), strconv.Quote("crash")+":"+strconv.Quote(point))
 		}
--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -10,12 +10,10 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -32,6 +30,7 @@
 	"ivyfold/internal/dispatch"
 	"ivyfold/internal/lease"
 	"ivyfold/internal/membership"
+	"ivyfold/internal/peers"
 	"ivyfold/internal/replica"
 )
 
@@ -45,15 +44,14 @@
 
 // job is what of a client's try is copied, so that a successor can run it.
 type job struct {
-	_                   struct{} `cbor:",toarray"`
-	ID, Key, Target     string
-	Head                []dispatch.Field
-	Body                []byte
-	Class, Tenant       string
-	Subject             uint64
-	Repeat              bool
-	Slots, Memory       float64
-	Came, Until, Lowest int64 // Unix milliseconds; Lowest is 0 in this form
+	_               struct{} `cbor:",toarray"`
+	ID, Key, Target string
+	Head            []dispatch.Field
+	Body            []byte
+	Class, Tenant   string
+	Subject         uint64
+	Repeat          bool
+	Slots, Memory   float64
 }
 
 // entry is a hold with what belongs to it here.
@@ -63,7 +61,6 @@
 	inner   *dispatch.Job // the one that the core has
 	id      string
 	group   int
-	began   time.Duration
 	until   time.Duration
 	asked   map[int]wish // attempts whose intents are under way
 	granted map[int]bool // attempts whose intents stand
@@ -124,7 +121,7 @@
 	away    map[string]time.Duration // owners that are not in the view, since when
 	seizing map[int]bool
 	tidied  time.Duration
-	record  *os.File
+	record  *peers.Record
 	crash   map[string]int
 	ready   atomic.Bool
 	leaving atomic.Bool
@@ -149,7 +146,7 @@
 		return nil, fmt.Errorf("%s: %w", c.Path, err)
 	}
 	if c.Events != "" {
-		if k.record, err = os.OpenFile(c.Events, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+		if k.record, err = peers.OpenRecord(c.Events); err != nil {
 			return nil, fmt.Errorf("%s: key promises.events: %w", c.Path, err)
 		}
 	}
@@ -293,19 +290,8 @@
 
 // note writes a line of the operator's record.
 func (k *Keeper) note(line map[string]any) {
-	if k.record == nil {
-		return
-	}
-	line["at"], line["by"] = time.Now().UnixNano(), k.node.Name
-	text, err := json.Marshal(line)
-	if err == nil {
-		_, err = k.record.Write(append(text, '\n'))
-	}
-	if err != nil {
-		slog.Error("the record of promises ends here", "file", k.conf.Events, "error", err)
-		k.record.Close()
-		k.record = nil
-	}
+	line["by"] = k.node.Name
+	k.record.Note(line)
 }
 
 // owner is this dispatcher as the tables name it.
@@ -360,7 +346,7 @@
 		tenant = k.node.Tenants[j.Tenant]
 	}
 	body := encode(job{ID: j.ID, Key: j.Key, Target: j.Target, Head: j.Head, Body: j.Body, Class: k.node.Classes[j.Class], Tenant: tenant, Subject: j.Subject,
-		Repeat: j.Repeat, Slots: j.Slots, Memory: j.Memory, Came: now, Until: terms.Until})
+		Repeat: j.Repeat, Slots: j.Slots, Memory: j.Memory})
 	e := &entry{client: j, id: j.ID, until: k.now() + left}
 	h, acts := lease.Begin(key, k.owner(), terms, k.fresh(class), body, now)
 	k.add(e, h)
@@ -373,7 +359,7 @@
 }
 
 func (k *Keeper) add(e *entry, h *lease.Hold) {
-	e.hold, e.began, e.group = h, k.now(), k.host.Group(h.Key)
+	e.hold, e.group = h, k.host.Group(h.Key)
 	e.asked, e.granted = map[int]wish{}, map[int]bool{}
 	k.entries[e] = true
 	if e.client != nil {
@@ -389,9 +375,6 @@
 		case lease.Propose:
 			k.bring(e, a.Command)
 		case lease.Admit:
-			if e.client != nil || e.inner == nil {
-				k.Counts.Taken.Add(1)
-			}
 			k.note(map[string]any{"act": "take", "key": e.hold.Key, "id": e.id, "epoch": e.hold.Epoch, "owner": k.owner()})
 			k.point("taken")
 			k.admit(e)
@@ -413,7 +396,6 @@
 		case lease.Refuse:
 			k.reply(e, dispatch.Answer{Verdict: dispatch.Refused, RetryAfter: k.lim.RetryAfter})
 		case lease.Wait:
-			k.Counts.Joined.Add(1)
 			e.sendBy.Store(0)
 			e.lookAt = k.now()
 		case lease.Retry:
@@ -491,6 +473,10 @@
 			k.Counts.Fenced.Add(1)
 		case r.Word == lease.Barred:
 			k.Counts.Barred.Add(1)
+		case r.Word == lease.Granted && c.Kind == lease.Take:
+			k.Counts.Taken.Add(1)
+		case r.Word == lease.Joined:
+			k.Counts.Joined.Add(1)
 		case r.Word == lease.Known && c.Kind == lease.Take:
 			k.Counts.Known.Add(1)
 		case r.Word == lease.Granted && c.Kind == lease.Intent:
@@ -741,16 +727,21 @@
 	k.leaving.Store(true)
 	ctx, done := context.WithTimeout(ctx, k.lim.LeaseFarewell)
 	defer done()
-	for {
-		settled := make(chan bool, 1)
-		k.post(func() { settled <- len(k.entries) == 0 && k.host.Moved() })
+	for began := time.Now(); ; {
+		settled, open, moved := make(chan bool, 1), 0, false
+		k.post(func() {
+			open, moved = len(k.entries), k.host.Moved()
+			settled <- open == 0 && moved
+		})
 		select {
 		case <-ctx.Done():
+			slog.Warn("leaving with something in hand", "jobs", open, "copies", !moved)
 			return
 		case <-k.over:
 			return
 		case ok := <-settled:
 			if ok {
+				slog.Info("gave up what it had", "after", time.Since(began))
 				return
 			}
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -58,7 +58,7 @@
 	known   atomic.Pointer[map[netip.AddrPort]bool]
 	out     *rate.Limiter // bytes
 	dropped atomic.Uint64
-	record  *os.File
+	record  *Record
 }
 
 // New opens the socket and makes the machine.
@@ -85,7 +85,7 @@
 		return nil, fmt.Errorf("%s: %w", c.Path, err)
 	}
 	if c.Events != "" {
-		if p.record, err = os.OpenFile(c.Events, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
+		if p.record, err = OpenRecord(c.Events); err != nil {
 			return nil, fmt.Errorf("%s: key members.events: %w", c.Path, err)
 		}
 	}
@@ -159,20 +159,38 @@
 	return max(acts.Next-p.now(), time.Millisecond)
 }
 
-// note writes a line of the operator's record: whole lines, in the order of events.
+// note writes a line of the operator's record.
 func (p *Peers) note(line map[string]any) {
-	if p.record == nil {
+	line["life"] = p.machine.Life()
+	p.record.Note(line)
+}
+
+// Record is a file that gets a JSON line for each event, whole and in order. A nil one takes nothing.
+type Record struct{ file *os.File }
+
+// OpenRecord goes on with a file, or begins it.
+func OpenRecord(path string) (*Record, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return &Record{f}, nil
+}
+
+// Note writes a line, with the time. After a line that cannot be written there are no more.
+func (r *Record) Note(line map[string]any) {
+	if r == nil || r.file == nil {
 		return
 	}
-	line["at"], line["life"] = time.Now().UnixNano(), p.machine.Life()
+	line["at"] = time.Now().UnixNano()
 	text, err := json.Marshal(line)
 	if err == nil {
-		_, err = p.record.Write(append(text, '\n'))
+		_, err = r.file.Write(append(text, '\n'))
 	}
 	if err != nil {
-		slog.Error("the record of the membership ends here", "file", p.conf.Events, "error", err)
-		p.record.Close()
-		p.record = nil
+		slog.Error("a record ends here", "file", r.file.Name(), "error", err)
+		r.file.Close()
+		r.file = nil
 	}
 }
 
