Keep an heir's old grants out of its new job, and end a race in the keeper's farewell

An heir's job that the module refused is handed to it once more, and counts its attempts from 0: an attempt that was never let out then passed for the earlier one that was, and its end as proof that this had never run (keep.admit, granted). The grants are dropped with the job; the doubt stays. Farewell read two variables that the keeper's goroutine was still writing; they come over the channel now. Two methods that nobody called, a field for a local value and a doubled condition are gone.

--- a/internal/keep/keep.go
+++ b/internal/keep/keep.go
@@ -117,7 +117,6 @@
 	tokens  map[uint64]func([]byte, error)
 	life    uint64
 	view    membership.View
-	quorum  bool
 	away    map[string]time.Duration // owners that are not in the view, since when
 	seizing map[int]bool
 	tidied  time.Duration
@@ -529,6 +528,7 @@
 	}
 	delete(k.inners, e.inner)
 	e.inner, k.inners[inner] = inner, e
+	clear(e.granted) // it counts its attempts anew: an earlier job's grant is none of its own, and stays in doubt
 	if err := k.core.Take(inner); err != nil {
 		k.act(e, e.hold.Finish(0, nil, k.wall()))
 	}
@@ -624,7 +624,7 @@
 func (k *Keeper) look(ctx context.Context) {
 	k.links.greet(k.host.Charter(), k.leaving.Load())
 	v, life, joined, quorum := k.members.View(ctx)
-	k.view, k.life, k.quorum = v, life, joined && quorum
+	k.view, k.life, quorum = v, life, joined && quorum
 	var there []replica.Member
 	for i := range v.Members {
 		r := &v.Members[i]
@@ -635,9 +635,9 @@
 			there = append(there, m)
 		}
 	}
-	k.do(k.host.See(k.now(), there, k.quorum))
+	k.do(k.host.See(k.now(), there, quorum))
 	k.ready.Store(k.host.Ready() && v.Has(k.node.Name, life))
-	if !k.quorum {
+	if !quorum {
 		clear(k.away)
 		return
 	}
@@ -727,20 +727,22 @@
 	k.leaving.Store(true)
 	ctx, done := context.WithTimeout(ctx, k.lim.LeaseFarewell)
 	defer done()
+	type hand struct {
+		open  int
+		moved bool
+	}
+	last := hand{}
 	for began := time.Now(); ; {
-		settled, open, moved := make(chan bool, 1), 0, false
-		k.post(func() {
-			open, moved = len(k.entries), k.host.Moved()
-			settled <- open == 0 && moved
-		})
+		now := make(chan hand, 1)
+		k.post(func() { now <- hand{len(k.entries), k.host.Moved()} })
 		select {
 		case <-ctx.Done():
-			slog.Warn("leaving with something in hand", "jobs", open, "copies", !moved)
+			slog.Warn("leaving with something in hand", "jobs", last.open, "copies", !last.moved)
 			return
 		case <-k.over:
 			return
-		case ok := <-settled:
-			if ok {
+		case last = <-now:
+			if last.open == 0 && last.moved {
 				slog.Info("gave up what it had", "after", time.Since(began))
 				return
 			}
--- a/internal/lease/export_test.go
+++ b/internal/lease/export_test.go
@@ -24,6 +24,3 @@
 func (h *Hold) Shape() []any {
 	return []any{h.owner, h.Epoch, h.terms, h.phase, h.told, h.attempt, h.asks, h.intent, h.doubt, h.old, h.want != nil}
 }
-
-// Outcome, Owner and Since are a record's, for the properties.
-func (r *Record) Since() int64 { return r.since() }
--- a/internal/lease/hold.go
+++ b/internal/lease/hold.go
@@ -97,9 +97,8 @@
 	return h.propose(&Command{Kind: Return, Key: h.Key, Owner: h.owner, Epoch: h.Epoch, Now: now, Clean: h.doubt == 0})
 }
 
-// Job is what a successor needs to run it, and Until the client's deadline, in Unix milliseconds.
-func (h *Hold) Job() []byte  { return h.job }
-func (h *Hold) Until() int64 { return h.terms.Until }
+// Job is what a successor needs to run it.
+func (h *Hold) Job() []byte { return h.job }
 
 // Heir tells whether nobody waits here for the answer.
 func (h *Hold) Heir() bool { return h.told }
@@ -189,14 +188,11 @@
 	}
 	h.want = nil
 	acts := h.moot(nil)
-	if c.Kind != Intent {
-		acts = h.refuse(acts)
-	}
 	if c.Kind == Intent { // the module may try again, under another number: nothing has gone out, and this one may yet come in
 		h.attempt = c.Attempt
 		return acts
 	}
-	return h.leave(acts)
+	return h.leave(h.refuse(acts))
 }
 
 // Ask is the module's wish to send an attempt to a worker of a place.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -87,7 +87,7 @@
 	raftFrame   frameKind = iota + 1 // Group, Seat, For, Data
 	propose                          // Group, ID, Data: a command
 	result                           // ID, Data: its reply
-	redirect                         // Group, ID, Seats: ask one of these; the first leads, if ID says so
+	redirect                         // Group, ID, Seats: ask one of these; the first leads, if Seat is his
 	charterWord                      // Data
 	look                             // Group, ID, Data: a question
 	looked                           // ID, Data; redirect where there is no copy
