Read lists that are spread over lines, and ask a silent agent again within a drain's grace

At fault: roster.go, watch: bufio.Scanner took each line for a whole object; json.Unmarshal of a whole list failed with any of its entries. config.go, derive: RosterCall, 3.5 s, is the time that a call to a shared discovery may wait its turn; an agent on the same machine has no turns.

Change: a watch is read as a stream of JSON objects, blank lines and line ends anywhere; the limit on one object and what counts of one that broke off stay. An entry that cannot be read counts as gone and is logged once. Who leaves by a foreign list is not sent to. The watch's end by silence is logged as that.

Tests seen to fail before: TestListsOverManyLines, TestFaultyLists, TestCallsForPushedLists. TestWatchFallsSilent passed before too; it holds what was not at fault.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 
 	PortalConns int // client connections open at a time
 	PortalFresh int // among them those that have not said a whole head yet
+	PortalSpare int // so many more while those go that were asked to, and so many turned away whose rest is read
 	FloorConns  int // worker connections open at a time, idle ones included
 	RosterConns int // calls to discovery open at a time
 
@@ -66,6 +67,8 @@
 	RosterRetryMax  time.Duration // this
 	DrainGrace      time.Duration // no byte of a new send goes to a leaving worker later than this
 	Farewell        time.Duration // after SIGTERM the listener stays open so long
+	LastAccept      time.Duration // then what has already come there is let in for so long
+	LastAnswer      time.Duration // after SIGTERM the last answer is out by then: the platform kills a little later
 	Remember        time.Duration // outcomes of keyed jobs are kept so long
 	Remembered      int           // and so many of them at most
 	RememberedBytes int           // holding so many bytes together at most
@@ -365,7 +368,7 @@
 	l := Limits{
 		Cores: cores, MemoryMB: memory, Sockets: sockets,
 		RosterConns: 4, PortalConns: (usable - 4) * 5 / 9, FloorConns: (usable - 4) * 4 / 9,
-		PortalFresh: (usable - 4) / 6, LingerBytes: 4 << 20, Linger: time.Second,
+		PortalFresh: (usable - 4) / 6, PortalSpare: max(sockets/40, 2), LingerBytes: 4 << 20, Linger: time.Second,
 		Body: 64 << 10, Bodies: int64(memory) << 20 / 4, Head: 16 << 10, Line: 128 << 10, Roster: 4 << 20, Workers: 20000, LateReads: 4 << 10,
 		AnswerRoom: 40 * time.Millisecond, RetryAfter: 50 * time.Millisecond, MostPatience: 5 * time.Minute,
 		Connect: 250 * time.Millisecond, WorkerIdle: 4 * time.Second, ClientIdle: 60 * time.Second,
@@ -373,6 +376,7 @@
 		RosterCall: 3500 * time.Millisecond, RosterSilent: 3 * time.Second,
 		RosterRetry: 300 * time.Millisecond, RosterRetryMax: 3 * time.Second,
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
+		LastAccept: 20 * time.Millisecond, LastAnswer: 3 * time.Second,
 		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
 		CaptureRows: 4096, CaptureGroup: 4096, CaptureRetry: time.Second,
@@ -397,9 +401,17 @@
 		l.RosterSilent = min(l.RosterSilent, s.AskWithin/2)
 		l.RosterRetryMax = min(l.RosterRetryMax, s.AskWithin/3)
 	}
+	if s.Discovery == ivyfold.Push && s.DrainGrace > 0 {
+		// The agent on this machine answers at once or not at all, and what it holds counts as told: a call that it left
+		// without an answer while discovery was down may not outlast the grace of a drain told at its return.
+		l.RosterCall, l.RosterSilent = max(l.DrainGrace/4, 50*time.Millisecond), min(l.RosterSilent, 2500*time.Millisecond)
+		l.RosterRetry = min(l.RosterRetry, max(l.DrainGrace/8, 20*time.Millisecond))
+		l.RosterRetryMax = l.RosterRetry
+	}
 	for _, c := range s.Classes {
-		l.Remember = max(l.Remember, c.Window)
+		l.Remember, l.LastAnswer = max(l.Remember, c.Window), max(l.LastAnswer, c.Deadline)
 	}
+	l.LastAnswer += l.Farewell
 	return l, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -266,3 +266,22 @@
 		t.Errorf("192 MB give a limit of %d", got)
 	}
 }
+
+// Where lists are pushed, a call that the agent leaves without an answer and the pause behind it end within the grace of a
+// drain; where they are asked for, a call may wait its turn.
+func TestCallsForPushedLists(t *testing.T) {
+	for _, grace := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 30 * time.Second} {
+		text := strings.Replace(whole, `"drain_grace":500000000`, fmt.Sprintf(`"drain_grace":%d`, grace.Nanoseconds()), 1)
+		asked, err := load(t, text, nil)
+		if err != nil || asked.Limits.RosterCall < 3*time.Second {
+			t.Errorf("grace %v, asked for: %v, a call within %v", grace, err, asked.Limits.RosterCall)
+		}
+		n, err := load(t, strings.Replace(text, `"discovery":"subscribe"`, `"discovery":"automatic"`, 1), nil)
+		if err != nil || n.Module.DrainGrace != grace {
+			t.Fatalf("grace %v: %v, %v", grace, n.Module.DrainGrace, err)
+		}
+		if worst := n.Limits.RosterCall + n.Limits.RosterRetryMax*3/2; worst >= min(grace*3/4, 5*time.Second) && grace < 20*time.Second {
+			t.Errorf("grace %v: the next call has its answer after %v", grace, worst)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/endings_test.go
@@ -0,0 +1,521 @@
+// These tests force the instants at which something ends while something else
+// is under way, over loopback sockets: a dispatcher's parts stand between a
+// discovery, workers and clients that do nothing before the test's word. Each
+// wait is for a sign that must come, and has a bound that only a failure meets.
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ivyfold"
+	"ivyfold/internal/config"
+	"ivyfold/internal/dispatch"
+	"ivyfold/internal/floor"
+	"ivyfold/internal/portal"
+	"ivyfold/internal/roster"
+	"ivyfold/internal/standin"
+)
+
+const bound = 10 * time.Second // for what must come; a test that fails waits so long
+
+// rig is a dispatcher on sockets.
+type rig struct {
+	t      *testing.T
+	node   *config.Node
+	core   *dispatch.Core
+	floor  *floor.Floor
+	portal *portal.Portal
+	watch  *roster.Roster
+	here   string
+	calls  chan *call    // that have come to discovery
+	work   chan net.Conn // that have come to the workers, all at one address
+	dials  chan *dial    // that the floor makes, where hold is set
+	hold   bool
+	gate   func(net.Listener) net.Listener // stands before the portal's listener
+}
+
+// call is one call to discovery, unanswered.
+type call struct {
+	net.Conn
+	target string
+}
+
+// dial is a connection that comes up at the test's word.
+type dial struct {
+	up   chan net.Conn
+	real net.Conn
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// set makes the surroundings and the parts; change has the last word on the node.
+func set(t *testing.T, change func(*config.Node)) *rig {
+	r := &rig{t: t, calls: make(chan *call, 64), work: make(chan net.Conn, 64), dials: make(chan *dial, 64)}
+	discovery, workers := listen(t), listen(t)
+	var mu sync.Mutex
+	var open []net.Conn
+	keep := func(c net.Conn) { mu.Lock(); open = append(open, c); mu.Unlock() }
+	t.Cleanup(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range open {
+			c.Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := discovery.Accept()
+			if err != nil {
+				return
+			}
+			keep(c)
+			go func() {
+				if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					r.calls <- &call{c, req.RequestURI}
+				}
+			}()
+		}
+	}()
+	go func() {
+		for {
+			c, err := workers.Accept()
+			if err != nil {
+				return
+			}
+			keep(c)
+			r.work <- c
+		}
+	}()
+	var known []config.Worker
+	for i := range 3 { // one machine plays all: where a job goes does not matter, how often does
+		known = append(known, standin.Listing(fmt.Sprintf("s-0000000%d", i+1), workers.Addr().String(), "ready"))
+	}
+	r.node = standin.Node(t, known, "")
+	r.node.Discovery = discovery.Addr().String()
+	if change != nil {
+		change(r.node)
+	}
+	counters := new(dispatch.Counters)
+	r.floor, r.watch = floor.New(r.node, counters), roster.New(r.node)
+	straight := r.floor.Dial
+	r.floor.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		if !r.hold {
+			return straight(ctx, address)
+		}
+		c, err := straight(context.Background(), address)
+		if err != nil {
+			return nil, err
+		}
+		d := &dial{make(chan net.Conn), c}
+		r.dials <- d
+		select {
+		case c := <-d.up:
+			return c, nil
+		case <-ctx.Done():
+			c.Close()
+			return nil, ctx.Err()
+		}
+	}
+	var err error
+	if r.core, err = dispatch.New(r.node, counters, r.floor, nil, r.watch, nil); err != nil {
+		t.Fatal(err)
+	}
+	r.watch.Listed = r.core.Listed
+	r.portal = portal.New(r.node, r.core)
+	return r
+}
+
+// start sets the parts to work.
+func (r *rig) start() *rig {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := listen(r.t)
+	r.here = l.Addr().String()
+	if r.gate != nil {
+		l = r.gate(l)
+	}
+	go r.core.Run(ctx)
+	go r.watch.Run(ctx)
+	go r.portal.Serve(l)
+	r.t.Cleanup(func() {
+		cancel()
+		over, end := context.WithCancel(context.Background())
+		end()
+		r.portal.Farewell(over)
+		for _, w := range r.node.Known.Workers {
+			r.floor.CloseIdle(w)
+		}
+	})
+	return r
+}
+
+// take waits for what must come.
+func take[T any](t *testing.T, what string, from <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(bound):
+		t.Fatalf("%s did not come", what)
+	}
+	return v
+}
+
+// until waits for a state that must be reached.
+func (r *rig) until(what string, is func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(bound); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("%s was not reached: %s", what, r.core.Line())
+		}
+	}
+}
+
+// count is a counter by its name.
+func (r *rig) count(name string) int64 {
+	for _, c := range r.core.Counts() {
+		if c.Name == name {
+			return c.Value
+		}
+	}
+	r.t.Fatalf("no counter %s", name)
+	return 0
+}
+
+// head begins a job's request with a body of so many bytes.
+func head(id, class string, wait time.Duration, body int) string {
+	key := ""
+	if class == "enrol" {
+		key = "Idempotency-Key: k-" + id + "\r\n"
+	}
+	return fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: b\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Tenant-Id: univ-gaspesie\r\n"+
+		"X-Timeout: %.3f\r\n%sContent-Length: %d\r\n\r\n", class, id, class, wait.Seconds(), key, body)
+}
+
+func job(id string) string { return head(id, "seat-check", 5*time.Second, 2) + "go" }
+
+// client is a connection of a client.
+type client struct {
+	*net.TCPConn
+	in *bufio.Reader
+	t  *testing.T
+}
+
+func (r *rig) client() *client {
+	c, err := net.Dial("tcp", r.here)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	return &client{c.(*net.TCPConn), bufio.NewReader(c), r.t}
+}
+
+func (c *client) says(text string) {
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// hears reads one answer: its status and body, and whether it closes; or the error in its place.
+func (c *client) hears() string {
+	c.SetReadDeadline(time.Now().Add(bound))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return err.Error()
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	text := fmt.Sprint(resp.StatusCode, " ", strings.TrimSpace(string(body)))
+	if resp.Close {
+		text += " (closes)"
+	}
+	return text
+}
+
+// request reads the next request at a worker, and gives its id.
+func (r *rig) request(c net.Conn) string {
+	r.t.Helper()
+	c.SetReadDeadline(time.Now().Add(bound))
+	in := bufio.NewReaderSize(c, 256<<10)
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		r.t.Fatalf("a worker got no request: %v", err)
+	}
+	io.Copy(io.Discard, req.Body)
+	if in.Buffered() > 0 {
+		r.t.Errorf("more than one request has come on a connection")
+	}
+	return req.Header.Get("X-Request-ID")
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+const lines = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func done(id string) string {
+	return chunk(fmt.Sprintf(`{"id":%q,"from":"w","state":"done","result":"of %s"}`+"\n", id, id))
+}
+
+// serve answers a worker's request whole.
+func serve(c net.Conn, id string) { io.WriteString(c, lines+done(id)+"0\r\n\r\n") }
+
+// clean waits until a connection is in the pool again.
+func (r *rig) clean(idle int) {
+	r.t.Helper()
+	r.until("an idle connection", func() bool { n, _ := r.floor.Idle(); return n == idle })
+}
+
+// stuck is a connection to a worker that takes half of a request and no more.
+type stuck struct {
+	net.Conn
+	full chan bool
+	once sync.Once
+	cut  chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	n, _ := s.Conn.Write(p[:len(p)/2])
+	s.full <- true
+	<-s.cut
+	return n, os.ErrDeadlineExceeded
+}
+
+func (s *stuck) SetDeadline(at time.Time) error {
+	if !at.IsZero() && at.Before(time.Now()) {
+		s.once.Do(func() { close(s.cut) })
+	}
+	return s.Conn.SetDeadline(at)
+}
+
+// doorstep is a listener that lets nobody in before the test's word, and whose connections show each read to the test.
+type doorstep struct {
+	net.Listener
+	open   chan struct{} // nil: open
+	asked  chan struct{} // SetDeadline was called
+	once   sync.Once
+	passed chan *shown
+}
+
+func (d *doorstep) Accept() (net.Conn, error) {
+	if d.open != nil {
+		<-d.open
+	}
+	c, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	s := &shown{TCPConn: c.(*net.TCPConn), read: make(chan string), goOn: make(chan struct{})}
+	if d.passed != nil {
+		d.passed <- s
+	}
+	return s, nil
+}
+
+func (d *doorstep) SetDeadline(at time.Time) error {
+	if d.asked != nil {
+		d.once.Do(func() { close(d.asked) })
+	}
+	return d.Listener.(*net.TCPListener).SetDeadline(at)
+}
+
+// shown is a connection whose reads can be held between the socket and the reader.
+type shown struct {
+	*net.TCPConn
+	mu   sync.Mutex
+	held bool
+	read chan string
+	goOn chan struct{}
+}
+
+func (s *shown) hold(on bool) { s.mu.Lock(); s.held = on; s.mu.Unlock() }
+
+func (s *shown) Read(p []byte) (int, error) {
+	n, err := s.TCPConn.Read(p)
+	s.mu.Lock()
+	held := s.held && n > 0
+	s.mu.Unlock()
+	if held { // it has been read, and its reader does not know yet
+		s.read <- string(p[:n])
+		<-s.goOn
+	}
+	return n, err
+}
+
+// kept makes a client's connection that has been served once and is idle.
+func (r *rig) kept(passed chan *shown) (*client, *shown) {
+	c := r.client()
+	s := take(r.t, "a connection", passed)
+	c.says("GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	if got := c.hears(); got != "200 up" {
+		r.t.Fatalf("the first request is answered %s", got)
+	}
+	return c, s
+}
+
+type seen func(*dispatch.Moment)
+
+func (s seen) See(m *dispatch.Moment) { s(m) }
+
+const entry = `{"instanceId":"s-0000000%d","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":%q,"weight":1}`
+
+// list words a list of the three workers, the first so many draining, in one of the forms that JSON leaves free.
+func (r *rig) list(form string, generation, draining int) string {
+	var entries []string
+	for i := range 3 {
+		state := "ready"
+		if i < draining {
+			state = "draining"
+		}
+		entries = append(entries, fmt.Sprintf(entry, i+1, r.node.Known.Workers[0].Address, state))
+	}
+	text := fmt.Sprintf(`{"generation":%d,"reset":true,"instances":[%s]}`, generation, strings.Join(entries, ","))
+	if form == "line" {
+		return text + "\n"
+	}
+	text = strings.NewReplacer(`{`, "{\n\t", `,"`, ",\n\t\"", `[`, "[\n\t\t", `}`, "\n\t}").Replace(text)
+	if form == "crlf" {
+		text = strings.ReplaceAll(text, "\n", "\r\n")
+	}
+	return text + "\n\n"
+}
+
+const stream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func (c *call) says(text string) { io.WriteString(c, chunk(text)) }
+
+// drains waits until so many workers are known to drain.
+func (r *rig) drains(n int) {
+	r.t.Helper()
+	r.until(fmt.Sprint(n, " draining workers"), func() bool { w := r.core.Workers(); return w[ivyfold.Draining] == n && w[ivyfold.Ready] == 3-n })
+}
+
+// Lists may be spread over lines: the first one, changes, after a move, and where one breaks off in the middle.
+func TestListsOverManyLines(t *testing.T) {
+	for _, form := range []string{"line", "indented", "crlf"} {
+		r := set(t, nil).start()
+		r.watch.Watch(true)
+		c := take(t, "a call", r.calls)
+		io.WriteString(c, stream)
+		c.says(r.list(form, 8, 1))
+		r.drains(1)
+		text := r.list(form, 9, 2)
+		for len(text) > 0 { // in pieces that end anywhere
+			n := min(7, len(text))
+			c.says(text[:n])
+			text = text[n:]
+		}
+		r.drains(2)
+		c.says("\n \n")
+		c.says(r.list(form, 10, 0))
+		r.drains(0)
+		select {
+		case c := <-r.calls:
+			t.Fatalf("%s: another call, to %s", form, c.target)
+		default:
+		}
+		other := listen(t)
+		r.watch.Move(other.Addr().String())
+		o, err := other.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		moved := &call{Conn: o}
+		http.ReadRequest(bufio.NewReader(o))
+		io.WriteString(o, stream)
+		moved.says(r.list(form, 3, 1))
+		r.drains(1)
+		text = r.list(form, 4, 2)
+		moved.says(text[:strings.LastIndex(text, "s-00000003")]) // two whole entries, and no more
+		o.Close()
+		r.drains(2)
+		if o, err = other.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		if req, err := http.ReadRequest(bufio.NewReader(o)); err != nil || !strings.HasSuffix(req.RequestURI, "&after=0") {
+			t.Errorf("%s: after the break %v, %v", form, req, err)
+		}
+		o.Close()
+	}
+}
+
+// A watch may fall silent at any of these places: the next call goes out, and a drain holds from its answer on.
+func TestWatchFallsSilent(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		for name, first := range map[string]func(*rig, *call){
+			"never a byte":   func(*rig, *call) {},
+			"after the head": func(_ *rig, c *call) { io.WriteString(c, stream) },
+			"after a list":   func(r *rig, c *call) { io.WriteString(c, stream); c.says(r.list("line", 8, 0)); r.drains(0) },
+			"after a blank":  func(_ *rig, c *call) { io.WriteString(c, stream); c.says("\n") },
+			"in a list":      func(r *rig, c *call) { io.WriteString(c, stream); c.says(r.list("indented", 9, 1)[:40]) },
+			"in a list's tail": func(r *rig, c *call) {
+				io.WriteString(c, stream)
+				c.says(strings.TrimRight(r.list("indented", 9, 1), "}\n\t "))
+			},
+		} {
+			r := set(t, func(n *config.Node) {
+				if pushed {
+					n.Module.Discovery = ivyfold.Push
+				}
+				n.Limits.RosterCall, n.Limits.RosterSilent, n.Limits.RosterRetry = 300*time.Millisecond, 300*time.Millisecond, 20*time.Millisecond
+			}).start()
+			r.watch.Watch(true)
+			first(r, take(t, "a call", r.calls))
+			c := take(t, name+": the next call", r.calls)
+			io.WriteString(c, stream)
+			c.says(r.list("line", 9, 1))
+			r.drains(1)
+		}
+	}
+}
+
+// Bad input: entries that cannot be read, foreign lists, torn ones, huge ones. What is readable of ours counts, who
+// leaves is not sent to, everybody else stays, and the watch goes on or is opened anew.
+func TestFaultyLists(t *testing.T) {
+	for _, k := range []struct {
+		name, text string
+		want       [3]int // gone, ready, draining
+		again      bool   // the watch is opened anew
+	}{
+		{"an entry of other types", `{"generation":9,"instances":[{"instanceId":"s-00000001","weight":"heavy","lifecycle":"draining"}]}`, [3]int{0, 2, 0}, false},
+		{"an entry without a name", `{"generation":9,"instances":[{"hostPort":7},7,null]}`, [3]int{0, 3, 0}, false},
+		{"a stranger's list with one of ours that drains", `{"generation":99,"reset":true,"instances":[{"instanceId":"s-00000002","lifecycle":"draining"},{"instanceId":"x-1","zone":"mars","machineType":"rover","lifecycle":"ready"}]}`, [3]int{0, 2, 0}, false},
+		{"no object", `[1,2]`, [3]int{0, 3, 0}, true},
+		{"no JSON", `<html>`, [3]int{0, 3, 0}, true},
+		{"a huge one", `{"generation":9,"more":"` + strings.Repeat("x", 300<<10), [3]int{0, 3, 0}, true},
+	} {
+		r := set(t, func(n *config.Node) { n.Limits.Roster = 256 << 10 }).start()
+		r.watch.Watch(true)
+		c := take(t, "a call", r.calls)
+		io.WriteString(c, stream)
+		c.says(r.list("line", 8, 0))
+		r.until("the list", func() bool { return r.count("roster_changes") == 2 })
+		c.says(k.text + "\n")
+		if k.again {
+			take(t, k.name+": another call", r.calls)
+		} else {
+			c.says(`{"generation":9,"instances":[]}` + "\n")
+			changes := int64(4)
+			r.until(k.name+": the lists", func() bool { return r.count("roster_changes") == changes })
+		}
+		if w := r.core.Workers(); w != k.want {
+			t.Errorf("%s: workers by state %v, not %v", k.name, w, k.want)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,12 +6,12 @@
 package roster
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"math/rand/v2"
 	"net"
@@ -33,7 +33,7 @@
 
 	node   *config.Node
 	lim    config.Limits
-	odd    [2]sync.Once // foreign and old lists are logged once
+	odd    [3]sync.Once // foreign and old lists, and entries that cannot be read, are logged once
 	client *http.Client
 	asked  chan struct{}
 	pushed bool // an agent on this machine holds what it was sent, and gives it to whoever calls
@@ -174,8 +174,8 @@
 	defer dog.Stop()
 	address, generation, moves := r.called(cancel)
 	defer func() {
-		if context.Cause(ctx) == errMoved {
-			err = errMoved
+		if cause := context.Cause(ctx); cause == errMoved || err != nil && cause == errSilent {
+			err = cause
 		}
 	}()
 	url := fmt.Sprintf("http://%s/discovery/hosts?watch=1&after=%d", address, generation)
@@ -191,51 +191,112 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("discovery answered %d", resp.StatusCode)
 	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(make([]byte, 0, 4<<10), r.lim.Roster)
-	newest := int64(0) // of this watch: what stands at its start is what discovery holds, whatever was known before
-	for in.Scan() {
-		dog.Reset(r.lim.RosterSilent)
-		up = true
-		text := bytes.TrimSpace(in.Bytes())
-		if len(text) == 0 {
-			continue
+	// The call has been taken: from here on it is the silence that counts.
+	dog.Reset(r.lim.RosterSilent)
+	heard := &heard{Reader: resp.Body, most: r.lim.Roster, each: func() { dog.Reset(r.lim.RosterSilent); up = true }}
+	heard.left = heard.most
+	in := json.NewDecoder(heard) // objects may be spread over lines, and lines may be blank
+	newest := int64(0)           // of this watch: what stands at its start is what discovery holds, whatever was known before
+	for {
+		var text json.RawMessage
+		err := in.Decode(&text)
+		heard.left = heard.most
+		if err == nil {
+			err = r.take(text, &newest, moves)
 		}
-		var list config.Roster
-		if err := json.Unmarshal(text, &list); err != nil {
-			if !r.reached(0, moves) {
-				return up, errMoved
-			}
-			// what changed is unknown now: the next call asks for everything
-			// What stands whole in a line that broke off has been told all the same. Who is not in it has not left.
-			if told := whole(text); len(told) > 0 {
-				r.Listed(ivyfold.ListDelta, told)
-			}
-			return up, err
-		}
-		kind := ivyfold.ListDelta
 		switch {
-		case r.foreign(list.Workers):
-			r.odd[0].Do(func() {
-				log.Printf("a list of %d workers, none of them of this deployment, is passed over", len(list.Workers))
-			})
+		case err == io.EOF:
+			return up, nil
+		case err == nil:
 			continue
-		case list.Generation < newest:
-			// The newer one stays in use. Who was to leave may be told so twice, but never be spared for it.
-			r.odd[1].Do(func() {
-				log.Printf("a list of version %d came after version %d: only who leaves counts", list.Generation, newest)
-			})
-			list.Workers = slices.DeleteFunc(list.Workers, func(w config.Worker) bool { return w.State == "ready" })
-		case list.Reset:
-			kind = ivyfold.ListFull
+		case err == errMoved:
+			return up, err
+		}
+		rest, _ := io.ReadAll(io.MultiReader(bytes.NewReader(text), in.Buffered()))
+		if len(bytes.TrimSpace(rest)) == 0 { // it broke off between two objects
+			return up, err
 		}
-		newest = max(newest, list.Generation)
-		if !r.reached(newest, moves) { // an old address has no say any more
+		if !r.reached(0, moves) { // what changed is unknown now: the next call asks for everything
 			return up, errMoved
 		}
-		r.Listed(kind, list.Workers)
+		// What stands whole in an object that broke off has been told all the same. Who is not in it has not left.
+		if told := whole(rest); len(told) > 0 {
+			r.Listed(ivyfold.ListDelta, told)
+		}
+		return up, err
+	}
+}
+
+// heard passes on what a watch says, tells of each sign of life, and bounds what one object may take.
+type heard struct {
+	io.Reader
+	each       func()
+	left, most int
+}
+
+func (h *heard) Read(p []byte) (int, error) {
+	if h.left <= 0 {
+		return 0, errors.New("a list is larger than the limits allow")
+	}
+	n, err := h.Reader.Read(p[:min(len(p), h.left)])
+	if h.left -= n; n > 0 {
+		h.each()
+	}
+	if len(bytes.TrimSpace(p[:n])) == 0 { // blank lines come as long as nothing changes
+		h.left += n
+	}
+	return n, err
+}
+
+// take passes on one object of a watch; an error ends that watch.
+func (r *Roster) take(text []byte, newest *int64, moves int) error {
+	var list struct {
+		config.Roster
+		Workers []json.RawMessage `json:"instances"`
+	}
+	if err := json.Unmarshal(text, &list); err != nil {
+		return err
+	}
+	kind, generation, workers := ivyfold.ListDelta, list.Generation, make([]config.Worker, 0, len(list.Workers))
+	for _, entry := range list.Workers {
+		var w config.Worker
+		if err := json.Unmarshal(entry, &w); err != nil || w.ID == "" {
+			r.odd[2].Do(func() { log.Printf("an entry of a list cannot be read, and counts as gone: %.200s (%v)", entry, err) })
+			var named struct {
+				ID string `json:"instanceId"`
+			}
+			if json.Unmarshal(entry, &named) != nil || named.ID == "" {
+				continue
+			}
+			w = config.Worker{ID: named.ID, State: "gone"} // where it stands or whether it leaves is not known
+		}
+		workers = append(workers, w)
+	}
+	leavers := func() { workers = slices.DeleteFunc(workers, func(w config.Worker) bool { return w.State == "ready" }) }
+	switch {
+	case r.foreign(workers): // but one of ours may drain in a line that does not say where it stands
+		r.odd[0].Do(func() {
+			log.Printf("a list of %d workers, none of them of this deployment, is passed over: only who leaves counts", len(workers))
+		})
+		leavers()
+		for i := range workers {
+			workers[i].State = "gone" // of strangers nothing is kept
+		}
+		generation = *newest
+	case generation < *newest:
+		// The newer one stays in use. Who was to leave may be told so twice, but never be spared for it.
+		r.odd[1].Do(func() {
+			log.Printf("a list of version %d came after version %d: only who leaves counts", generation, *newest)
+		})
+		leavers()
+	case list.Reset:
+		kind = ivyfold.ListFull
+	}
+	if *newest = max(*newest, generation); !r.reached(*newest, moves) { // an old address has no say any more
+		return errMoved
 	}
-	return up, in.Err()
+	r.Listed(kind, workers)
+	return nil
 }
 
 // foreign tells whether a list has workers, and none of a kind and zone that the settings name.
