Send nothing for a client that has left, and close no connection on a request just read

Seen, each by a test of this commit against the code before it: - a client leaves while its job's connection comes up: the request was written all the same (moot stayed 0); - it leaves while half of its request is written: the write went on until the job's deadline; - it leaves behind one byte, part of a head, a second request or 200 KB that came early: the close was never noticed (left stayed 0), and after a 503 that proves nothing ran the job was sent again; - it had left before its request was read, while the job waited in the core's mailbox, or between two attempts: taken=1 sent=1, sent=2, sent=2; - a client that had only ended its sending got 200 with nothing in it, which no worker had made; - a request that had just been read on an idle connection got 503 when the connection was picked to make room, and a close without a word when the dispatcher ended ("unexpected EOF"); what stood in the listener's queue at its end was reset; - a job that came on leaving waited as long as its client, past the moment at which the process is killed.

That net/http sees a close late: it does at once where no byte stands before it.

At fault: core.go, Leave and Attempt.MayStart: a job's leaving was known only once the mailbox had brought it, and where workers tell of starts the module lets attempts run on, also those that had not begun. portal.go: net/http's background read takes one byte and looks no further; a handler that returns without an answer is worded as 200. door.go, Accept and spare: a connection was taken away while its reader held a request; Farewell left the same choice to net/http's Shutdown, which takes a connection for idle until it has parsed the head that the door has read.

Change: a job is over for all senders from the moment at which its front says so, and MayStart looks; an attempt half written is broken off. A connection that is to go is asked, and its reader has the word; the end is the door's own, lets in what the kernel had let in, and waits for everybody's answer.

Tests: TestClientLeaves* (five), TestClientLeftBeforeItWasRead, TestRequestReadAsItsConnectionIsToGo, TestLastConnectionsBeforeTheListenerCloses, TestLastAnswerOnLeaving were seen to fail. TestRequestsBeforeTheirTime and TestLeavingWithJobsAndIdleConnections passed before too.

--- a/internal/amqp/amqp.go
+++ b/internal/amqp/amqp.go
@@ -388,6 +388,7 @@
 		}
 		return
 	}
+	a.Whole()
 	context.AfterFunc(a.Ctx, func() {
 		if a := d.resolve(id); a != nil { // given up: what comes later finds nobody waiting
 			a.End(ivyfold.Cancelled, ivyfold.Load{}, nil)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -73,6 +73,7 @@
 	tries    []*Attempt
 	out      int // attempts that have no outcome yet
 	answered bool
+	over     atomic.Bool // the same, or the client has just left: nothing more is sent
 }
 
 // Attempt is one send of a job to a worker. Exactly one End must follow.
@@ -85,6 +86,8 @@
 	core     *Core
 	seat     *seat
 	cancel   context.CancelFunc
+	begun    atomic.Bool // its first byte may be out
+	whole    atomic.Bool // its last byte is out
 	number   int
 	ended    bool // it has its outcome
 	recalled bool // given up by the module
@@ -273,8 +276,11 @@
 		c.jobs[j.number] = j
 		room := min(c.lim.AnswerRoom, j.Patience/4)
 		j.until = came + j.Patience - room
-		c.at(j.until, func() { c.overdue(j) })
 		c.see(Moment{Sight: SawTaken, At: came, Job: j})
+		if j.over.Load() { // the client left while this waited: its Leave is on its way here
+			return
+		}
+		c.at(j.until, func() { c.overdue(j) })
 		c.handle(&ivyfold.Event{Kind: ivyfold.EventJob, Job: j.number, Class: j.Class, Tenant: j.Tenant, Key: j.Subject,
 			Deadline: j.until, Slots: j.Slots, Memory: j.Memory, Repeat: j.Repeat})
 	})
@@ -294,10 +300,17 @@
 
 // Leave tells that the client has gone: nobody waits for the answer any more.
 func (c *Core) Leave(j *Job) {
+	j.over.Store(true) // at once, whatever waits in the mailbox
 	c.post(func() {
 		if !j.answered {
 			c.Counters.Left.Add(1)
 			c.close(j)
+			for _, a := range j.tries { // what has begun to go out and is not whole must not become so later
+				if !a.ended && a.begun.Load() && !a.whole.Load() {
+					a.recalled = true
+					a.cancel()
+				}
+			}
 			c.see(Moment{Sight: SawLeft, Job: j})
 			c.handle(&ivyfold.Event{Kind: ivyfold.EventGone, Job: j.number})
 			c.forget(j)
@@ -316,12 +329,16 @@
 	c.post(func() { c.list(kind, workers) })
 }
 
-// MayStart looks at the worker's state just before the first byte of a send goes out: a connection takes time to
-// come up, and the worker may have been told off meanwhile.
+// MayStart looks at the worker and the client just before the first byte of a send goes out: a connection takes time
+// to come up, and meanwhile the worker may have been told off, or the client may have left.
 func (a *Attempt) MayStart() bool {
-	return !a.seat.leaving.Load() && a.Ctx.Err() == nil && (a.Job.MayStart == nil || a.Job.MayStart())
+	a.begun.Store(true) // before the look: Leave looks the other way round, and one of the two sees the other
+	return !a.Job.over.Load() && !a.seat.leaving.Load() && a.Ctx.Err() == nil && (a.Job.MayStart == nil || a.Job.MayStart())
 }
 
+// Whole tells that the last byte of the send has gone out.
+func (a *Attempt) Whole() { a.whole.Store(true) }
+
 // Note passes on that the job has started at the worker, or how far it is.
 func (a *Attempt) Note(kind ivyfold.NoteKind, share float64) {
 	a.core.post(func() {
@@ -391,6 +408,7 @@
 		return false
 	}
 	j.answered = true
+	j.over.Store(true)
 	c.open.Add(-1)
 	return true
 }
@@ -484,9 +502,9 @@
 	second := j.out > 0 && !c.node.Module.ParallelTries
 	j.tries = append(j.tries, a)
 	j.out++
-	if a.seat == nil || a.seat.state != ivyfold.Ready || second || j.answered || left <= 0 {
-		// Guards the rules on drains and on one attempt at a time against a module that forgets them. The module
-		// is told afterwards, not from within its own actions.
+	if a.seat == nil || a.seat.state != ivyfold.Ready || second || j.over.Load() || left <= 0 {
+		// Guards the rules on drains, on one attempt at a time and on clients that left against a module that forgets
+		// them or does not know yet. The module is told afterwards, not from within its own actions.
 		if a.seat == nil {
 			a.seat = &seat{number: act.Worker}
 		}
--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -113,7 +113,7 @@
 		a.End(o, ivyfold.Load{}, nil)
 		return
 	}
-	if !a.MayStart() { // the worker was told off while the connection came up: nothing has been written
+	if !a.MayStart() { // the worker was told off, or the client left, while it came up: nothing has been written
 		f.keep(a.Worker.Address, l)
 		a.End(ivyfold.Moot, ivyfold.Load{}, nil)
 		return
@@ -128,6 +128,7 @@
 		a.End(ivyfold.ConnectFailed, ivyfold.Load{}, nil)
 		return
 	}
+	a.Whole()
 	r := f.read(a, l)
 	clean := r.clean && stop()
 	if !clean {
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -40,6 +40,7 @@
 	door    *door
 	bodies  atomic.Int64 // bytes of bodies that are held
 	leaving atomic.Bool
+	last    atomic.Int64 // when the last answer is due on leaving, in Unix nanoseconds
 }
 
 // New makes a portal in front of a core.
@@ -62,7 +63,9 @@
 
 // Serve takes connections until the portal has said farewell.
 func (p *Portal) Serve(l net.Listener) error {
-	p.door.Listener = l
+	if !p.door.open(l) {
+		return nil
+	}
 	err := p.server.Serve(p.door)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -71,12 +74,16 @@
 }
 
 // Leave begins the end: the front is told no, and every answer closes its connection. New ones are still taken.
-func (p *Portal) Leave() { p.leaving.Store(true) }
+func (p *Portal) Leave() {
+	p.last.CompareAndSwap(0, time.Now().Add(p.lim.LastAnswer).UnixNano())
+	p.leaving.Store(true)
+}
 
-// Farewell closes the listener and idle connections and waits for the open answers.
+// Farewell closes the listener and idle connections and waits for the open answers. The server's own end would not do:
+// it takes a connection for idle on which the door has just read a request.
 func (p *Portal) Farewell(ctx context.Context) error {
 	p.Leave()
-	return p.server.Shutdown(ctx)
+	return p.door.farewell(ctx)
 }
 
 func (p *Portal) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -118,6 +125,14 @@
 	}
 	// The body is read: from here on only the client's going away ends the request early.
 	rc.SetReadDeadline(time.Time{})
+	if p.leaving.Load() { // whoever ends this process may not wait longer, whatever the client does
+		job.Patience = max(min(job.Patience, time.Until(time.Unix(0, p.last.Load()))), time.Millisecond)
+	}
+	if g.departed() { // it left while its request waited to be read
+		p.core.Counters.Left.Add(1)
+		dismiss(w)
+		return
+	}
 	answers := make(chan dispatch.Answer, 1)
 	job.Reply = func(a dispatch.Answer) { answers <- a }
 	switch err := p.Jobs.Take(job); {
@@ -145,9 +160,17 @@
 		}
 	case <-r.Context().Done():
 		p.Jobs.Leave(job)
+		dismiss(w)
 	}
 }
 
+// dismiss ends a request whose client has left. One that has only ended its sending hears that nothing comes of it;
+// without this the server would word a success.
+func dismiss(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	say(w, http.StatusBadGateway, "the client has left")
+}
+
 // part makes an answer close its connection on leaving. It looks when the answer is there: a job may have waited
 // meanwhile.
 func (p *Portal) part(w http.ResponseWriter) {
