Give a result at once, though the end of its framing is late or never comes

Seen, by TestAnswerDoesNotWaitForItsEnd against the code before: with the job's last line whole and "0", "0\r\n" or part of another chunk behind it, the client waited (3 s in the test) and would have been told at its deadline that the job timed out; a job that may not be repeated would have failed with its result in hand.

Ruled out: the tail's own limit, TailWait: set to 10 s and to 250 ms the wait stood at two places. One of them is that limit. The other is the library's reader of chunks: it begins the next chunk as soon as that chunk's head is there, and reads a trailer, before it gives the data that it has already read.

At fault: floor.go, carry: an answer was told after finish wherever a byte stood behind the last line. floor.go, lines: the last line is read through net/http's chunked body.

Change: the result is told before what is still to come, unless all of that is there; the floor reads chunks itself, one at a time. Limits on an answer, and what makes a connection serve again, stay.

Tests: TestAnswerDoesNotWaitForItsEnd and TestFormsOfChunks (a blank before an extension) were seen to fail; TestSpoiltAnswers and TestResetBehindAResult passed before too.

--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -131,22 +132,30 @@
 	a.Whole()
 	r := f.read(a, l)
 	clean := r.clean && stop()
-	if !clean {
+	if !clean { // before it is told: another send may follow
 		l.Close()
-	} else if r.rest == nil || l.from.Buffered() > 0 && f.finish(l, r.rest) {
-		f.keep(a.Worker.Address, l)
-	} else if l.from.Buffered() == 0 { // the end of the framing is still to come: the answer need not wait for it
+	}
+	early := clean && r.rest != nil && !l.holds(r.length)
+	if early { // what is still to come of the framing may never come: the answer need not wait for it
 		a.End(r.outcome, r.load, r.result)
-		if f.finish(l, r.rest) {
-			f.keep(a.Worker.Address, l)
-		} else {
-			l.Close()
-		}
-		return
-	} else {
+	}
+	if clean && (r.rest == nil || f.finish(l, r.rest)) {
+		f.keep(a.Worker.Address, l)
+	} else if clean {
 		l.Close()
 	}
-	a.End(r.outcome, r.load, r.result)
+	if !early {
+		a.End(r.outcome, r.load, r.result)
+	}
+}
+
+// holds tells whether the rest of a body has come: of one in chunks where length is -1, else of one not read from yet.
+func (l *link) holds(length int64) bool {
+	come, _ := l.from.Peek(l.from.Buffered())
+	if length >= 0 {
+		return int64(len(come)) >= length
+	}
+	return bytes.HasSuffix(come, []byte("0\r\n\r\n"))
 }
 
 // link gives a connection that is up and quiet, or the outcome that no connection means.
@@ -286,6 +295,7 @@
 	result  []byte
 	clean   bool      // the connection may serve again
 	rest    io.Reader // what still has to be read before it does
+	length  int64     // its length where the head says it, else -1
 }
 
 func (f *Floor) read(a *dispatch.Attempt, l *link) said {
@@ -298,10 +308,10 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		s := said{outcome: ivyfold.Error, clean: !resp.Close, rest: resp.Body, load: f.loadLine(resp.Header.Get("X-Server-Load"))}
+		s := said{outcome: ivyfold.Error, clean: !resp.Close, rest: resp.Body, length: resp.ContentLength, load: f.loadLine(resp.Header.Get("X-Server-Load"))}
 		switch resp.StatusCode {
 		case http.StatusOK:
-			return f.lines(a, resp, s)
+			return f.lines(a, l, resp, s)
 		case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 			if resp.Header.Get("X-Not-Processed") == "1" {
 				s.outcome = ivyfold.Full
@@ -344,9 +354,80 @@
 	return n, err
 }
 
+// chunks reads a body in chunks. Unlike the library's reader it gives what has come of one chunk before it looks for the
+// next: a last line is not held back by an end that is late, or never comes.
+type chunks struct {
+	from        *bufio.Reader
+	left        uint64
+	begun, over bool
+}
+
+var errChunk = errors.New("a chunk cannot be read")
+
+func (c *chunks) Read(p []byte) (int, error) {
+	for c.left == 0 {
+		if err := c.next(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.from.Read(p[:min(uint64(len(p)), c.left)])
+	c.left -= uint64(n)
+	return n, broken(err)
+}
+
+// next reads up to the next chunk's first byte, or to the end of them all.
+func (c *chunks) next() error {
+	if c.over {
+		return io.EOF
+	}
+	if c.begun { // the end of the chunk before
+		if end, err := c.line(); err != nil || end != "" {
+			return cmp.Or(err, errChunk)
+		}
+	}
+	size, err := c.line()
+	if err != nil {
+		return err
+	}
+	size, _, _ = strings.Cut(size, ";")
+	if c.left, err = strconv.ParseUint(strings.TrimSpace(size), 16, 63); err != nil {
+		return errChunk
+	}
+	c.begun = true
+	for trailer := " "; c.left == 0 && trailer != ""; {
+		if trailer, err = c.line(); err != nil {
+			return err
+		}
+	}
+	if c.over = c.left == 0; c.over {
+		return io.EOF
+	}
+	return nil
+}
+
+func (c *chunks) line() (string, error) {
+	text, err := c.from.ReadSlice('\n')
+	if err != nil {
+		return "", broken(err)
+	}
+	return strings.TrimSuffix(string(text[:len(text)-1]), "\r"), nil
+}
+
+// broken words an end in the middle.
+func broken(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // lines follows a job's answer to its last line. Chunks may cut lines anywhere.
-func (f *Floor) lines(a *dispatch.Attempt, resp *http.Response, s said) said {
+func (f *Floor) lines(a *dispatch.Attempt, l *link, resp *http.Response, s said) said {
 	body := &ending{Reader: resp.Body}
+	if len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked" {
+		body.Reader = &chunks{from: l.from}
+		s.rest = body
+	}
 	in := bufio.NewScanner(body)
 	in.Buffer(make([]byte, 0, 1<<10), f.lim.Line)
 	for in.Scan() {
@@ -360,7 +441,7 @@
 		}
 		s.outcome, s.load, s.result = o, load, result
 		s.clean = s.clean && o != ivyfold.Reset // after a break or a foreign line nothing on it can be trusted
-		if body.over {
+		if s.length = -1; body.over {
 			s.rest = nil
 		}
 		return s
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -282,6 +282,38 @@
 	r.until("an idle connection", func() bool { n, _ := r.floor.Idle(); return n == idle })
 }
 
+// A client that leaves while the connection for its job comes up: nothing is written to it, whatever the class; the
+// connection serves the next job.
+func TestClientLeavesWhileAConnectionComesUp(t *testing.T) {
+	for _, effect := range []ivyfold.Effect{ivyfold.Safe, ivyfold.Keyed, ivyfold.Unsafe} {
+		r := set(t, func(n *config.Node) { n.Module.Classes[0].Effect, n.Limits.Connect = effect, bound })
+		r.hold = true
+		r.start()
+		c := r.client()
+		text := job("g1")
+		if effect == ivyfold.Keyed {
+			text = strings.Replace(text, "Content-Length", "Idempotency-Key: k\r\nContent-Length", 1)
+		}
+		c.says(text)
+		d := take(t, "a connection", r.dials)
+		c.Close()
+		r.until("the client's leaving", func() bool { return r.count("left") == 1 })
+		d.up <- d.real
+		r.until("the attempt's end", func() bool { return r.count("moot") == 1 })
+		r.clean(1)
+		c = r.client()
+		c.says(strings.Replace(text, "X-Request-ID: g1", "X-Request-ID: g2", 1))
+		w := take(t, "the worker's side", r.work)
+		if id := r.request(w); id != "g2" {
+			t.Errorf("effect %v: %s was sent on after its client had left", effect, id)
+		}
+		serve(w, "g2")
+		if got := c.hears(); got != "200 of g2" {
+			t.Errorf("the next client hears %s", got)
+		}
+	}
+}
+
 // stuck is a connection to a worker that takes half of a request and no more.
 type stuck struct {
 	net.Conn
@@ -304,12 +336,114 @@
 	return s.Conn.SetDeadline(at)
 }
 
+// A client that leaves while its request is half written: the rest never goes out, and the connection is closed.
+func TestClientLeavesWhileItsRequestIsHalfWritten(t *testing.T) {
+	r := set(t, nil)
+	r.hold = true
+	r.start()
+	c := r.client()
+	c.says(job("h1"))
+	d := take(t, "a connection", r.dials)
+	s := &stuck{Conn: d.real, full: make(chan bool), cut: make(chan struct{})}
+	d.up <- s
+	take(t, "the first half", s.full)
+	c.Close()
+	select {
+	case <-s.cut:
+	case <-time.After(3 * time.Second): // the job itself has five
+		t.Fatal("the write goes on after the client has left")
+	}
+	w := take(t, "the worker's side", r.work)
+	w.SetReadDeadline(time.Now().Add(bound))
+	if text, err := io.ReadAll(w); err != nil || strings.HasSuffix(string(text), "go") {
+		t.Errorf("the worker got %q, %v", text, err)
+	}
+}
+
+// The end of a client's connection shows also behind bytes that came before their time, and however it is closed: the
+// job is not sent a second time. One that has only ended its sending hears that nothing comes of it.
+func TestClientLeavesBehindItsBytes(t *testing.T) {
+	for _, more := range []string{"", "P", "POST /seat-check/x HT", job("b2"), strings.Repeat("x", 200<<10)} {
+		for _, how := range []string{"close", "reset", "half"} {
+			r := set(t, nil).start()
+			c := r.client()
+			c.says(job("b1"))
+			w := take(t, "the worker's side", r.work)
+			r.request(w)
+			c.says(more)
+			switch how {
+			case "reset":
+				c.SetLinger(0)
+				c.Close()
+			case "half":
+				c.CloseWrite()
+			default:
+				c.Close()
+			}
+			r.until(fmt.Sprintf("the client's leaving (%s behind %.20q)", how, more), func() bool { return r.count("left") == 1 })
+			if how == "half" {
+				if got := c.hears(); got != "502 the client has left (closes)" {
+					t.Errorf("behind %.20q a client that has ended its sending hears %s", more, got)
+				}
+			}
+			io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+			// It was whole, or broken off: which of the two the core saw first is no matter.
+			r.until("the attempt's end", func() bool { return r.count("full")+r.count("cancelled") == 1 })
+			if n := r.count("sent"); n != 1 || r.count("taken") != 1 {
+				t.Errorf("%s behind %.20q: sent %d times; %s", how, more, n, r.core.Line())
+			}
+		}
+	}
+}
+
+// Two requests at once on a connection are answered in turn; what comes before its time is kept.
+func TestRequestsBeforeTheirTime(t *testing.T) {
+	r := set(t, nil).start()
+	c := r.client()
+	large := head("q2", "seat-check", 5*time.Second, 60<<10) + strings.Repeat("y", 60<<10)
+	c.says(job("q1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	c.says(large + "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	serve(w, "q1")
+	if got := c.hears(); got != "200 of q1" {
+		t.Errorf("the first is answered %s", got)
+	}
+	if id := r.request(w); id != "q2" {
+		t.Errorf("then %s came", id)
+	}
+	serve(w, "q2")
+	if got := c.hears(); got != "200 of q2" {
+		t.Errorf("the second is answered %s", got)
+	}
+	if got := c.hears(); got != "200 up" {
+		t.Errorf("the third is answered %s", got)
+	}
+}
+
+// A request whose client had left before anybody read it is not taken.
+func TestClientLeftBeforeItWasRead(t *testing.T) {
+	r := set(t, nil)
+	open := make(chan struct{})
+	r.gate = func(l net.Listener) net.Listener { return &doorstep{Listener: l, open: open} }
+	r.start()
+	c := r.client()
+	c.says(job("u1"))
+	c.Close() // the kernel has let it in, nobody else
+	close(open)
+	r.until("its end", func() bool { return r.count("left") == 1 })
+	if r.count("taken") != 0 || r.count("sent") != 0 {
+		t.Errorf("it was taken: %s", r.core.Line())
+	}
+}
+
 // doorstep is a listener that lets nobody in before the test's word, and whose connections show each read to the test.
 type doorstep struct {
 	net.Listener
 	open   chan struct{} // nil: open
 	asked  chan struct{} // SetDeadline was called
 	once   sync.Once
+	late   chan struct{}
 	passed chan *shown
 }
 
@@ -321,7 +455,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &shown{TCPConn: c.(*net.TCPConn), read: make(chan string), goOn: make(chan struct{})}
+	s := &shown{TCPConn: c.(*net.TCPConn), read: make(chan string), goOn: make(chan struct{}), late: d.late}
 	if d.passed != nil {
 		d.passed <- s
 	}
@@ -340,6 +474,7 @@
 	*net.TCPConn
 	mu   sync.Mutex
 	held bool
+	late chan struct{} // a read that begins ends with this, and its deadline is over
 	read chan string
 	goOn chan struct{}
 }
@@ -347,6 +482,11 @@
 func (s *shown) hold(on bool) { s.mu.Lock(); s.held = on; s.mu.Unlock() }
 
 func (s *shown) Read(p []byte) (int, error) {
+	if s.late != nil {
+		<-s.late
+		s.late = nil
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := s.TCPConn.Read(p)
 	s.mu.Lock()
 	held := s.held && n > 0
@@ -369,10 +509,274 @@
 	return c, s
 }
 
+// A request that was just read on an idle connection when that is to make room, or when the dispatcher ends, is answered.
+func TestRequestReadAsItsConnectionIsToGo(t *testing.T) {
+	for _, why := range []string{"room", "end"} {
+		r := set(t, func(n *config.Node) { n.Limits.PortalConns, n.Limits.PortalSpare = 4, 8 })
+		passed, asked := make(chan *shown, 64), make(chan struct{})
+		r.gate = func(l net.Listener) net.Listener { return &doorstep{Listener: l, passed: passed, asked: asked} }
+		r.start()
+		c, s := r.kept(passed)
+		s.hold(true)
+		c.says("GET /counters HTTP/1.1\r\nHost: b\r\n\r\n")
+		take(t, "the request", s.read)
+		over := make(chan error, 1)
+		if why == "room" {
+			for range 6 { // all others stay: they are newer
+				r.kept(passed)
+			}
+		} else {
+			go func() { over <- r.portal.Farewell(context.Background()) }()
+			take(t, "the end of the listener", asked)
+			r.until("the closed listener", func() bool {
+				c, err := net.Dial("tcp", r.here)
+				if err == nil {
+					c.Close()
+				}
+				return err != nil
+			})
+		}
+		s.hold(false)
+		close(s.goOn)
+		if got := c.hears(); !strings.HasPrefix(got, "200 [{") {
+			t.Errorf("%s: a request that was read is answered %s", why, got)
+		}
+		if why == "end" {
+			if err := take(t, "the end", over); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
+// What the kernel had let in when the listener is to close is served; so is a request whose bytes are there.
+func TestLastConnectionsBeforeTheListenerCloses(t *testing.T) {
+	r := set(t, func(n *config.Node) { n.Limits.LastAccept = 300 * time.Millisecond })
+	open, asked := make(chan struct{}), make(chan struct{})
+	r.gate = func(l net.Listener) net.Listener { return &doorstep{Listener: l, open: open, asked: asked} }
+	r.start()
+	c := r.client()
+	c.says("GET /counters HTTP/1.1\r\nHost: b\r\n\r\n")
+	over := make(chan error, 1)
+	go func() { over <- r.portal.Farewell(context.Background()) }()
+	take(t, "the end of the listener", asked)
+	close(open)
+	if got := c.hears(); !strings.HasPrefix(got, "200 [{") || !strings.HasSuffix(got, "(closes)") {
+		t.Errorf("it is answered %s", got)
+	}
+	if err := take(t, "the end", over); err != nil {
+		t.Error(err)
+	}
+}
+
+// On leaving, idle connections close, and open jobs keep theirs up to their answers.
+func TestLeavingWithJobsAndIdleConnections(t *testing.T) {
+	r := set(t, nil).start()
+	idle, out := r.client(), r.client()
+	idle.says("GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	if got := idle.hears(); got != "200 up" {
+		t.Fatal(got)
+	}
+	out.says(job("l1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	over := make(chan error, 1)
+	go func() { over <- r.portal.Farewell(context.Background()) }()
+	if got := idle.hears(); got != io.EOF.Error() && got != io.ErrUnexpectedEOF.Error() {
+		t.Errorf("an idle client hears %s", got)
+	}
+	select {
+	case err := <-over:
+		t.Errorf("the end has come with a job open: %v", err)
+	default:
+	}
+	serve(w, "l1")
+	if got := out.hears(); got != "200 of l1 (closes)" {
+		t.Errorf("the job that was out is answered %s", got)
+	}
+	if err := take(t, "the end", over); err != nil {
+		t.Error(err)
+	}
+}
+
+// A job that comes on leaving does not wait beyond the moment at which the process is killed, whatever its client does.
+func TestLastAnswerOnLeaving(t *testing.T) {
+	r := set(t, func(n *config.Node) { n.Limits.Farewell, n.Limits.LastAnswer = 0, 700*time.Millisecond }).start()
+	c := r.client()
+	r.portal.Leave()
+	began := time.Now()
+	c.says(head("s1", "seat-check", 300*time.Second, 2) + "go")
+	r.request(take(t, "the worker's side", r.work)) // which never answers
+	if got := c.hears(); got != "503 refused: try again later (closes)" || time.Since(began) > 5*time.Second {
+		t.Errorf("it is answered %s after %v", got, time.Since(began))
+	}
+}
+
+// The core stands still with a job in its mailbox, and the client leaves: it is not sent afterwards, though a worker is
+// free and its connection up.
+func TestClientLeavesWhileItsJobWaitsInTheMailbox(t *testing.T) {
+	r := set(t, nil)
+	in, goOn := make(chan bool), make(chan struct{})
+	r.core.Observer = seen(func(m *dispatch.Moment) {
+		if m.Sight == dispatch.SawAnswered && m.Job.ID == "m1" {
+			in <- true
+			<-goOn
+		}
+	})
+	r.start()
+	first, second := r.client(), r.client()
+	first.says(job("m1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	serve(w, "m1")
+	take(t, "the first job's end", in)
+	second.says(job("m2"))
+	r.until("the second job", func() bool { return r.count("taken") == 2 })
+	second.CloseWrite()
+	if got := second.hears(); got != "502 the client has left (closes)" { // so its leaving has been told to the core
+		t.Errorf("the second client hears %s", got)
+	}
+	close(goOn)
+	if got := first.hears(); got != "200 of m1" {
+		t.Errorf("the first client hears %s", got)
+	}
+	r.until("its end", func() bool { return r.count("left") == 1 && r.count("open") == 0 })
+	if r.count("sent") != 1 {
+		t.Errorf("it was sent: %s", r.core.Line())
+	}
+}
+
 type seen func(*dispatch.Moment)
 
 func (s seen) See(m *dispatch.Moment) { s(m) }
 
+// A client leaves just when its attempt has ended and the next would begin: that one does not.
+func TestClientLeavesBetweenTwoAttempts(t *testing.T) {
+	r := set(t, nil)
+	in, goOn := make(chan bool), make(chan struct{})
+	r.core.Observer = seen(func(m *dispatch.Moment) {
+		if m.Sight == dispatch.SawEnded && m.Outcome == ivyfold.Full {
+			in <- true
+			<-goOn
+		}
+	})
+	r.start()
+	c := r.client()
+	c.says(job("t1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	io.WriteString(w, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+	take(t, "the attempt's end", in)
+	c.CloseWrite()
+	if got := c.hears(); got != "502 the client has left (closes)" {
+		t.Errorf("the client hears %s", got)
+	}
+	close(goOn)
+	r.until("its end", func() bool { return r.count("open") == 0 && r.count("left")+r.count("refused") == 1 })
+	if r.count("sent") != 1 {
+		t.Errorf("it was sent again: %s", r.core.Line())
+	}
+}
+
+// The end of an answer's framing may never come: a result is given at once all the same.
+func TestAnswerDoesNotWaitForItsEnd(t *testing.T) {
+	for _, tail := range []string{"", "0", "0\r\n", "5\r\nab"} {
+		r := set(t, func(n *config.Node) { n.Limits.TailWait = bound }).start()
+		c := r.client()
+		c.says(head("e1", "seat-check", 4*time.Second, 2) + "go")
+		w := take(t, "the worker's side", r.work)
+		r.request(w)
+		began := time.Now()
+		io.WriteString(w, lines+done("e1")+tail)
+		if got := c.hears(); got != "200 of e1" || time.Since(began) > 3*time.Second {
+			t.Errorf("with %q behind its last line a job is answered %s after %v", tail, got, time.Since(began))
+		}
+	}
+}
+
+// Chunks may be worded in any way that the protocol leaves free, and their connection serves again.
+func TestFormsOfChunks(t *testing.T) {
+	for _, text := range []string{
+		done("f1") + "0\r\n\r\n",
+		done("f1") + "000\r\n\r\n",
+		done("f1") + "0;last=1\r\nX-Trailer: a\r\nX-Other: b\r\n\r\n",
+		strings.Replace(done("f1"), "\r\n", " ; name=\"v\"\r\n", 1) + chunk("\n") + "0\r\n\r\n",
+		chunk(`{"id":"f1",`) + chunk(`"state":"done","result":"of f1"`) + chunk("}") + "0\r\n\r\n",
+	} {
+		r := set(t, nil).start()
+		c := r.client()
+		c.says(job("f1"))
+		w := take(t, "the worker's side", r.work)
+		r.request(w)
+		io.WriteString(w, lines+text)
+		if got := c.hears(); got != "200 of f1" {
+			t.Errorf("%q is answered %s", text, got)
+		}
+		r.clean(1)
+	}
+}
+
+// Spoilt answers, for a class that may be repeated and one that may not: nothing goes to the wrong client, nothing that
+// may have run is sent again where that is not allowed.
+func TestSpoiltAnswers(t *testing.T) {
+	for _, effect := range []ivyfold.Effect{ivyfold.Safe, ivyfold.Unsafe} {
+		for name, text := range map[string]string{
+			"an answer that never ends":          lines + strings.Repeat(chunk(`{"id":"a2","from":"w","state":"running","share":0.5}`+"\n"), 8000),
+			"a line that never ends":             lines + "fffffff\r\n" + strings.Repeat("x", 400<<10),
+			"a head that never ends":             "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: b\r\n", 60000),
+			"cut in the last line":               lines + `40` + "\r\n" + `{"id":"a2","state":"do`,
+			"a chunk that cannot be read":        lines + "nine\r\n" + done("a2") + "0\r\n\r\n",
+			"the wrong id":                       lines + done("a9") + "0\r\n\r\n",
+			"the answer of the job before again": lines + done("a1") + "0\r\n\r\n",
+		} {
+			r := set(t, func(n *config.Node) { n.Module.Classes[0].Effect = effect }).start()
+			c := r.client()
+			c.says(job("a1"))
+			w := take(t, "the worker's side", r.work)
+			r.request(w)
+			serve(w, "a1")
+			if got := c.hears(); got != "200 of a1" {
+				t.Fatalf("the first job: %s", got)
+			}
+			r.clean(1)
+			c.says(job("a2"))
+			if id := r.request(w); id != "a2" {
+				t.Fatalf("the connection brought %s", id)
+			}
+			w.SetWriteDeadline(time.Now().Add(bound))
+			io.WriteString(w, text) // cut short where the dispatcher closes first
+			w.Close()
+			if effect == ivyfold.Safe {
+				again := take(t, "another connection ("+name+")", r.work)
+				if id := r.request(again); id != "a2" {
+					t.Errorf("%s: then %s came", name, id)
+				}
+				serve(again, "a2")
+				if got := c.hears(); got != "200 of a2" {
+					t.Errorf("%s: answered %s", name, got)
+				}
+			} else if got := c.hears(); got != "502 the job failed" || r.count("sent") != 2 {
+				t.Errorf("%s: answered %s; %s", name, got, r.core.Line())
+			}
+		}
+	}
+}
+
+// A result whose connection is reset right behind it counts.
+func TestResetBehindAResult(t *testing.T) {
+	r := set(t, func(n *config.Node) { n.Module.Classes[0].Effect = ivyfold.Unsafe }).start()
+	c := r.client()
+	c.says(job("r1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	io.WriteString(w, lines+done("r1"))
+	w.(*net.TCPConn).SetLinger(0)
+	w.Close()
+	if got := c.hears(); got != "200 of r1" {
+		t.Errorf("it is answered %s", got)
+	}
+}
+
 const entry = `{"instanceId":"s-0000000%d","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":%q,"weight":1}`
 
 // list words a list of the three workers, the first so many draining, in one of the forms that JSON leaves free.
