Answer late comers before the platform may kill, and never take a healthy watch for silent

With ask_within 1 and 4 s a watch counted as silent after 0.5 and 2 s, though a healthy one has a line in 2 s only. A first request that meets the end of its connection's time in a process that stood still was closed unread (TestRequestThatMeetsItsTimeOut: connection reset).

At fault: config.go, derive (LastAnswer, RosterSilent); door.go, head: a read that timed out was not looked behind.

Change: only jobs that come after the listener's end are bounded, by min(longest, 3 s) and 0.6 s; a watch is silent after 2.5 s at the earliest; a time-out with bytes in the socket reads on.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -68,7 +68,7 @@
 	DrainGrace      time.Duration // no byte of a new send goes to a leaving worker later than this
 	Farewell        time.Duration // after SIGTERM the listener stays open so long
 	LastAccept      time.Duration // then what has already come there is let in for so long
-	LastAnswer      time.Duration // after SIGTERM the last answer is out by then: the platform kills a little later
+	LastAnswer      time.Duration // after SIGTERM what came later than that is answered by then: the platform may kill from then on
 	Remember        time.Duration // outcomes of keyed jobs are kept so long
 	Remembered      int           // and so many of them at most
 	RememberedBytes int           // holding so many bytes together at most
@@ -376,8 +376,8 @@
 		RosterCall: 3500 * time.Millisecond, RosterSilent: 3 * time.Second,
 		RosterRetry: 300 * time.Millisecond, RosterRetryMax: 3 * time.Second,
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
-		LastAccept: 20 * time.Millisecond, LastAnswer: 3 * time.Second,
-		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
+		LastAccept: 20 * time.Millisecond,
+		Remember:   10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
 		CaptureRows: 4096, CaptureGroup: 4096, CaptureRetry: time.Second,
 		PeerReads: 20000, PeerStrangers: 200, PeerMailbox: 1024, PeerBytes: 256 << 10, PeerFarewell: 400 * time.Millisecond,
@@ -398,7 +398,8 @@
 		l.DrainGrace = s.DrainGrace - s.DrainGrace/5
 	}
 	if s.AskWithin > 0 { // a watch must be known to be broken well before its silence counts as told
-		l.RosterSilent = min(l.RosterSilent, s.AskWithin/2)
+		// but never sooner than its lines come, one in 2 s
+		l.RosterSilent = max(min(l.RosterSilent, s.AskWithin/2), 2500*time.Millisecond)
 		l.RosterRetryMax = min(l.RosterRetryMax, s.AskWithin/3)
 	}
 	if s.Discovery == ivyfold.Push && s.DrainGrace > 0 {
@@ -408,10 +409,14 @@
 		l.RosterRetry = min(l.RosterRetry, max(l.DrainGrace/8, 20*time.Millisecond))
 		l.RosterRetryMax = l.RosterRetry
 	}
+	longest := time.Duration(0)
 	for _, c := range s.Classes {
-		l.Remember, l.LastAnswer = max(l.Remember, c.Window), max(l.LastAnswer, c.Deadline)
+		l.Remember, longest = max(l.Remember, c.Window), max(longest, c.Deadline)
 	}
-	l.LastAnswer += l.Farewell
+	if longest == 0 || longest > 3*time.Second { // the platform takes it so
+		longest = 3 * time.Second
+	}
+	l.LastAnswer = longest + l.Farewell // it kills 0.1 s later at the earliest
 	return l, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -267,6 +267,27 @@
 	}
 }
 
+// What hangs on the settings' times, for settings of several customers: a healthy watch, which has a line in 2 s, is never
+// taken for silent, and the last answer on leaving is out before the platform may kill.
+func TestTimesFromTheSettings(t *testing.T) {
+	for _, k := range []struct{ ask, deadline, last time.Duration }{
+		{time.Second, 800 * time.Millisecond, 1400 * time.Millisecond},
+		{4 * time.Second, 2 * time.Second, 2600 * time.Millisecond},
+		{10 * time.Second, 5 * time.Second, 3600 * time.Millisecond},
+		{time.Minute, time.Minute, 3600 * time.Millisecond},
+	} {
+		text := strings.ReplaceAll(whole, `"deadline":5000000000`, fmt.Sprintf(`"deadline":%d`, k.deadline.Nanoseconds()))
+		text = strings.Replace(text, `"ask_within":10000000000`, fmt.Sprintf(`"ask_within":%d`, k.ask.Nanoseconds()), 1)
+		n, err := load(t, text, nil)
+		if err != nil || n.Module.AskWithin != k.ask || n.Module.Classes[0].Deadline != k.deadline {
+			t.Fatalf("%+v: %+v, %v", k, n, err)
+		}
+		if l := n.Limits; l.RosterSilent < 2500*time.Millisecond || l.RosterSilent > 3*time.Second || l.LastAnswer != k.last {
+			t.Errorf("%+v: silent after %v, last answer after %v", k, l.RosterSilent, l.LastAnswer)
+		}
+	}
+}
+
 // Where lists are pushed, a call that the agent leaves without an answer and the pause behind it end within the grace of a
 // drain; where they are asked for, a call may wait its turn.
 func TestCallsForPushedLists(t *testing.T) {
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -549,6 +549,41 @@
 	}
 }
 
+// A process that stood still finds a request and the end of its time at once: the request was there first.
+func TestRequestThatMeetsItsTimeOut(t *testing.T) {
+	r := set(t, nil)
+	late := make(chan struct{})
+	r.gate = func(l net.Listener) net.Listener { return &doorstep{Listener: l, late: late} }
+	r.start()
+	c := r.client()
+	c.says("GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	close(late)
+	if got := c.hears(); got != "200 up" {
+		t.Errorf("it is answered %s", got)
+	}
+}
+
+// Who is turned away while it still sends hears so, and is not reset under it.
+func TestTurnedAwayWhileSending(t *testing.T) {
+	r := set(t, func(n *config.Node) { n.Limits.PortalConns, n.Limits.Linger = 1, bound }).start()
+	busy := r.client()
+	busy.says(job("w1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	c := r.client()
+	c.says(head("w2", "seat-check", 5*time.Second, 60<<10))
+	if got := c.hears(); got != "503 refused: no room for connections (closes)" {
+		t.Errorf("it hears %s", got)
+	}
+	for range 60 {
+		c.says(strings.Repeat("x", 1<<10)) // each of them reports an error
+	}
+	serve(w, "w1")
+	if got := busy.hears(); got != "200 of w1" {
+		t.Errorf("who was there hears %s", got)
+	}
+}
+
 // What the kernel had let in when the listener is to close is served; so is a request whose bytes are there.
 func TestLastConnectionsBeforeTheListenerCloses(t *testing.T) {
 	r := set(t, func(n *config.Node) { n.Limits.LastAccept = 300 * time.Millisecond })
@@ -646,6 +681,91 @@
 	}
 }
 
+// A job's time ends while its connection comes up, while its request is half written, and while its last line is half
+// read: it is answered then, and nothing more of it goes out. One that may have run is never called harmless where it may
+// not run twice.
+func TestTimeEndsOnTheWay(t *testing.T) {
+	for _, effect := range []ivyfold.Effect{ivyfold.Safe, ivyfold.Unsafe} {
+		want := map[ivyfold.Effect]string{ivyfold.Safe: "503 refused: try again later", ivyfold.Unsafe: "502 the job failed"}[effect]
+		for _, at := range []string{"connecting", "writing", "reading"} {
+			r := set(t, func(n *config.Node) { n.Module.Classes[0].Effect, n.Limits.Connect = effect, bound })
+			r.hold = true
+			r.start()
+			c := r.client()
+			c.says(head("d1", "seat-check", 400*time.Millisecond, 2) + "go")
+			d := take(t, "a connection", r.dials)
+			w := take(t, "the worker's side", r.work)
+			switch at {
+			case "writing":
+				s := &stuck{Conn: d.real, full: make(chan bool), cut: make(chan struct{})}
+				d.up <- s
+				take(t, "the first half", s.full)
+			case "reading":
+				d.up <- d.real
+				r.request(w)
+				io.WriteString(w, lines+done("d1")[:30])
+			}
+			if got := c.hears(); got != want {
+				t.Errorf("effect %v, %s: answered %s", effect, at, got)
+			}
+			w.SetReadDeadline(time.Now().Add(bound))
+			if text, err := io.ReadAll(w); err != nil || strings.HasSuffix(string(text), "go") || at == "connecting" && len(text) > 0 {
+				t.Errorf("effect %v, %s: the worker got %q, %v", effect, at, text, err)
+			}
+			if r.count("sent") != 1 {
+				t.Errorf("effect %v, %s: %s", effect, at, r.core.Line())
+			}
+		}
+	}
+}
+
+// A worker that is told off, or is missing from the whole list, while a connection to it comes up gets nothing, also when
+// it is back under its name by then.
+func TestWorkerLeavesWhileAConnectionComesUp(t *testing.T) {
+	for _, back := range []bool{false, true} {
+		for _, how := range []string{"drains", "is missing"} {
+			r := set(t, func(n *config.Node) { n.Limits.Connect = bound })
+			r.hold = true
+			r.start()
+			c := r.client()
+			c.says(job("v1"))
+			d := take(t, "a connection", r.dials)
+			w := take(t, "the worker's side", r.work)
+			if how == "drains" {
+				var off []config.Worker
+				for _, w := range r.node.Known.Workers {
+					w.State = "draining"
+					off = append(off, w)
+				}
+				r.core.Listed(ivyfold.ListDelta, off)
+				r.drains(3)
+			} else {
+				r.core.Listed(ivyfold.ListFull, nil)
+				r.until("no ready worker", func() bool { return r.core.Workers()[ivyfold.Ready] == 0 })
+			}
+			if back {
+				r.core.Listed(ivyfold.ListFull, r.node.Known.Workers)
+				r.until("three ready workers", func() bool { return r.core.Workers()[ivyfold.Ready] == 3 })
+			}
+			d.up <- d.real
+			r.until("the attempt's end", func() bool { return r.count("moot") == 1 })
+			if back { // another one of them has it, on the connection that was kept
+				if id := r.request(w); id != "v1" {
+					t.Errorf("%s came", id)
+				}
+				serve(w, "v1")
+			}
+			got, want := c.hears(), "503 refused: try again later"
+			if back {
+				want = "200 of v1"
+			}
+			if got != want {
+				t.Errorf("%s, back %v: answered %s; %s", how, back, got, r.core.Line())
+			}
+		}
+	}
+}
+
 type seen func(*dispatch.Moment)
 
 func (s seen) See(m *dispatch.Moment) { s(m) }
--- a/internal/portal/door.go
+++ b/internal/portal/door.go
@@ -494,6 +494,11 @@
 				return io.EOF
 			}
 			switch {
+			case len(g.raw) == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !g.silent():
+				// A process that stood still meets both at once: what has come was there first.
+				g.SetReadDeadline(time.Time{})
+				g.bound(time.Now().Add(d.lim.ReadHead))
+				continue
 			case len(g.raw) == 0:
 			case errors.Is(err, os.ErrDeadlineExceeded) && g.due():
 				err = fault(http.StatusRequestTimeout, "the head did not come in time")
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -40,7 +40,7 @@
 	door    *door
 	bodies  atomic.Int64 // bytes of bodies that are held
 	leaving atomic.Bool
-	last    atomic.Int64 // when the last answer is due on leaving, in Unix nanoseconds
+	left    atomic.Pointer[time.Time] // when the end began
 }
 
 // New makes a portal in front of a core.
@@ -75,7 +75,8 @@
 
 // Leave begins the end: the front is told no, and every answer closes its connection. New ones are still taken.
 func (p *Portal) Leave() {
-	p.last.CompareAndSwap(0, time.Now().Add(p.lim.LastAnswer).UnixNano())
+	now := time.Now()
+	p.left.CompareAndSwap(nil, &now)
 	p.leaving.Store(true)
 }
 
@@ -125,8 +126,10 @@
 	}
 	// The body is read: from here on only the client's going away ends the request early.
 	rc.SetReadDeadline(time.Time{})
-	if p.leaving.Load() { // whoever ends this process may not wait longer, whatever the client does
-		job.Patience = max(min(job.Patience, time.Until(time.Unix(0, p.last.Load()))), time.Millisecond)
+	if left := p.left.Load(); left != nil {
+		if late := time.Since(*left); late > p.lim.Farewell { // whoever ends this process may wait no longer than that
+			job.Patience = max(min(job.Patience, p.lim.LastAnswer-late), time.Millisecond)
+		}
 	}
 	if g.departed() { // it left while its request waited to be read
 		p.core.Counters.Left.Add(1)
