Keep the old settings on a reload with another customer's file

Seen, in the process test of a reload with other class names: discovery moved to the other customer's address, where none of our workers is known; the test waits for the refusal in vain without the mend (timed out after 15 s).

Ruled out: torn files and files with an unknown mode: those were refused before. At fault: node.go, reload: any file that can be read was taken for this dispatcher's.

Change: a file none of whose classes is one of this dispatcher's changes nothing, and the log says so with file and key.

--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -13,8 +13,11 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"ivyfold/internal/cli"
 	"ivyfold/internal/standin"
@@ -131,6 +134,11 @@
 	os.WriteFile(path, whole[:len(whole)/2], 0o600)
 	c.Process.Signal(syscall.SIGHUP)
 	wait("the old settings stay")
+	other := strings.NewReplacer(`"seat-check"`, `"browse"`, `"enrol"`, `"charge"`).Replace(string(whole))
+	os.WriteFile(path, []byte(`{"discovery":"`+free(t)+`",`+other[1:]), 0o600)
+	c.Process.Signal(syscall.SIGHUP)
+	wait("none of browse, charge is a class of this dispatcher")
+	os.WriteFile(path, whole[:len(whole)/2], 0o600)
 	c.Process.Signal(syscall.SIGTERM)
 	wait("leaving")
 	c.Process.Signal(syscall.SIGHUP)
@@ -148,6 +156,76 @@
 	}
 }
 
+// Clients send on kept and on new connections while a dispatcher leaves, as fast as they are answered, up to its end:
+// every job that it has taken has an answer at its client, and no new connection is closed without one.
+func TestNoTakenJobIsLostOnLeaving(t *testing.T) {
+	at := free(t)
+	l, err := net.Listen("tcp", host()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"seen"}`, r.Header.Get("X-Request-ID"))
+	}))
+	known := fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
+	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + settings(t, known), "NODE_DISCOVERY=" + free(t)})
+	var answered, unheard, lost atomic.Int64
+	var clients sync.WaitGroup
+	half := make(chan bool, 1)
+	for i := range 8 {
+		clients.Go(func() {
+			for n := 0; ; {
+				conn, err := net.Dial("tcp", at)
+				if err != nil {
+					return // it has ended
+				}
+				in, first := bufio.NewReader(conn), true
+				for ; ; n++ {
+					conn.SetDeadline(time.Now().Add(10 * time.Second))
+					fmt.Fprintf(conn, "POST /seat-check HTTP/1.1\r\nHost: b\r\nX-Request-ID: c%d-%d\r\nX-Priority-Class: seat-check\r\n"+
+						"X-Tenant-Id: univ-gaspesie\r\nX-Timeout: 5\r\nContent-Length: 2\r\n\r\ngo", i, n)
+					resp, err := http.ReadResponse(in, nil)
+					if err != nil {
+						if unheard.Add(1); first {
+							lost.Add(1)
+						}
+						break
+					}
+					io.Copy(io.Discard, resp.Body)
+					if first = false; answered.Add(1) == 100 {
+						half <- true
+					}
+					if resp.Close {
+						break
+					}
+				}
+				conn.Close()
+			}
+		})
+	}
+	select {
+	case <-half:
+	case <-time.After(10 * time.Second):
+		t.Error("no answers come")
+	}
+	c.Process.Signal(syscall.SIGTERM)
+	last := ""
+	for lines.Scan() {
+		last = lines.Text()
+	}
+	if err := c.Wait(); err != nil {
+		t.Error(err)
+	}
+	clients.Wait()
+	if want := fmt.Sprintf("taken=%d ", answered.Load()); !strings.Contains(last, want) || !strings.Contains(last, " open=0 ") {
+		t.Errorf("%d answers were heard, %d closes without one; it ended with %q", answered.Load(), unheard.Load(), last)
+	}
+	if lost.Load() > 8 { // each client's last connection may meet the listener's end
+		t.Errorf("%d new connections were closed without an answer", lost.Load())
+	}
+}
+
 // The answer to a body that is far too large reaches a client that sends for longer than the sockets' buffers hold,
 // before anything is reset.
 func TestAnswerReachesWhoStillSends(t *testing.T) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -353,6 +353,11 @@
 	return keys
 }
 
+// Stranger tells whether a node read later is another customer's: none of its classes is one of this one's.
+func (n *Node) Stranger(later *Node) bool {
+	return len(n.Classes) > 0 && !slices.ContainsFunc(later.Classes, func(c string) bool { return slices.Contains(n.Classes, c) })
+}
+
 // derive fills Limits from what the platform grants and the settings say.
 func derive(cores float64, memory, sockets int, s *ivyfold.Settings) (Limits, error) {
 	switch {
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -766,6 +766,30 @@
 	}
 }
 
+// Full tables: no connection to a worker can be spared, more workers are listed than are kept. What was under way goes on,
+// and who finds no room hears so at once.
+func TestFullTables(t *testing.T) {
+	r := set(t, func(n *config.Node) { n.Limits.FloorConns, n.Limits.Workers = 1, 3 }).start()
+	first, second := r.client(), r.client()
+	first.says(job("f1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	second.says(head("f2", "enrol", 5*time.Second, 2) + "go")
+	if got := second.hears(); got != "503 refused: try again later" || r.count("dialled") != 1 {
+		t.Errorf("with no connection to spare: %s; %s", got, r.core.Line())
+	}
+	more := append([]config.Worker{standin.Listing("s-0000000f", "127.0.0.1:9", "ready")}, r.node.Known.Workers...)
+	r.core.Listed(ivyfold.ListDelta, more)
+	r.until("the list", func() bool { return r.count("roster_changes") == 2 })
+	if n := r.core.Workers(); n != [3]int{0, 3, 0} {
+		t.Errorf("workers by state %v", n)
+	}
+	serve(w, "f1")
+	if got := first.hears(); got != "200 of f1" {
+		t.Errorf("the first hears %s", got)
+	}
+}
+
 type seen func(*dispatch.Moment)
 
 func (s seen) See(m *dispatch.Moment) { s(m) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,6 +171,11 @@
 		log.Printf("reload: the old settings stay: %v", err)
 		return
 	}
+	if n.Stranger(later) { // its discovery would know none of the workers that jobs are at
+		log.Printf("reload: the old settings stay: NODE_CONFIG: %s: key settings.classes: none of %s is a class of this dispatcher",
+			os.Getenv("NODE_CONFIG"), strings.Join(later.Classes, ", "))
+		return
+	}
 	if keys := n.Fixed(later); len(keys) > 0 {
 		log.Printf("reload: a change of %s holds from the next start on", strings.Join(keys, ", "))
 	}
