--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 
 	PortalConns int // client connections open at a time
 	PortalFresh int // among them those that have not said a whole head yet
+	PortalSpare int // so many more while those go that were asked to, and so many turned away whose rest is read
 	FloorConns  int // worker connections open at a time, idle ones included
 	RosterConns int // calls to discovery open at a time
 
@@ -66,6 +67,8 @@
 	RosterRetryMax  time.Duration // this
 	DrainGrace      time.Duration // no byte of a new send goes to a leaving worker later than this
 	Farewell        time.Duration // after SIGTERM the listener stays open so long
+	LastAccept      time.Duration // then what has already come there is let in for so long
+	LastAnswer      time.Duration // after SIGTERM what came later than that is answered by then: the platform may kill from then on
 	Remember        time.Duration // outcomes of keyed jobs are kept so long
 	Remembered      int           // and so many of them at most
 	RememberedBytes int           // holding so many bytes together at most
@@ -350,6 +353,11 @@
 	return keys
 }
 
+// Stranger tells whether a node read later is another customer's: none of its classes is one of this one's.
+func (n *Node) Stranger(later *Node) bool {
+	return len(n.Classes) > 0 && !slices.ContainsFunc(later.Classes, func(c string) bool { return slices.Contains(n.Classes, c) })
+}
+
 // derive fills Limits from what the platform grants and the settings say.
 func derive(cores float64, memory, sockets int, s *ivyfold.Settings) (Limits, error) {
 	switch {
@@ -365,7 +373,7 @@
 	l := Limits{
 		Cores: cores, MemoryMB: memory, Sockets: sockets,
 		RosterConns: 4, PortalConns: (usable - 4) * 5 / 9, FloorConns: (usable - 4) * 4 / 9,
-		PortalFresh: (usable - 4) / 6, LingerBytes: 4 << 20, Linger: time.Second,
+		PortalFresh: (usable - 4) / 6, PortalSpare: max(sockets/40, 2), LingerBytes: 4 << 20, Linger: time.Second,
 		Body: 64 << 10, Bodies: int64(memory) << 20 / 4, Head: 16 << 10, Line: 128 << 10, Roster: 4 << 20, Workers: 20000, LateReads: 4 << 10,
 		AnswerRoom: 40 * time.Millisecond, RetryAfter: 50 * time.Millisecond, MostPatience: 5 * time.Minute,
 		Connect: 250 * time.Millisecond, WorkerIdle: 4 * time.Second, ClientIdle: 60 * time.Second,
@@ -373,7 +381,8 @@
 		RosterCall: 3500 * time.Millisecond, RosterSilent: 3 * time.Second,
 		RosterRetry: 300 * time.Millisecond, RosterRetryMax: 3 * time.Second,
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
-		Remember: 10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
+		LastAccept: 20 * time.Millisecond,
+		Remember:   10 * time.Second, Remembered: 4096, RememberedBytes: memory << 20 / 8,
 		Reconnect: 100 * time.Millisecond, ReconnectMax: 5 * time.Second, Confirm: 2 * time.Second,
 		CaptureRows: 4096, CaptureGroup: 4096, CaptureRetry: time.Second,
 		PeerReads: 20000, PeerStrangers: 200, PeerMailbox: 1024, PeerBytes: 256 << 10, PeerFarewell: 400 * time.Millisecond,
@@ -394,12 +403,25 @@
 		l.DrainGrace = s.DrainGrace - s.DrainGrace/5
 	}
 	if s.AskWithin > 0 { // a watch must be known to be broken well before its silence counts as told
-		l.RosterSilent = min(l.RosterSilent, s.AskWithin/2)
+		// but never sooner than its lines come, one in 2 s
+		l.RosterSilent = max(min(l.RosterSilent, s.AskWithin/2), 2500*time.Millisecond)
 		l.RosterRetryMax = min(l.RosterRetryMax, s.AskWithin/3)
 	}
+	if s.Discovery == ivyfold.Push && s.DrainGrace > 0 {
+		// The agent on this machine answers at once or not at all, and what it holds counts as told: a call that it left
+		// without an answer while discovery was down may not outlast the grace of a drain told at its return.
+		l.RosterCall, l.RosterSilent = max(l.DrainGrace/4, 50*time.Millisecond), min(l.RosterSilent, 2500*time.Millisecond)
+		l.RosterRetry = min(l.RosterRetry, max(l.DrainGrace/8, 20*time.Millisecond))
+		l.RosterRetryMax = l.RosterRetry
+	}
+	longest := time.Duration(0)
 	for _, c := range s.Classes {
-		l.Remember = max(l.Remember, c.Window)
+		l.Remember, longest = max(l.Remember, c.Window), max(longest, c.Deadline)
+	}
+	if longest == 0 || longest > 3*time.Second { // the platform takes it so
+		longest = 3 * time.Second
 	}
+	l.LastAnswer = longest + l.Farewell // it kills 0.1 s later at the earliest
 	return l, nil
 }
 
