Answer what was taken before ending, where the portal's listener fails for good

Seen, in a process whose listening socket was ended under it (shutdown on the descriptor, at the test's word) with a job at a worker: the process exits with 1 at once, the job's client and an idle one find their connections broken (unexpected EOF).

Ruled out: the kernel's lack of descriptors, which net/http tries again; the end after SIGTERM, where nobody looks at the listener. At fault: node.go, Run: the portal's fault returned from there past all that the end by SIGTERM does.

Change: the fault is logged and begins the same end as SIGTERM; the exit code stays 1.

TestListenerFailsWithJobsOpen fails without it; passed since under the race detector.

--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,9 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv("GLADEPICK_AS_PROGRAM") != "" { // this same file plays bin/gladepick
+		if at := os.Getenv("GLADEPICK_BREAKS"); at != "" {
+			go breakListener(at)
+		}
 		main()
 	}
 	os.Exit(m.Run())
@@ -32,7 +36,13 @@
 
 // program starts the program and waits for a line that has a word.
 func program(t *testing.T, word string, env []string, args ...string) (*exec.Cmd, *bufio.Scanner) {
+	return start(t, nil, word, env, args...)
+}
+
+// start is program with a standard input.
+func start(t *testing.T, in io.Reader, word string, env []string, args ...string) (*exec.Cmd, *bufio.Scanner) {
 	c := exec.Command(os.Args[0], args...)
+	c.Stdin = in
 	c.Env = append(os.Environ(), append(env, "GLADEPICK_AS_PROGRAM=1")...)
 	out, err := c.StderrPipe()
 	if err != nil {
@@ -52,6 +62,25 @@
 	return nil, nil
 }
 
+// breakListener waits for the test's word and ends the socket that this process listens with at an address, as a fault of
+// the kernel would: whoever accepts there fails for good.
+func breakListener(at string) {
+	fmt.Scanln()
+	fds, _ := os.ReadDir("/proc/self/fd")
+	for _, entry := range fds {
+		fd, _ := strconv.Atoi(entry.Name())
+		if on, err := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); err != nil || on == 0 {
+			continue
+		}
+		here, _ := syscall.Getsockname(fd)
+		if v4, ok := here.(*syscall.SockaddrInet4); ok && strings.HasSuffix(at, fmt.Sprintf(":%d", v4.Port)) {
+			fmt.Fprintln(os.Stderr, "the test breaks the listener:", syscall.Shutdown(fd, syscall.SHUT_RDWR))
+			return
+		}
+	}
+	fmt.Fprintln(os.Stderr, "the test finds no listener at", at)
+}
+
 // host is a loopback address of this process alone: a port that is free there is not taken by another test program.
 func host() string {
 	pid := os.Getpid()
@@ -156,6 +185,77 @@
 	}
 }
 
+// Where the portal's listener fails for good, what was taken is answered before the dispatcher ends, with 1; a connection
+// that was there is served until then, and told to go.
+func TestListenerFailsWithJobsOpen(t *testing.T) {
+	at := free(t)
+	l, err := net.Listen("tcp", host()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	has, goOn := make(chan bool), make(chan bool)
+	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		has <- true
+		<-goOn
+		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"seen"}`, r.Header.Get("X-Request-ID"))
+	}))
+	known := fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
+	word, say, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer word.Close()
+	defer say.Close()
+	c, lines := start(t, word, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + settings(t, known),
+		"NODE_DISCOVERY=" + free(t), "GLADEPICK_BREAKS=" + at})
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(10 * time.Second))
+		return conn, bufio.NewReader(conn)
+	}
+	hears := func(in *bufio.Reader) string {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return err.Error()
+		}
+		body, _ := io.ReadAll(resp.Body)
+		return fmt.Sprint(resp.StatusCode, " ", strings.TrimSpace(string(body)), " ", resp.Close)
+	}
+	job, in := dial()
+	fmt.Fprint(job, "POST /seat-check HTTP/1.1\r\nHost: b\r\nX-Request-ID: b1\r\nX-Priority-Class: seat-check\r\n"+
+		"X-Tenant-Id: univ-gaspesie\r\nX-Timeout: 300\r\nContent-Length: 2\r\n\r\ngo")
+	<-has
+	kept, also := dial()
+	fmt.Fprint(kept, "GET /up HTTP/1.1\r\nHost: b\r\n\r\n")
+	if got := hears(also); got != "200 up false" {
+		t.Errorf("before: %s", got)
+	}
+	fmt.Fprint(kept, "GET /up HTTP/1.1\r\n") // part of a head may become a request, also while leaving
+	fmt.Fprintln(say, "now")
+	for lines.Scan() && !strings.Contains(lines.Text(), "is leaving") {
+	}
+	fmt.Fprint(kept, "Host: b\r\n\r\n")
+	if got := hears(also); got != "503 leaving true" {
+		t.Errorf("on a connection that was there: %s", got)
+	}
+	close(goOn)
+	if got := hears(in); got != "200 seen true" {
+		t.Errorf("the job that was out: %s", got)
+	}
+	all := ""
+	for lines.Scan() {
+		all += lines.Text() + "\n"
+	}
+	if c.Wait(); c.ProcessState.ExitCode() != 1 || !strings.Contains(all, "taken=1 served=1 ") || !strings.Contains(all, "the portal has ended") {
+		t.Errorf("it ended with %v and %q", c.ProcessState, all)
+	}
+}
+
 // Clients send on kept and on new connections while a dispatcher leaves, as fast as they are answered, up to its end:
 // every job that it has taken has an answer at its client, and no new connection is closed without one.
 func TestNoTakenJobIsLostOnLeaving(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,10 +123,13 @@
 		}
 	}()
 	log.Printf("%s serves on %s", n.Name, n.Listen)
+	var fault error
 	for leaving := false; !leaving; {
 		select {
-		case err := <-broken:
-			return errors.Join(errors.New("the portal has ended"), err)
+		case err := <-broken: // what has been taken is owed its answer all the same
+			fault = errors.Join(errors.New("the portal has ended"), err)
+			log.Print(fault)
+			leaving = true
 		case <-asked:
 			log.Print(core.Line())
 		case <-stopped:
@@ -145,7 +148,7 @@
 	time.Sleep(n.Limits.Farewell)
 	late, done := context.WithTimeout(context.Background(), n.Limits.MostPatience)
 	defer done()
-	err = front.Farewell(late)
+	err = errors.Join(fault, front.Farewell(late))
 	if desk != nil {
 		err = errors.Join(err, desk.Settled(late))
 	}
