Read nothing more on a connection before its last answer is out, and see leaving behind chunks

Seen, with the write of a last answer held at a gate: on leaving, a client that hears its answer and sends the next request at once has that read by the door and dropped with the connection. The platform counts a request as lost that was read, and lets it come again only where the close crossed it unread. And: a client that leaves behind a body in chunks with a byte after it was not seen to leave; its job ran on to its time.

Ruled out: idle connections, where the reader itself looks before it goes; answers that keep the connection, where what came early is served next. At fault: door.go, attend, which net/http ends only after it has flushed the answer (finishRequest); and Read, which lets all pass behind such a body, where net/http reads one byte ahead and then no more.

Change: an answer that closes its connection on leaving first ends the reading ahead; behind a body in chunks the portal reads away what follows, within LingerBytes.

TestRequestUponTheLastAnswer and the cases in chunks of TestClientLeavesBehindItsBytes fail without.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -360,14 +360,24 @@
 	}
 }
 
-// The end of a client's connection shows also behind bytes that came before their time, and however it is closed: the
-// job is not sent a second time. One that has only ended its sending hears that nothing comes of it.
+// inChunks words a job's body in chunks: where it ends the head does not say.
+func inChunks(job string) string {
+	return strings.Replace(strings.TrimSuffix(job, "go"), "Content-Length: 2", "Transfer-Encoding: chunked", 1) + chunk("go") + "0\r\n\r\n"
+}
+
+// The end of a client's connection shows also behind bytes that came before their time, however it is closed and whatever
+// form the body has: the job is not sent a second time. One that has only ended its sending hears that nothing comes of it.
 func TestClientLeavesBehindItsBytes(t *testing.T) {
-	for _, more := range []string{"", "P", "POST /seat-check/x HT", job("b2"), strings.Repeat("x", 200<<10)} {
+	for i, more := range []string{"", "P", "POST /seat-check/x HT", job("b2"), strings.Repeat("x", 200<<10),
+		"", "P", "POST /seat-check/x HT", job("b2"), strings.Repeat("x", 200<<10)} {
 		for _, how := range []string{"close", "reset", "half"} {
 			r := set(t, nil).start()
 			c := r.client()
-			c.says(job("b1"))
+			first := job("b1")
+			if i >= 5 {
+				first = inChunks(first)
+			}
+			c.says(first)
 			w := take(t, "the worker's side", r.work)
 			r.request(w)
 			c.says(more)
@@ -472,15 +482,28 @@
 // shown is a connection whose reads can be held between the socket and the reader.
 type shown struct {
 	*net.TCPConn
-	mu   sync.Mutex
-	held bool
-	late chan struct{} // a read that begins ends with this, and its deadline is over
-	read chan string
-	goOn chan struct{}
+	mu    sync.Mutex
+	held  bool
+	late  chan struct{} // a read that begins ends with this, and its deadline is over
+	read  chan string
+	wrote chan bool // where it is set, a write that is out waits for the test before its writer knows
+	goOn  chan struct{}
 }
 
 func (s *shown) hold(on bool) { s.mu.Lock(); s.held = on; s.mu.Unlock() }
 
+func (s *shown) Write(p []byte) (int, error) {
+	n, err := s.TCPConn.Write(p)
+	s.mu.Lock()
+	wrote := s.wrote
+	s.mu.Unlock()
+	if wrote != nil {
+		wrote <- true
+		<-s.goOn
+	}
+	return n, err
+}
+
 func (s *shown) Read(p []byte) (int, error) {
 	if s.late != nil {
 		<-s.late
@@ -549,6 +572,71 @@
 	}
 }
 
+// On leaving, a client hears its answer and sends the next request before the dispatcher has closed: that one is not read
+// any more, so the close crosses it and it comes again elsewhere. Read and dropped, it would be lost.
+func TestRequestUponTheLastAnswer(t *testing.T) {
+	r := set(t, nil)
+	passed := make(chan *shown, 64)
+	r.gate = func(l net.Listener) net.Listener { return &doorstep{Listener: l, passed: passed} }
+	r.start()
+	c, s := r.kept(passed)
+	r.portal.Leave()
+	c.says(job("y1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	s.mu.Lock()
+	s.wrote = make(chan bool)
+	s.mu.Unlock()
+	serve(w, "y1")
+	take(t, "the answer", s.wrote)
+	if got := c.hears(); got != "200 of y1 (closes)" {
+		t.Errorf("the first is answered %s", got)
+	}
+	s.hold(true)
+	c.says(job("y2"))
+	select {
+	case text := <-s.read: // at once, where it is read at all
+		t.Errorf("%.30q was read on a connection that is to be closed", text)
+	case <-time.After(300 * time.Millisecond):
+	}
+	close(s.goOn)
+	if got := c.hears(); strings.HasPrefix(got, "200") || r.count("taken") != 1 {
+		t.Errorf("the second is answered %s; %s", got, r.core.Line())
+	}
+}
+
+// A client's connection ends between two requests after a time, and under an answer that the client does not read.
+func TestIdleAndDeafClients(t *testing.T) {
+	r := set(t, func(n *config.Node) {
+		n.Limits.ClientIdle, n.Limits.ReadHead = 150*time.Millisecond, 500*time.Millisecond
+	})
+	passed := make(chan *shown, 64)
+	r.gate = func(l net.Listener) net.Listener { return &doorstep{Listener: l, passed: passed} }
+	r.start()
+	c, _ := r.kept(passed)
+	if got := c.hears(); got != io.EOF.Error() && got != io.ErrUnexpectedEOF.Error() {
+		t.Errorf("an idle client hears %s", got)
+	}
+	c = r.client()
+	s := take(t, "a connection", passed)
+	c.SetReadBuffer(1) // the kernel's least
+	s.SetWriteBuffer(1)
+	c.says(job("i1"))
+	w := take(t, "the worker's side", r.work)
+	r.request(w)
+	io.WriteString(w, lines+chunk(`{"id":"i1","from":"w","state":"done","result":"`+strings.Repeat("r", 100<<10)+"\"}\n")+"0\r\n\r\n")
+	r.until("the answer", func() bool { return r.count("served") == 1 })
+	late, done := context.WithTimeout(context.Background(), bound)
+	defer done()
+	if err := r.portal.Farewell(late); err != nil { // it waits for every connection's end
+		t.Errorf("the answer that nobody reads has no end: %v", err)
+	}
+	c.SetReadBuffer(1 << 20)
+	if got := c.hears(); !strings.Contains(got, io.ErrUnexpectedEOF.Error()) && !strings.Contains(got, "reset") {
+		t.Errorf("a client that read too late hears %.60s", got)
+	}
+}
+
 // A process that stood still finds a request and the end of its time at once: the request was there first.
 func TestRequestThatMeetsItsTimeOut(t *testing.T) {
 	r := set(t, nil)
@@ -1033,6 +1121,45 @@
 	}
 }
 
+// Discovery moves while a call has no answer, while its watch says nothing, and between two calls: the next call goes to
+// the new address at once, whatever time was left, and the list there counts.
+func TestDiscoveryMovesInAnyState(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		for name, first := range map[string]func(*rig, *call){
+			"a call is out":     func(*rig, *call) {},
+			"a watch is silent": func(r *rig, c *call) { io.WriteString(c, stream); c.says(r.list("line", 8, 2)); r.drains(2) },
+			"between two calls": func(r *rig, c *call) {
+				c.Close()
+				r.until("the failed call", func() bool { return r.count("roster_failed") == 1 })
+			},
+		} {
+			r := set(t, func(n *config.Node) {
+				if pushed {
+					n.Module.Discovery = ivyfold.Push
+				}
+				n.Limits.RosterCall, n.Limits.RosterSilent, n.Limits.RosterRetry = time.Hour, time.Hour, time.Hour
+			}).start()
+			r.watch.Watch(true)
+			first(r, take(t, "a call", r.calls))
+			other := listen(t)
+			r.watch.Move(other.Addr().String())
+			other.(*net.TCPListener).SetDeadline(time.Now().Add(bound))
+			o, err := other.Accept()
+			if err != nil {
+				t.Fatalf("%s, pushed %v: no call to the new address: %v", name, pushed, err)
+			}
+			defer o.Close()
+			if req, err := http.ReadRequest(bufio.NewReader(o)); err != nil || !strings.HasSuffix(req.RequestURI, "&after=0") {
+				t.Errorf("%s: the first call there is %v, %v", name, req, err)
+			}
+			moved := &call{Conn: o}
+			io.WriteString(o, stream)
+			moved.says(r.list("line", 3, 1))
+			r.drains(1)
+		}
+	}
+}
+
 // Bad input: entries that cannot be read, foreign lists, torn ones, huge ones. What is readable of ours counts, who
 // leaves is not sent to, everybody else stays, and the watch goes on or is opened anew.
 func TestFaultyLists(t *testing.T) {
--- a/internal/portal/door.go
+++ b/internal/portal/door.go
@@ -70,9 +70,11 @@
 	fault      string
 
 	times sync.Mutex
-	want  time.Time // the server's limit for reading
-	until time.Time // the head's own
-	awake bool      // whoever reads has to look up at once
+	want  time.Time     // the server's limit for reading
+	until time.Time     // the head's own
+	awake bool          // whoever reads has to look up at once
+	deaf  bool          // nothing more is read before the last answer is out
+	ear   chan struct{} // closed when attend has ended; nil where it never began
 }
 
 type guestKey struct{}
@@ -328,6 +330,9 @@
 	if ok && (g.status != 0 || g.through || g.body > 0) && g.reach(parting) {
 		go func() {
 			half.CloseWrite()
+			g.times.Lock()
+			g.deaf = false
+			g.times.Unlock()
 			g.SetReadDeadline(time.Now().Add(g.door.lim.Linger))
 			io.Copy(io.Discard, io.LimitReader(g.Conn, g.door.lim.LingerBytes))
 			g.leave()
@@ -366,7 +371,7 @@
 	if t.IsZero() || !g.until.IsZero() && g.until.Before(t) {
 		t = g.until
 	}
-	if g.awake {
+	if g.awake || g.deaf {
 		t = time.Unix(1, 0)
 	}
 	return g.Conn.SetReadDeadline(t)
@@ -430,6 +435,15 @@
 // attend reads on while a request is in: only so does it show that the client has left, also behind bytes that came
 // before their time. Those are kept for later, as far as there is room. It ends with the client or when it is broken off.
 func (g *guest) attend() error {
+	g.times.Lock()
+	if g.deaf {
+		g.times.Unlock()
+		return os.ErrDeadlineExceeded
+	}
+	ear := make(chan struct{})
+	g.ear = ear
+	g.times.Unlock()
+	defer close(ear)
 	more := make([]byte, 2<<10)
 	for all := int64(0); ; {
 		n, err := g.Conn.Read(more)
@@ -452,6 +466,19 @@
 	}
 }
 
+// stopAttending comes before an answer that closes the connection: a request that the client sends upon it must not be
+// read any more, for then it would be lost, while one that the close crosses unread comes again elsewhere.
+func (g *guest) stopAttending() {
+	g.times.Lock()
+	g.deaf = true
+	g.apply()
+	ear := g.ear
+	g.times.Unlock()
+	if ear != nil {
+		<-ear
+	}
+}
+
 // head reads up to the end of a head and looks at it.
 func (g *guest) head() error {
 	d := g.door
--- a/internal/portal/portal.go
+++ b/internal/portal/portal.go
@@ -104,7 +104,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if r.Method == http.MethodGet {
-		p.part(w)
+		p.part(w, g)
 		p.tell(w, r)
 		return
 	}
@@ -143,13 +143,26 @@
 		bad(http.StatusConflict, err.Error())
 		return
 	case err != nil:
-		p.part(w)
+		p.part(w, g)
 		refuse(w, p.lim.RetryAfter)
 		return
 	}
+	var left chan struct{}
+	if g.through { // the door lets all pass that follows such a body; the server reads one byte of it and no more
+		left = make(chan struct{})
+		go func() {
+			// Up to the client's end, to the answer, which breaks reading off, or to what a client may send too much.
+			io.Copy(io.Discard, io.LimitReader(g.Conn, p.lim.LingerBytes))
+			close(left)
+		}()
+	}
+	leaves := func() {
+		p.Jobs.Leave(job)
+		dismiss(w)
+	}
 	select {
 	case a := <-answers:
-		p.part(w)
+		p.part(w, g)
 		rc.SetWriteDeadline(time.Now().Add(p.lim.ReadHead))
 		switch a.Verdict {
 		case dispatch.Served:
@@ -162,8 +175,9 @@
 			say(w, http.StatusBadGateway, "the job failed")
 		}
 	case <-r.Context().Done():
-		p.Jobs.Leave(job)
-		dismiss(w)
+		leaves()
+	case <-left:
+		leaves()
 	}
 }
 
@@ -176,9 +190,10 @@
 
 // part makes an answer close its connection on leaving. It looks when the answer is there: a job may have waited
 // meanwhile.
-func (p *Portal) part(w http.ResponseWriter) {
+func (p *Portal) part(w http.ResponseWriter, g *guest) {
 	if p.leaving.Load() {
 		w.Header().Set("Connection", "close")
+		g.stopAttending()
 	}
 }
 
