Test that nothing is published for a client that left as its job came to a queue's floor

Need: the row of endings.md for queues' workers had no test. The client leaves while the core stands between its own look and the floor's; without the floor's look before it publishes the test sees the job at a worker. No change of code.

--- a/internal/standin/fronts_test.go
+++ b/internal/standin/fronts_test.go
@@ -61,8 +61,13 @@
 type options struct {
 	queues, amqp, lostQueue bool
 	taker                   dispatch.Taker // takes keyed jobs for keeps, in the core's place
+	sees                    seen           // what the core does; nil: nobody looks
 }
 
+type seen func(*dispatch.Moment)
+
+func (s seen) See(m *dispatch.Moment) { s(m) }
+
 // world makes the surroundings: four workers over HTTP, or as many at queues, a roster and a broker.
 func world(t *testing.T) *rig {
 	r := &rig{t: t, net: &Net{Silent: map[string]bool{}}, yard: &Yard{}, broker: &Broker{}, list: &Roster{Changes: make(chan string)}}
@@ -153,6 +158,9 @@
 	if r.core, err = dispatch.New(n, counters, r.floor, queues, watch, fixed); err != nil {
 		r.t.Fatal(err)
 	}
+	if o.sees != nil {
+		r.core.Observer = o.sees
+	}
 	watch.Listed, r.watch = r.core.Listed, watch
 	ctx, cancel := context.WithCancel(context.Background())
 	go r.core.Run(ctx)
@@ -481,6 +489,31 @@
 	})
 }
 
+// A client leaves just when its job has been given to a queue's floor: nothing is published.
+func TestClientLeavesBeforeItsJobIsPublished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, leave := context.WithCancel(context.Background())
+		r := world(t).start(options{queues: true, sees: func(m *dispatch.Moment) {
+			if m.Sight == dispatch.SawSent {
+				leave()
+				synctest.Wait() // all have seen it go, but for the core, which stands here
+			}
+		}})
+		time.Sleep(time.Second) // the desk is at the broker
+		req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+here+"/seat-check", strings.NewReader("done"))
+		for k, v := range map[string]string{"X-Request-ID": "p1", "X-Priority-Class": "seat-check", "X-Tenant-Id": "univ-gaspesie", "X-Timeout": "5"} {
+			req.Header.Set(k, v)
+		}
+		if _, err := r.client.Do(req); err == nil {
+			t.Error("an answer came")
+		}
+		time.Sleep(time.Minute)
+		if c := r.core.Counters; len(r.yard.Sent("p1")) != 0 || c.Sent.Load() != 1 || c.Outcomes[ivyfold.Moot].Load() != 1 || r.core.Open() != 0 {
+			t.Errorf("published %v; %s", r.yard.Sent("p1"), r.core.Line())
+		}
+	})
+}
+
 func TestMalformedMessages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := world(t).start(options{amqp: true})
