Let a connection rest after an answer that names no job, lest a second one pass for the next

Seen, with a stand-in worker that gives a 503 with X-Not-Processed once more on a connection that serves the next job by then: that job counts as one that never ran and goes to another worker while it runs at the first. With a second 500 it counts as ended, and the next attempt would go out with the first still open on a connection in the pool.

Ruled out: answers in lines, each of which names its job (another's ends in a reset, and the connection closes); bytes that are there before the next request is written (quiet looks). At fault: floor.go, link: a connection served again at once, whatever its answer was.

Change: after an answer that is not 200 a connection stays in the pool for Limits.LateAnswer (0.1 s) before it serves again; what has come by then closes it.

TestSecondAnswerThatNamesNoJob fails without it (no other connection comes).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,6 +61,7 @@
 	Linger          time.Duration // after an answer that came early, what a client still sends is read away so long
 	LingerBytes     int64         // and so many bytes of it at most
 	TailWait        time.Duration // how long the end of a finished answer may take
+	LateAnswer      time.Duration // so late a worker may give an answer once more
 	RosterCall      time.Duration // a call to discovery is answered within it
 	RosterSilent    time.Duration // a watch that says nothing for so long has broken
 	RosterRetry     time.Duration // first pause, on average, after a call that failed or ended; doubles up to
@@ -377,7 +378,7 @@
 		Body: 64 << 10, Bodies: int64(memory) << 20 / 4, Head: 16 << 10, Line: 128 << 10, Roster: 4 << 20, Workers: 20000, LateReads: 4 << 10,
 		AnswerRoom: 40 * time.Millisecond, RetryAfter: 50 * time.Millisecond, MostPatience: 5 * time.Minute,
 		Connect: 250 * time.Millisecond, WorkerIdle: 4 * time.Second, ClientIdle: 60 * time.Second,
-		ReadHead: 2 * time.Second, TailWait: 250 * time.Millisecond,
+		ReadHead: 2 * time.Second, TailWait: 250 * time.Millisecond, LateAnswer: 100 * time.Millisecond,
 		RosterCall: 3500 * time.Millisecond, RosterSilent: 3 * time.Second,
 		RosterRetry: 300 * time.Millisecond, RosterRetryMax: 3 * time.Second,
 		DrainGrace: 400 * time.Millisecond, Farewell: 600 * time.Millisecond,
--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -46,8 +46,9 @@
 	net.Conn
 	floor *Floor
 	from  *bufio.Reader
-	left  int // bytes that the present answer may still take
-	since time.Time
+	left  int       // bytes that the present answer may still take
+	since time.Time // when it came into the pool
+	rests time.Time // up to then it stays there
 	reap  *time.Timer
 	once  sync.Once
 }
@@ -115,7 +116,7 @@
 		return
 	}
 	if !a.MayStart() { // the worker was told off, or the client left, while it came up: nothing has been written
-		f.keep(a.Worker.Address, l)
+		f.keep(a.Worker.Address, l, 0)
 		a.End(ivyfold.Moot, ivyfold.Load{}, nil)
 		return
 	}
@@ -140,7 +141,7 @@
 		a.End(r.outcome, r.load, r.result)
 	}
 	if clean && (r.rest == nil || f.finish(l, r.rest)) {
-		f.keep(a.Worker.Address, l)
+		f.keep(a.Worker.Address, l, r.rests)
 	} else if clean {
 		l.Close()
 	}
@@ -163,11 +164,15 @@
 	for {
 		f.mu.Lock()
 		links := f.idle[a.Worker.Address]
-		if len(links) == 0 {
+		i := len(links) - 1
+		for i >= 0 && time.Now().Before(links[i].rests) {
+			i--
+		}
+		if i < 0 {
 			break // with the lock held
 		}
-		l := links[len(links)-1]
-		f.idle[a.Worker.Address] = links[:len(links)-1]
+		l := links[i]
+		f.idle[a.Worker.Address] = slices.Delete(links, i, i+1)
 		f.mu.Unlock()
 		if l.reap.Stop() && time.Since(l.since) < f.lim.WorkerIdle && l.quiet() {
 			f.counters.Reused.Add(1)
@@ -219,14 +224,16 @@
 	return found
 }
 
-// keep puts a clean connection into the pool, from which it is closed before the machine at the other end does.
-func (f *Floor) keep(address string, l *link) {
+// keep puts a clean connection into the pool, from which it is closed before the machine at the other end does. It rests
+// there for a while first, where its answer named no job.
+func (f *Floor) keep(address string, l *link, rests time.Duration) {
 	if l.from.Buffered() > 0 { // it said more than its answer: whatever that is, it answers nothing of ours
 		l.Close()
 		return
 	}
 	l.SetDeadline(time.Time{})
 	l.since = time.Now()
+	l.rests = l.since.Add(rests)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l.reap = time.AfterFunc(f.lim.WorkerIdle, func() {
@@ -293,9 +300,10 @@
 	outcome ivyfold.Outcome
 	load    ivyfold.Load
 	result  []byte
-	clean   bool      // the connection may serve again
-	rest    io.Reader // what still has to be read before it does
-	length  int64     // its length where the head says it, else -1
+	clean   bool          // the connection may serve again
+	rest    io.Reader     // what still has to be read before it does
+	length  int64         // its length where the head says it, else -1
+	rests   time.Duration // how long the connection does not serve
 }
 
 func (f *Floor) read(a *dispatch.Attempt, l *link) said {
@@ -309,9 +317,13 @@
 			continue
 		}
 		s := said{outcome: ivyfold.Error, clean: !resp.Close, rest: resp.Body, length: resp.ContentLength, load: f.loadLine(resp.Header.Get("X-Server-Load"))}
-		switch resp.StatusCode {
-		case http.StatusOK:
+		if resp.StatusCode == http.StatusOK {
 			return f.lines(a, l, resp, s)
+		}
+		// It names no job. A second one of it, some milliseconds late, would pass for the next job's: that would count as one
+		// that never ran, or has ended, while it runs.
+		s.rests = f.lim.LateAnswer
+		switch resp.StatusCode {
 		case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 			if resp.Header.Get("X-Not-Processed") == "1" {
 				s.outcome = ivyfold.Full
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -994,6 +994,39 @@
 	}
 }
 
+// A worker gives an answer that names no job once more, some milliseconds late: it is not taken for the next job's, which
+// may not run twice. Up to then that connection serves nobody.
+func TestSecondAnswerThatNamesNoJob(t *testing.T) {
+	for status, first := range map[string]string{
+		"503 Service Unavailable\r\nX-Not-Processed: 1": "", "500 Internal Server Error": "502 the job failed", "400 Bad Request": "502 the job failed",
+	} {
+		r := set(t, func(n *config.Node) { n.Module.Classes[0].Effect, n.Limits.LateAnswer = ivyfold.Unsafe, bound }).start()
+		c := r.client()
+		c.says(job("n1"))
+		w := take(t, "the worker's side", r.work)
+		r.request(w)
+		answer := "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"
+		io.WriteString(w, answer)
+		id := "n1" // goes to another worker at once, where it never ran
+		if first != "" {
+			if got := c.hears(); got != first {
+				t.Errorf("%.3s: the first job is answered %s", status, got)
+			}
+			id = "n2"
+			c.says(job(id))
+		}
+		other := take(t, status[:3]+": another connection", r.work)
+		if got := r.request(other); got != id {
+			t.Errorf("%.3s: then %s came", status, got)
+		}
+		io.WriteString(w, answer)
+		serve(other, id)
+		if got := c.hears(); got != "200 of "+id || r.count("sent") != 2 {
+			t.Errorf("%.3s: the next is answered %s; %s", status, got, r.core.Line())
+		}
+	}
+}
+
 // A result whose connection is reset right behind it counts.
 func TestResetBehindAResult(t *testing.T) {
 	r := set(t, func(n *config.Node) { n.Module.Classes[0].Effect = ivyfold.Unsafe }).start()
