Make two tests of endings wait for what they stand on

Seen, in 50 runs of internal/node under the race detector, five processes side by side: TestLastConnectionsBeforeTheListenerCloses failed twice ('the end of the listener did not come'), TestTimeEndsOnTheWay once (a job that may run once, its time over while its connection came up, was answered 503 and not 502).

Cause, both in the tests. The first began the farewell before the portal stood at its listener: then there is none to end; a dispatcher serves for 0.6 s before. The second has the dial and the core end at one instant: where the dial's word comes first, the attempt never ran, and a refusal is right. Ruled out: a job answered twice or sent again (sent=1 in each).

Change: the first waits until the portal accepts; the second's dial does not hear its time, so the core alone ends the job. What is asked for stays the same.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -41,6 +41,7 @@
 	work   chan net.Conn // that have come to the workers, all at one address
 	dials  chan *dial    // that the floor makes, where hold is set
 	hold   bool
+	deaf   bool                            // a dial does not hear that its time is over
 	gate   func(net.Listener) net.Listener // stands before the portal's listener
 }
 
@@ -125,6 +126,9 @@
 		}
 		d := &dial{make(chan net.Conn), c}
 		r.dials <- d
+		if r.deaf {
+			return <-d.up, nil
+		}
 		select {
 		case c := <-d.up:
 			return c, nil
@@ -451,13 +455,18 @@
 type doorstep struct {
 	net.Listener
 	open   chan struct{} // nil: open
+	stands chan struct{} // somebody waits to be let in
 	asked  chan struct{} // SetDeadline was called
 	once   sync.Once
+	ready  sync.Once
 	late   chan struct{}
 	passed chan *shown
 }
 
 func (d *doorstep) Accept() (net.Conn, error) {
+	if d.stands != nil {
+		d.ready.Do(func() { close(d.stands) })
+	}
 	if d.open != nil {
 		<-d.open
 	}
@@ -675,9 +684,12 @@
 // What the kernel had let in when the listener is to close is served; so is a request whose bytes are there.
 func TestLastConnectionsBeforeTheListenerCloses(t *testing.T) {
 	r := set(t, func(n *config.Node) { n.Limits.LastAccept = 300 * time.Millisecond })
-	open, asked := make(chan struct{}), make(chan struct{})
-	r.gate = func(l net.Listener) net.Listener { return &doorstep{Listener: l, open: open, asked: asked} }
+	open, asked, stands := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	r.gate = func(l net.Listener) net.Listener {
+		return &doorstep{Listener: l, open: open, asked: asked, stands: stands}
+	}
 	r.start()
+	take(t, "the portal at its listener", stands) // a farewell before that would find none
 	c := r.client()
 	c.says("GET /counters HTTP/1.1\r\nHost: b\r\n\r\n")
 	over := make(chan error, 1)
@@ -777,7 +789,9 @@
 		want := map[ivyfold.Effect]string{ivyfold.Safe: "503 refused: try again later", ivyfold.Unsafe: "502 the job failed"}[effect]
 		for _, at := range []string{"connecting", "writing", "reading"} {
 			r := set(t, func(n *config.Node) { n.Module.Classes[0].Effect, n.Limits.Connect = effect, bound })
-			r.hold = true
+			// Its time ends in the core and at the dial at one instant. The dial's word would be that it never ran, and a
+			// refusal is right then for either class: so the core's alone is asked for here.
+			r.hold, r.deaf = true, true
 			r.start()
 			c := r.client()
 			c.says(head("d1", "seat-check", 400*time.Millisecond, 2) + "go")
@@ -796,6 +810,10 @@
 			if got := c.hears(); got != want {
 				t.Errorf("effect %v, %s: answered %s", effect, at, got)
 			}
+			if at == "connecting" { // it comes up now, and ends
+				d.real.Close()
+				d.up <- d.real
+			}
 			w.SetReadDeadline(time.Now().Add(bound))
 			if text, err := io.ReadAll(w); err != nil || strings.HasSuffix(string(text), "go") || at == "connecting" && len(text) > 0 {
 				t.Errorf("effect %v, %s: the worker got %q, %v", effect, at, text, err)
