--- a/cmd/gladepick/main_test.go
+++ b/cmd/gladepick/main_test.go
@@ -115,21 +115,28 @@
 	return resp.StatusCode, string(body)
 }
 
-// Told to leave with a job out, a dispatcher answers it and exits with 0; its last line counts it.
-func TestDispatcherLeaves(t *testing.T) {
-	at := free(t)
+// worker serves jobs, each after a while, and gives the settings' part that names it.
+func worker(t *testing.T, while func()) string {
 	l, err := net.Listen("tcp", host()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	has, goOn := make(chan bool), make(chan bool)
+	t.Cleanup(func() { l.Close() })
 	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		has <- true
-		<-goOn
+		while()
 		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"seen"}`, r.Header.Get("X-Request-ID"))
 	}))
-	known := fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
+	return fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
+}
+
+// Told to leave with a job out, a dispatcher answers it and exits with 0; its last line counts it.
+func TestDispatcherLeaves(t *testing.T) {
+	at := free(t)
+	has, goOn := make(chan bool), make(chan bool)
+	known := worker(t, func() {
+		has <- true
+		<-goOn
+	})
 	path := settings(t, known)
 	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + path, "NODE_DISCOVERY=" + free(t)})
 	if status, _ := get(t, "http://"+at+"/up"); status != 200 {
@@ -189,18 +196,11 @@
 // that was there is served until then, and told to go.
 func TestListenerFailsWithJobsOpen(t *testing.T) {
 	at := free(t)
-	l, err := net.Listen("tcp", host()+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	has, goOn := make(chan bool), make(chan bool)
-	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	known := worker(t, func() {
 		has <- true
 		<-goOn
-		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"seen"}`, r.Header.Get("X-Request-ID"))
-	}))
-	known := fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
+	})
 	word, say, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
@@ -260,15 +260,7 @@
 // every job that it has taken has an answer at its client, and no new connection is closed without one.
 func TestNoTakenJobIsLostOnLeaving(t *testing.T) {
 	at := free(t)
-	l, err := net.Listen("tcp", host()+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintf(w, `{"id":%q,"state":"done","result":"seen"}`, r.Header.Get("X-Request-ID"))
-	}))
-	known := fmt.Sprintf(`,"known":{"instances":[{"instanceId":"s-0badcafe","hostPort":%q,"zone":"montreal","machineType":"std-2c","lifecycle":"ready"}]}`, l.Addr())
+	known := worker(t, func() {})
 	c, lines := program(t, "serves on", []string{"NODE_NAME=n0", "NODE_LISTEN=" + at, "NODE_CONFIG=" + settings(t, known), "NODE_DISCOVERY=" + free(t)})
 	var answered, unheard, lost atomic.Int64
 	var clients sync.WaitGroup
