Say in one list how a client leaves and in which form its body came

Need: the cases in chunks repeated the whole list of bytes behind them and told the two halves apart by an index. The same 30 cases with the same assertions; internal/node passed twice under the race detector.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -372,16 +372,13 @@
 // The end of a client's connection shows also behind bytes that came before their time, however it is closed and whatever
 // form the body has: the job is not sent a second time. One that has only ended its sending hears that nothing comes of it.
 func TestClientLeavesBehindItsBytes(t *testing.T) {
-	for i, more := range []string{"", "P", "POST /seat-check/x HT", job("b2"), strings.Repeat("x", 200<<10),
-		"", "P", "POST /seat-check/x HT", job("b2"), strings.Repeat("x", 200<<10)} {
-		for _, how := range []string{"close", "reset", "half"} {
+	for _, more := range []string{"", "P", "POST /seat-check/x HT", job("b2"), strings.Repeat("x", 200<<10)} {
+		for _, way := range [][2]string{{"close", job("b1")}, {"reset", job("b1")}, {"half", job("b1")},
+			{"close", inChunks(job("b1"))}, {"reset", inChunks(job("b1"))}, {"half", inChunks(job("b1"))}} {
+			how := way[0]
 			r := set(t, nil).start()
 			c := r.client()
-			first := job("b1")
-			if i >= 5 {
-				first = inChunks(first)
-			}
-			c.says(first)
+			c.says(way[1])
 			w := take(t, "the worker's side", r.work)
 			r.request(w)
 			c.says(more)
