--- /dev/null
+++ b/internal/cluster/types.go
@@ -0,0 +1,187 @@
+// Package cluster holds what every process of the system knows about the others: the identity of a process, the
+// cluster table that the control plane publishes, the list of workers, and the agent that keeps them current.
+//
+// All published values are immutable: they are built once, swapped in whole and never changed afterwards.
+package cluster
+
+import "time"
+
+// NodeInfo identifies one process. A process announces it with each renewal of its lease.
+type NodeInfo struct {
+	Name        string `json:"name"`              // the machine's name from the settings file
+	Class       string `json:"class"`             // the machine's class, "front" or "store"
+	Zone        string `json:"zone"`              // the zone the machine stands in
+	Region      string `json:"region,omitempty"`  // the zone's region
+	Address     string `json:"address"`           // where its internal RPC server listens, "ip:port"
+	Incarnation string `json:"incarnation"`       // drawn at random at each start of the process
+	DiskID      string `json:"diskId,omitempty"`  // drawn at random when the data directory was first used; empty without a disk
+	Core        bool   `json:"core,omitempty"`    // it may become a member of the control group
+	Store       bool   `json:"store,omitempty"`   // it keeps messages
+	Leaving     bool   `json:"leaving,omitempty"` // it has been told to stop and wants to hand over
+	DiskFailing bool   `json:"diskFailing,omitempty"`
+}
+
+// StoreState tells what the control plane does with a store.
+type StoreState string
+
+// The states of a store.
+const (
+	StoreActive   StoreState = "active"   // takes partitions
+	StoreDown     StoreState = "down"     // its lease has run out
+	StoreLeaving  StoreState = "leaving"  // a planned stop: primaries move away
+	StoreRetiring StoreState = "retiring" // the operator wants it emptied
+	StoreRetired  StoreState = "retired"  // it holds nothing any more
+)
+
+// StoreEntry is a store as the cluster table lists it.
+type StoreEntry struct {
+	Name        string     `json:"name"`
+	Zone        string     `json:"zone"`
+	Address     string     `json:"address"`
+	DiskID      string     `json:"diskId"`
+	Incarnation string     `json:"incarnation"`
+	State       StoreState `json:"state"`
+}
+
+// Replica is a member of a partition's replica group.
+type Replica struct {
+	Store  string `json:"store"`  // the store's name
+	DiskID string `json:"diskId"` // the disk that holds the copy; another disk is another replica
+	Synced bool   `json:"synced"` // it holds every committed message and may become primary
+}
+
+// Partition is a partition's view: who leads it and who holds copies. The first replica is the primary. Epoch grows
+// with every change of the view.
+type Partition struct {
+	ID       int       `json:"id"`
+	Epoch    uint64    `json:"epoch"`
+	Replicas []Replica `json:"replicas"`
+}
+
+// Primary returns the replica that leads the partition, and false where the partition has none.
+func (p Partition) Primary() (Replica, bool) {
+	if len(p.Replicas) == 0 {
+		return Replica{}, false
+	}
+	return p.Replicas[0], true
+}
+
+// Find returns the position of the replica at a store, or -1.
+func (p Partition) Find(store string) int {
+	for i, replica := range p.Replicas {
+		if replica.Store == store {
+			return i
+		}
+	}
+	return -1
+}
+
+// CoreEntry is a member of the control group.
+type CoreEntry struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	DiskID  string `json:"diskId"`
+}
+
+// Table is the cluster table. Revision grows with every change, also across a failover of the control plane.
+type Table struct {
+	Revision   uint64       `json:"revision"`
+	Primary    string       `json:"primary"` // name of the control group's primary, a hint
+	Core       []CoreEntry  `json:"core"`
+	Stores     []StoreEntry `json:"stores"`     // by name
+	Partitions []Partition  `json:"partitions"` // index and ID agree
+	Copies     int          `json:"copies"`     // how many disks hold a message before it is acknowledged
+	// Deliverers is by how many stores a service's rate ceiling is divided: all that deliver now or may still do so.
+	Deliverers int `json:"deliverers"`
+}
+
+// Store returns the entry of a store by its name, or nil.
+func (t *Table) Store(name string) *StoreEntry {
+	if t == nil {
+		return nil
+	}
+	for i := range t.Stores {
+		if t.Stores[i].Name == name {
+			return &t.Stores[i]
+		}
+	}
+	return nil
+}
+
+// Worker is one entry of the platform's list of workers.
+type Worker struct {
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	Zone       string `json:"zone"`
+	Version    string `json:"version,omitempty"`
+	Capacity   int    `json:"capacity"`
+	Draining   bool   `json:"draining,omitempty"`
+	WarmupLeft int64  `json:"warmupLeftMs,omitempty"` // as the platform said it, in milliseconds
+}
+
+// WorkerList is the whole list as last read. Revision grows with every change.
+type WorkerList struct {
+	Epoch    uint64    `json:"epoch"`    // the control group's epoch in which it was read
+	Revision uint64    `json:"revision"` // grows within an epoch
+	Workers  []Worker  `json:"workers"`
+	ReadAt   time.Time `json:"-"` // local time at which this process got it
+}
+
+// SyncRequest renews a lease and asks for everything newer than what the caller holds. The answer is held back for
+// a while where there is nothing new (a long poll).
+type SyncRequest struct {
+	Node            NodeInfo `json:"node"`
+	ConfigVersion   uint64   `json:"configVersion"`
+	TableRevision   uint64   `json:"tableRevision"`
+	WorkersEpoch    uint64   `json:"workersEpoch"`
+	WorkersRevision uint64   `json:"workersRevision"`
+}
+
+// SyncResponse carries what has changed; absent parts have not. The configuration's document is the call's body.
+type SyncResponse struct {
+	ConfigVersion uint64      `json:"configVersion,omitempty"` // above 0 where the body holds a configuration
+	Table         *Table      `json:"table,omitempty"`
+	Workers       *WorkerList `json:"workers,omitempty"`
+	Lease         int64       `json:"leaseMs"` // the lease runs for so long, counted from the sending of the request
+}
+
+// Names of the control plane's calls. See the package controlplane.
+const (
+	MethodSync         = "control.sync"          // SyncRequest -> SyncResponse, at any fresh core member
+	MethodReport       = "control.report"        // Report -> empty, at any core member
+	MethodOperator     = "control.operator"      // OperatorCall with the body -> OperatorAnswer with the body
+	MethodPartitionAsk = "control.partition.ask" // PartitionAsk -> empty: a primary asks for a change of its group
+)
+
+// Report tells the control plane that a process could not be reached. The control plane looks for itself.
+type Report struct {
+	Node    string `json:"node"`    // the name of the process that seems dead
+	Address string `json:"address"` // where it was tried
+	Refused bool   `json:"refused"` // the connection was refused or reset, rather than silent
+}
+
+// PartitionAsk is a primary's wish to change its replica group. It is refused unless the epoch is the current one.
+type PartitionAsk struct {
+	Partition int    `json:"partition"`
+	Epoch     uint64 `json:"epoch"`
+	Store     string `json:"store"` // the asking primary
+	// Drop names a backup that does not answer; another store takes its place where one can be had.
+	Drop string `json:"drop,omitempty"`
+	// Synced names a backup that now holds every committed message.
+	Synced string `json:"synced,omitempty"`
+	// Handover asks for another synced replica to become primary; the asker has stopped delivering.
+	Handover bool `json:"handover,omitempty"`
+}
+
+// OperatorCall is a request to the operator's API, passed on to the control group's primary.
+type OperatorCall struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Base   string `json:"base,omitempty"` // the header X-If-Base-Version, as it came
+}
+
+// OperatorAnswer is the answer to an OperatorCall.
+type OperatorAnswer struct {
+	Status int `json:"status"`
+}
--- /dev/null
+++ b/internal/rpc/api.go
@@ -0,0 +1,44 @@
+// Package rpc is the internal protocol between the system's processes: calls and answers as JSON lines over one
+// connection a pair of processes, many at a time. A line may announce a body, whose bytes follow it unencoded.
+package rpc
+
+import "errors"
+
+// ErrNotSent means that the call surely never reached the other process, so it may be made again anywhere.
+var ErrNotSent = errors.New("rpc: call not sent")
+
+// ErrLost means that the connection ended, or the context did, before the answer came: the call may have been
+// carried out.
+var ErrLost = errors.New("rpc: answer lost")
+
+// Code classifies a failure that the called process reported.
+type Code string
+
+// The codes. NotLeader and Unavailable promise that nothing was done.
+const (
+	CodeNotLeader   Code = "not_leader"   // another process leads; the message may name it
+	CodeUnavailable Code = "unavailable"  // not able to serve this now
+	CodeNotFound    Code = "not_found"    // what was asked for does not exist
+	CodeInvalid     Code = "invalid"      // the call itself is wrong
+	CodeConflict    Code = "conflict"     // the caller's epoch or version is not the current one
+	CodeInternal    Code = "internal"     // anything else; it may have been carried out
+	CodeUnknown     Code = "unknown_call" // no such method
+)
+
+// Error is a failure that the called process reported.
+type Error struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+}
+
+// Error implements error.
+func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
+
+// CodeOf returns the code of a failure reported by the called process, or "" for any other error.
+func CodeOf(err error) Code {
+	var remote *Error
+	if errors.As(err, &remote) {
+		return remote.Code
+	}
+	return ""
+}
