--- /dev/null
+++ b/internal/cluster/agent_discovery.go
@@ -0,0 +1,113 @@
+package cluster
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	seedTimeout  = 400 * time.Millisecond // for one question to a seed
+	seedInterval = 200 * time.Millisecond // between two rounds of questions while no member is known
+)
+
+// discover asks all seeds at once for the members of the control group until one names them or the context ends.
+func (a *Agent) discover(ctx context.Context) {
+	for ctx.Err() == nil {
+		if a.askSeeds(ctx) || len(a.Core()) > 0 {
+			return
+		}
+		sleep(ctx, seedInterval)
+	}
+}
+
+// askSeeds asks every seed once, and tells whether one named the control group.
+func (a *Agent) askSeeds(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	answers := make([][]CoreEntry, len(a.seeds))
+	for i, seed := range a.seeds {
+		wait.Go(func() { answers[i] = a.askSeed(ctx, seed) })
+	}
+	wait.Wait()
+	for _, core := range answers {
+		if len(core) > 0 {
+			a.learn(core)
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Agent) askSeed(ctx context.Context, seed string) []CoreEntry {
+	var answer CoreAnswer
+	method, params := MethodCore, any(struct{}{})
+	if a.options.Register {
+		method, params = MethodRegister, a.options.Info()
+	}
+	if _, err := a.options.Pool.Get(seed).Call(ctx, method, params, nil, &answer); err != nil {
+		return nil
+	}
+	return answer.Core
+}
+
+func (a *Agent) learn(core []CoreEntry) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.learned = core
+}
+
+// candidates returns the addresses of all members that may answer a sync, the preferred one first: the process itself,
+// then members in its own zone, then the others. Processes of one zone are spread over its members by their names.
+func (a *Agent) candidates() []string {
+	info := a.options.Info()
+	members := slices.Clone(a.Core())
+	a.mutex.Lock()
+	members = append(members, a.learned...)
+	a.mutex.Unlock()
+	rank := func(member CoreEntry) int {
+		switch {
+		case member.Address == info.Address:
+			return 0
+		case member.Zone != "" && member.Zone == info.Zone:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(members, func(left, right CoreEntry) int {
+		if difference := rank(left) - rank(right); difference != 0 {
+			return difference
+		}
+		return int(spread(info.Name, left.Address)) - int(spread(info.Name, right.Address))
+	})
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		if !slices.Contains(addresses, member.Address) {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+// spread is a small hash by which processes choose different members.
+func spread(node, address string) uint16 {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(node))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(address))
+	sum := hash.Sum32()
+	return uint16(sum) ^ uint16(sum>>16)
+}
+
+// sleep waits for a duration or until the context ends.
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/cluster/types.go
+++ b/internal/cluster/types.go
@@ -56,6 +56,8 @@
 	ID       int       `json:"id"`
 	Epoch    uint64    `json:"epoch"`
 	Replicas []Replica `json:"replicas"`
+	// Wanted names the store that is to lead the partition. The primary hands over to it once it is synced.
+	Wanted string `json:"wanted,omitempty"`
 }
 
 // Primary returns the replica that leads the partition, and false where the partition has none.
@@ -81,6 +83,7 @@
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	DiskID  string `json:"diskId"`
+	Zone    string `json:"zone,omitempty"` // empty until the member has announced it
 }
 
 // Table is the cluster table. Revision grows with every change, also across a failover of the control plane.
@@ -136,14 +139,20 @@
 	TableRevision   uint64   `json:"tableRevision"`
 	WorkersEpoch    uint64   `json:"workersEpoch"`
 	WorkersRevision uint64   `json:"workersRevision"`
+	WaitMS          int64    `json:"waitMs,omitempty"` // how long the answer may be held back
 }
 
-// SyncResponse carries what has changed; absent parts have not. The configuration's document is the call's body.
+// SyncResponse carries what has changed; absent parts have not. The configuration is the call's body: the whole
+// document, or the updates that lead to it from the version that the caller holds.
 type SyncResponse struct {
-	ConfigVersion uint64      `json:"configVersion,omitempty"` // above 0 where the body holds a configuration
-	Table         *Table      `json:"table,omitempty"`
-	Workers       *WorkerList `json:"workers,omitempty"`
-	Lease         int64       `json:"leaseMs"` // the lease runs for so long, counted from the sending of the request
+	ConfigVersion uint64 `json:"configVersion,omitempty"` // above 0 where the body holds a configuration
+	ConfigUpdates []int  `json:"configUpdates,omitempty"` // lengths of the updates in the body; none for a whole document
+	Table         *Table `json:"table,omitempty"`
+	// TableChanges lead to the newest table from the one that the caller holds; they come in the place of the table.
+	TableChanges []TableChange `json:"tableChanges,omitempty"`
+	Workers      *WorkerList   `json:"workers,omitempty"`
+	WorkersAgeMS int64         `json:"workersAgeMs"` // how long ago the list of workers was last read; -1 where it never was
+	Lease        int64         `json:"leaseMs"`      // the lease runs for so long, counted from the sending of the request
 }
 
 // Names of the control plane's calls. See the package controlplane.
--- /dev/null
+++ b/internal/controlplane/cluster_test.go
@@ -0,0 +1,301 @@
+package controlplane_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+)
+
+const (
+	replace = "/api/config/replace"
+	update  = "/api/config/update"
+	read    = "/api/config/read"
+)
+
+func TestFoundingAndFirstConfiguration(t *testing.T) {
+	run(t, 6, 3, func(t *testing.T, w *world) {
+		took := w.eventually(8*time.Second, "leases everywhere", func() bool {
+			for _, m := range w.machines {
+				if !m.agent().LeaseValid() {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("leases everywhere after %v", took)
+		status, body := w.orderUntilClear(5*time.Second, http.MethodPost, replace, "0", document(3))
+		assert.Equal(t, status, http.StatusOK, body)
+		w.requireInForce(time.Second, 3)
+		w.awaitPlacement()
+		for _, m := range w.machines {
+			assert.Equal(t, len(m.agent().Table().Core), 5)
+			assert.Equal(t, m.agent().Table().Copies, 2)
+			assert.Equal(t, m.agent().Table().Deliverers, 3)
+			assert.Assert(t, m.agent().Table().Core[0].Zone != "")
+		}
+		status, body = w.orderUntilClear(time.Second, http.MethodGet, read, "", "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, document(3))
+	})
+}
+
+func TestOrders(t *testing.T) {
+	run(t, 4, 3, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		expect := func(want int, path, base, body string) {
+			t.Helper()
+			status, answer := w.orderUntilClear(3*time.Second, http.MethodPost, path, base, body)
+			assert.Equal(t, status, want, answer)
+		}
+		first := document(2)
+		expect(http.StatusBadRequest, replace, "", first)
+		expect(http.StatusBadRequest, replace, "0", `{"version":1`)
+		expect(http.StatusBadRequest, replace, "0", `{"version":1,"routes":[{"name":"r"}],"services":[]}`)
+		expect(http.StatusOK, replace, "0", first)
+		expect(http.StatusOK, replace, "0", first)
+		expect(http.StatusOK, replace, "2", first) // the content is in force already
+		expect(http.StatusPreconditionFailed, replace, "0", document(4))
+		expect(http.StatusBadRequest, replace, "2", document(1))
+		change := `{"version": 5, "remove":{"routes":["r-1"]}}`
+		expect(http.StatusOK, update, "2", change)
+		expect(http.StatusOK, update, "2", `{"remove":{"routes":["r-1"]},"version":5.0}`)
+		expect(http.StatusPreconditionFailed, update, "2", `{"version":6,"remove":{"routes":["r-1"]}}`)
+		expect(http.StatusOK, replace, "5", document(9))
+		expect(http.StatusOK, update, "2", change) // also after other changes
+		w.requireInForce(time.Second, 9)
+		status, body := w.orderUntilClear(time.Second, http.MethodGet, read, "", "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, document(9))
+		expect(http.StatusNotFound, "/api/retire/nobody/start", "", `{"duration-s":10}`)
+		expect(http.StatusConflict, "/api/retire/store-0/start", "", `{"duration-s":10}`)
+	})
+}
+
+func TestOneOfTwoWritersWins(t *testing.T) {
+	run(t, 4, 2, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		for version := range 10 {
+			base := fmt.Sprint(version * 10)
+			statuses := make([]int, 2)
+			var wait sync.WaitGroup
+			for i := range statuses {
+				wait.Go(func() {
+					statuses[i], _ = w.orderUntilClear(3*time.Second, http.MethodPost, replace, base,
+						fmt.Sprintf(`{"version":%d,"routes":[],"services":[],"limits":{"max-body-bytes":%d}}`, (version+1)*10, 1000+i))
+				})
+			}
+			wait.Wait()
+			assert.Equal(t, statuses[0]+statuses[1], http.StatusOK+http.StatusPreconditionFailed)
+		}
+	})
+}
+
+func TestFailoverKeepsTheConfiguration(t *testing.T) {
+	run(t, 5, 3, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		version := 1
+		status, _ := w.orderUntilClear(3*time.Second, http.MethodPost, replace, "0", document(version))
+		assert.Equal(t, status, http.StatusOK)
+		for round := range 4 {
+			primary := w.primary()
+			if round%2 == 0 {
+				primary.kill()
+			} else {
+				primary.powerLoss()
+				w.network.PowerOff(primary.ip)
+			}
+			begin := time.Now()
+			status, body := w.orderUntilClear(5*time.Second, http.MethodPost, replace, fmt.Sprint(version), document(version+1))
+			assert.Equal(t, status, http.StatusOK, body)
+			t.Logf("taken %v after the primary's end", time.Since(begin))
+			version++
+			w.requireInForce(2*time.Second, uint64(version))
+			w.network.PowerOn(primary.ip)
+			primary.start()
+			w.requireInForce(3*time.Second, uint64(version))
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
+func TestAllKilledAtOnce(t *testing.T) {
+	run(t, 5, 3, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		status, _ := w.orderUntilClear(3*time.Second, http.MethodPost, replace, "0", document(7))
+		assert.Equal(t, status, http.StatusOK)
+		revision := w.primary().agent().Table().Revision
+		for _, m := range w.machines {
+			m.powerLoss()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range w.machines {
+			m.start()
+		}
+		w.requireInForce(6*time.Second, 7)
+		status, body := w.orderUntilClear(3*time.Second, http.MethodPost, replace, "7", document(8))
+		assert.Equal(t, status, http.StatusOK, body)
+		w.requireInForce(time.Second, 8)
+		for _, m := range w.machines {
+			assert.Assert(t, m.agent().Table().Revision >= revision)
+			assert.Equal(t, len(m.agent().Table().Partitions), 64)
+		}
+	})
+}
+
+func TestWipedMemberIsReplaced(t *testing.T) {
+	run(t, 4, 2, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		status, _ := w.orderUntilClear(3*time.Second, http.MethodPost, replace, "0", document(1))
+		assert.Equal(t, status, http.StatusOK)
+		wiped := w.primary()
+		oldDisk := wiped.diskID
+		wiped.kill()
+		wiped.disk.Wipe()
+		time.Sleep(300 * time.Millisecond)
+		wiped.start()
+		assert.Assert(t, wiped.diskID != oldDisk)
+		took := w.eventually(8*time.Second, "the new disk is a member", func() bool {
+			table := w.machine("store-0").agent().Table()
+			if len(table.Core) != 4 {
+				return false
+			}
+			for _, member := range table.Core {
+				if member.Name == wiped.name {
+					return member.DiskID == wiped.diskID
+				}
+			}
+			return false
+		})
+		t.Logf("member again after %v", took)
+		w.requireInForce(3*time.Second, 1)
+		for _, m := range w.machines[:4] {
+			if m != wiped {
+				m.kill()
+				time.Sleep(3 * time.Second)
+				m.start()
+				time.Sleep(3 * time.Second)
+			}
+		}
+		status, body := w.orderUntilClear(3*time.Second, http.MethodGet, read, "", "")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, document(1))
+	})
+}
+
+func TestStoreDownIsReplaced(t *testing.T) {
+	run(t, 4, 4, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		down := w.machine("store-1")
+		down.powerLoss()
+		w.network.PowerOff(down.ip)
+		table := func() *cluster.Table { return w.machine("store-0").agent().Table() }
+		took := w.eventually(4*time.Second, "no partition is led by the store", func() bool { return leads(table(), "store-1") == 0 })
+		t.Logf("replaced after %v", took)
+	})
+}
+
+func TestReportedStoreIsReplacedAtOnce(t *testing.T) {
+	run(t, 4, 4, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		time.Sleep(2 * time.Second)
+		down := w.machine("store-1")
+		down.kill()
+		reporter := w.machine("store-0")
+		report := cluster.Report{Node: down.name, Address: fmt.Sprintf("%s:%d", down.ip, internalPort), Refused: true}
+		assert.NilError(t, reporter.agent().Report(t.Context(), report))
+		took := w.eventually(400*time.Millisecond, "no partition is led by the store", func() bool {
+			return leads(reporter.agent().Table(), "store-1") == 0
+		})
+		t.Logf("replaced after %v", took)
+	})
+}
+
+func TestReportOfALivingStoreIsIgnored(t *testing.T) {
+	run(t, 4, 4, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		time.Sleep(2 * time.Second)
+		reporter := w.machine("store-0")
+		revision := reporter.agent().Table().Revision
+		report := cluster.Report{Node: "store-1", Address: fmt.Sprintf("%s:%d", w.machine("store-1").ip, internalPort), Refused: true}
+		assert.NilError(t, reporter.agent().Report(t.Context(), report))
+		time.Sleep(time.Second)
+		assert.Equal(t, reporter.agent().Table().Revision, revision)
+	})
+}
+
+func TestRetireEmptiesAStore(t *testing.T) {
+	run(t, 4, 4, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		status, body := w.orderUntilClear(3*time.Second, http.MethodPost, "/api/retire/store-2/start", "", `{"duration-s":10}`)
+		assert.Equal(t, status, http.StatusOK, body)
+		status, _ = w.orderUntilClear(3*time.Second, http.MethodPost, "/api/retire/store-2/start", "", `{"duration-s":10}`)
+		assert.Equal(t, status, http.StatusOK)
+		took := w.eventually(10*time.Second, "the store is empty", func() bool {
+			_, answer := w.orderUntilClear(time.Second, http.MethodGet, "/api/retire/store-2/read", "", "")
+			return answer == `{"state":"completed"}`
+		})
+		t.Logf("emptied after %v", took)
+		for _, partition := range w.machine("store-0").agent().Table().Partitions {
+			assert.Equal(t, partition.Find("store-2"), -1)
+		}
+	})
+}
+
+func TestLeavingStoreLeadsNothing(t *testing.T) {
+	run(t, 4, 3, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		time.Sleep(2 * time.Second)
+		w.machine("store-0").leaving.Store(true)
+		took := w.eventually(3*time.Second, "the store leads nothing", func() bool {
+			return leads(w.machine("store-1").agent().Table(), "store-0") == 0
+		})
+		t.Logf("handed over after %v", took)
+	})
+}
+
+func TestWorkersReachEveryProcess(t *testing.T) {
+	run(t, 5, 2, func(t *testing.T, w *world) {
+		entry := func(id, state string) map[string]any {
+			return map[string]any{
+				"id": id, "service": "s", "address": "10.1.1.1:80", "zone": "zone-0", "version": "v1",
+				"capacity": 3, "state": state, "warmup-left-ms": 10,
+			}
+		}
+		w.platform.set(entry("i-1", "ready"), entry("i-2", "ready"), entry("i-3", "ready"))
+		w.awaitPlacement()
+		everywhere := func(condition func([]cluster.Worker) bool) func() bool {
+			return func() bool {
+				for _, m := range w.running() {
+					if m.agent().Workers() == nil || !condition(m.agent().Workers().Workers) {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		w.eventually(2*time.Second, "three workers", everywhere(func(workers []cluster.Worker) bool { return len(workers) == 3 }))
+		w.platform.set(entry("i-1", "ready"), entry("i-2", "draining"), entry("i-3", "ready"))
+		draining := everywhere(func(workers []cluster.Worker) bool { return len(workers) == 3 && workers[1].Draining })
+		took := w.eventually(2*time.Second, "draining seen", draining)
+		t.Logf("draining seen after %v", took)
+		w.primary().kill()
+		w.platform.set(entry("i-1", "ready"))
+		w.eventually(5*time.Second, "one worker", everywhere(func(workers []cluster.Worker) bool { return len(workers) == 1 }))
+	})
+}
+
+func leads(table *cluster.Table, store string) int {
+	count := 0
+	for _, partition := range table.Partitions {
+		if primary, found := partition.Primary(); found && primary.Store == store {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/controlplane/disk.go
@@ -0,0 +1,34 @@
+package controlplane
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io/fs"
+
+	"github.com/gravitational/trace"
+
+	"ivyfold/internal/journal"
+)
+
+const (
+	diskIDFile  = "disk-id"
+	diskIDBytes = 8
+)
+
+// DiskID returns the random id of a disk. It is drawn when the disk is first used.
+func DiskID(disk journal.FS) (string, error) {
+	known, err := journal.LoadFile(disk, diskIDFile)
+	if err == nil {
+		return string(known), nil
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return "", trace.Wrap(err)
+	}
+	random := make([]byte, diskIDBytes)
+	if _, err := rand.Read(random); err != nil {
+		return "", trace.Wrap(err)
+	}
+	id := hex.EncodeToString(random)
+	return id, trace.Wrap(journal.SaveFile(disk, diskIDFile, []byte(id)))
+}
--- /dev/null
+++ b/internal/controlplane/draft.go
@@ -0,0 +1,119 @@
+package controlplane
+
+import (
+	"slices"
+
+	"ivyfold/internal/cluster"
+)
+
+// draft is a cluster table in the making. It starts as a copy of the current one; what differs at the end is proposed.
+// Replica lists are shared with the current table and replaced, never changed in place.
+type draft struct {
+	primary    string
+	core       []cluster.CoreEntry
+	stores     []cluster.StoreEntry // by name
+	partitions []cluster.Partition
+	jobs       []retireJob
+	copies     int
+	deliverers int
+	nodes      map[string]nodeStatus
+}
+
+func newDraft(current *content, nodes map[string]nodeStatus, copies int) *draft {
+	table := current.table
+	return &draft{
+		primary:    table.Primary,
+		core:       table.Core,
+		stores:     slices.Clone(table.Stores),
+		partitions: slices.Clone(table.Partitions),
+		jobs:       slices.Clone(current.jobs),
+		copies:     copies,
+		deliverers: table.Deliverers,
+		nodes:      nodes,
+	}
+}
+
+// diff returns the change that leads from the current state to the draft, or nil where they are alike.
+func (d *draft) diff(current *content) *tableChange {
+	table := current.table
+	change := &tableChange{}
+	change.Base = table.Revision
+	empty := true
+	if d.primary != table.Primary {
+		change.Primary, empty = d.primary, false
+	}
+	if !slices.Equal(d.core, table.Core) {
+		change.Core, empty = d.core, false
+	}
+	if d.copies != table.Copies {
+		change.Copies, empty = d.copies, false
+	}
+	if d.deliverers != table.Deliverers {
+		change.Deliverers, empty = d.deliverers, false
+	}
+	change.Stores = differing(d.stores, table.Stores, func(a, b cluster.StoreEntry) bool { return a == b })
+	change.Partitions = differing(d.partitions, table.Partitions, equalPartitions)
+	change.Jobs = differing(d.jobs, current.jobs, func(a, b retireJob) bool { return a == b })
+	if empty && len(change.Stores)+len(change.Partitions)+len(change.Jobs) == 0 {
+		return nil
+	}
+	return change
+}
+
+// differing returns the values that are not in another list.
+func differing[Value any](values, others []Value, equal func(a, b Value) bool) []Value {
+	var result []Value
+	for i, value := range values {
+		if i < len(others) && equal(value, others[i]) {
+			continue
+		}
+		known := slices.ContainsFunc(others, func(other Value) bool { return equal(value, other) })
+		if !known {
+			result = append(result, value)
+		}
+	}
+	return result
+}
+
+func equalPartitions(a, b cluster.Partition) bool {
+	return a.ID == b.ID && a.Epoch == b.Epoch && a.Wanted == b.Wanted && slices.Equal(a.Replicas, b.Replicas)
+}
+
+// store returns the entry of a store, or nil.
+func (d *draft) store(name string) *cluster.StoreEntry {
+	position, found := slices.BinarySearchFunc(d.stores, name, cluster.CompareStoreName)
+	if !found {
+		return nil
+	}
+	return &d.stores[position]
+}
+
+// alive tells whether a replica can serve: its store is up, and has the disk that holds the copy.
+func (d *draft) alive(replica cluster.Replica) bool {
+	entry := d.store(replica.Store)
+	if entry == nil || entry.DiskID != replica.DiskID {
+		return false
+	}
+	return entry.State == cluster.StoreActive || entry.State == cluster.StoreLeaving || entry.State == cluster.StoreRetiring
+}
+
+// staying tells whether a replica is alive and is not to be emptied.
+func (d *draft) staying(replica cluster.Replica) bool {
+	return d.alive(replica) && !d.retiring(replica)
+}
+
+func (d *draft) retiring(replica cluster.Replica) bool {
+	return findJob(d.jobs, replica.Store, replica.DiskID) != nil
+}
+
+// recent tells whether a replica's store surely outlived those that have been found dead now.
+func (d *draft) recent(replica cluster.Replica) bool {
+	return d.alive(replica) && d.nodes[replica.Store].recent
+}
+
+func (d *draft) zone(store string) string {
+	if entry := d.store(store); entry != nil {
+		return entry.Zone
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/controlplane/leases_test.go
@@ -0,0 +1,93 @@
+package controlplane
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+)
+
+func storeInfo(name, incarnation string) cluster.NodeInfo {
+	return cluster.NodeInfo{Name: name, Incarnation: incarnation, Store: true, DiskID: "disk-" + name}
+}
+
+func TestLeaseRunsOut(t *testing.T) {
+	begin := time.Now()
+	leases := newLeaseTable(func() {})
+	leases.renew(storeInfo("a", "1"), begin)
+	at := func(after time.Duration) nodeStatus { return leases.statuses(begin.Add(after))["a"] }
+	assert.Assert(t, at(0).live && at(0).recent)
+	assert.Assert(t, at(time.Second).live && !at(time.Second).recent)
+	assert.Assert(t, !at(cluster.LeaseDuration).live)
+}
+
+func TestRefusedLeaseIsRenewedOnlyByALaterRenewal(t *testing.T) {
+	begin := time.Now()
+	leases := newLeaseTable(func() {})
+	leases.renew(storeInfo("a", "1"), begin)
+	refused := begin.Add(100 * time.Millisecond)
+	leases.refuse("a", refused)
+	leases.renew(storeInfo("a", "1"), begin.Add(50*time.Millisecond))
+	assert.Assert(t, !leases.statuses(refused)["a"].live)
+	leases.renew(storeInfo("a", "2"), refused.Add(time.Millisecond))
+	assert.Assert(t, leases.statuses(refused.Add(time.Millisecond))["a"].live)
+}
+
+func TestGrantedLeaseIsNoSignOfLife(t *testing.T) {
+	now := time.Now()
+	leases := newLeaseTable(func() {})
+	leases.grant(storeInfo("a", "1"), now)
+	status := leases.statuses(now)["a"]
+	assert.Assert(t, status.live && !status.recent)
+	leases.renew(storeInfo("a", "1"), now.Add(-time.Second))
+	assert.Assert(t, leases.statuses(now.Add(cluster.LeaseDuration - time.Millisecond))["a"].live)
+}
+
+func TestLeasesArePassedToThePrimary(t *testing.T) {
+	begin := time.Now()
+	backup, primary := newLeaseTable(func() {}), newLeaseTable(func() {})
+	assert.Assert(t, backup.pass(begin) == nil)
+	for i := range 10 {
+		now := begin.Add(time.Duration(i) * 400 * time.Millisecond)
+		backup.renew(storeInfo("a", "1"), now)
+		backup.renew(cluster.NodeInfo{Name: "front", Incarnation: "1"}, now)
+		payload := backup.pass(now.Add(100 * time.Millisecond))
+		assert.NilError(t, primary.take(payload, now.Add(100*time.Millisecond)))
+		status := primary.statuses(now.Add(100 * time.Millisecond))["a"]
+		assert.Equal(t, status.info, storeInfo("a", "1"))
+		assert.Equal(t, status.expires, now.Add(cluster.LeaseDuration))
+		assert.Assert(t, backup.pass(now.Add(200*time.Millisecond)) == nil)
+	}
+	_, found := primary.find("front")
+	assert.Assert(t, !found)
+}
+
+func TestWholeRenewalIsPassedAgainWhereItWasLost(t *testing.T) {
+	now := time.Now()
+	backup, primary := newLeaseTable(func() {}), newLeaseTable(func() {})
+	backup.renew(storeInfo("a", "1"), now)
+	backup.pass(now) // lost
+	for range fullRenewalInterval {
+		now = now.Add(100 * time.Millisecond)
+		backup.renew(storeInfo("a", "1"), now)
+		assert.NilError(t, primary.take(backup.pass(now), now))
+	}
+	info, found := primary.find("a")
+	assert.Assert(t, found)
+	assert.Equal(t, info, storeInfo("a", "1"))
+}
+
+func TestNewsAreToldOfLeases(t *testing.T) {
+	news := 0
+	now := time.Now()
+	leases := newLeaseTable(func() { news++ })
+	leases.renew(storeInfo("a", "1"), now)
+	leases.renew(storeInfo("a", "1"), now.Add(time.Millisecond))
+	assert.Equal(t, news, 1)
+	leaving := storeInfo("a", "1")
+	leaving.Leaving = true
+	leases.renew(leaving, now.Add(2*time.Millisecond))
+	assert.Equal(t, news, 2)
+}
--- /dev/null
+++ b/internal/controlplane/order.go
@@ -0,0 +1,116 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/configuration"
+)
+
+// order is an operator's call that replaces or updates the configuration.
+type order struct {
+	digest string
+	base   uint64
+	update bool
+	body   []byte
+}
+
+// takeOrder carries out one order. Orders are taken one after the other.
+func (p *Plane) takeOrder(ctx context.Context, call cluster.OperatorCall, update bool, body []byte) (answer, error) {
+	base, err := strconv.ParseUint(strings.TrimSpace(call.Base), 10, 64)
+	if err != nil {
+		return errorAnswer(http.StatusBadRequest, "the header X-If-Base-Version must be a version"), nil
+	}
+	digest, err := orderDigest(call, base, body)
+	if err != nil {
+		return errorAnswer(http.StatusBadRequest, "the body is not JSON: "+trace.UserMessage(err)), nil
+	}
+	if err := p.orders.lock(ctx); err != nil {
+		return answer{}, trace.Wrap(err)
+	}
+	defer p.orders.unlock()
+	return p.decideOrder(ctx, &order{digest: digest, base: base, update: update, body: body})
+}
+
+// decideOrder checks an order and proposes it. A refusal is given only by a process that is the primary for sure: one
+// that has been replaced may lack the configuration on which the order builds.
+func (p *Plane) decideOrder(ctx context.Context, order *order) (answer, error) {
+	verdict, document := p.checkOrder(order)
+	if verdict.refusal() {
+		if err := p.group.Confirm(ctx); err != nil {
+			return answer{}, err
+		}
+		verdict, document = p.checkOrder(order)
+	}
+	if document == nil {
+		return verdict, nil
+	}
+	return p.proposeOrder(ctx, order, document)
+}
+
+// checkOrder returns either a final answer or the configuration that the order leads to.
+func (p *Plane) checkOrder(order *order) (answer, *configuration.Document) {
+	if p.state.accepted(order.digest) {
+		return emptyAnswer(http.StatusOK), nil
+	}
+	current := p.state.current.Load()
+	if order.base != current.version() {
+		return checkOutdated(current, order), nil
+	}
+	document, err := readOrder(current.document, order.update, order.body)
+	if err != nil {
+		return invalidAnswer(err), nil
+	}
+	if err := configuration.CheckVersion(document.Version(), current.version()); err != nil {
+		return checkRepeated(current, order, err), nil
+	}
+	return answer{}, document
+}
+
+// checkOutdated answers an order that builds on another version than the current one: it is acknowledged where it
+// replaces the configuration by what is in force already.
+func checkOutdated(current *content, order *order) answer {
+	conflict := errorAnswer(http.StatusPreconditionFailed, fmt.Sprintf("version %d is current", current.version()))
+	return checkRepeatedOr(current, order, conflict)
+}
+
+// checkRepeated answers an order whose version is not above the current one.
+func checkRepeated(current *content, order *order, err error) answer {
+	return checkRepeatedOr(current, order, invalidAnswer(err))
+}
+
+func checkRepeatedOr(current *content, order *order, otherwise answer) answer {
+	if order.update || current.document == nil {
+		return otherwise
+	}
+	document, err := configuration.ParseAfter(current.document, order.body)
+	if err != nil || !document.Equal(current.document) {
+		return otherwise
+	}
+	return emptyAnswer(http.StatusOK)
+}
+
+// proposeOrder has the group take an order that was found valid.
+func (p *Plane) proposeOrder(ctx context.Context, order *order, document *configuration.Document) (answer, error) {
+	record, err := (&change{Order: &orderChange{
+		Digest: order.digest, Base: order.base, Update: order.update, Body: order.body,
+	}}).encode()
+	if err != nil {
+		return answer{}, err
+	}
+	p.state.prepared.Store(&preparedDocument{digest: order.digest, base: order.base, document: document})
+	if err := p.group.Propose(ctx, record); err != nil {
+		return answer{}, err
+	}
+	if !p.state.accepted(order.digest) {
+		return errorAnswer(http.StatusPreconditionFailed, "another order was taken first"), nil
+	}
+	p.logger.Info("configuration taken", versionField(document))
+	return emptyAnswer(http.StatusOK), nil
+}
--- /dev/null
+++ b/internal/controlplane/placement.go
@@ -0,0 +1,120 @@
+package controlplane
+
+import (
+	"slices"
+
+	"ivyfold/internal/cluster"
+)
+
+// PartitionCount is the number of partitions. It is fixed: message ids name their partitions.
+const PartitionCount = 64
+
+// placeInitially spreads all partitions over the active stores, if there are enough of them for all copies.
+func (d *draft) placeInitially() {
+	stores := d.activeStores()
+	if len(d.partitions) > 0 || len(stores) < d.copies {
+		return
+	}
+	stores = interleaveZones(stores, func(entry cluster.StoreEntry) string { return entry.Zone })
+	for id := range PartitionCount {
+		first := stores[id%len(stores)]
+		partition := cluster.Partition{ID: id, Epoch: 1, Replicas: []cluster.Replica{replicaAt(first, true)}}
+		for len(partition.Replicas) < d.copies {
+			next := d.replacement(partition.Replicas, "")
+			partition.Replicas = append(partition.Replicas, replicaAt(*next, true))
+		}
+		d.partitions = append(d.partitions, partition)
+	}
+}
+
+func replicaAt(store cluster.StoreEntry, synced bool) cluster.Replica {
+	return cluster.Replica{Store: store.Name, DiskID: store.DiskID, Synced: synced}
+}
+
+// activeStores returns the stores that may be given partitions, by name.
+func (d *draft) activeStores() []cluster.StoreEntry {
+	var active []cluster.StoreEntry
+	for _, entry := range d.stores {
+		if entry.State == cluster.StoreActive {
+			active = append(active, entry)
+		}
+	}
+	return active
+}
+
+// interleaveZones orders values so that neighbours stand in different zones where possible.
+func interleaveZones[Value any](values []Value, zoneOf func(Value) string) []Value {
+	var zones []string
+	byZone := map[string][]Value{}
+	for _, value := range values {
+		zone := zoneOf(value)
+		if len(byZone[zone]) == 0 {
+			zones = append(zones, zone)
+		}
+		byZone[zone] = append(byZone[zone], value)
+	}
+	slices.Sort(zones)
+	ordered := make([]Value, 0, len(values))
+	for rank := 0; len(ordered) < len(values); rank++ {
+		for _, zone := range zones {
+			if rank < len(byZone[zone]) {
+				ordered = append(ordered, byZone[zone][rank])
+			}
+		}
+	}
+	return ordered
+}
+
+// replacement returns the active store that is the best place for one more copy beside the given ones, or nil: one in
+// a zone that holds none yet, then the one with the fewest copies, then the first by name. One store may be excluded.
+func (d *draft) replacement(replicas []cluster.Replica, exclude string) *cluster.StoreEntry {
+	load := d.replicaCounts()
+	var best *cluster.StoreEntry
+	bestShared := false
+	for i := range d.stores {
+		candidate := &d.stores[i]
+		if candidate.State != cluster.StoreActive || candidate.Name == exclude || holds(replicas, candidate.Name) {
+			continue
+		}
+		shared := d.sharesZone(replicas, candidate.Zone)
+		switch {
+		case best == nil,
+			bestShared && !shared,
+			bestShared == shared && load[candidate.Name] < load[best.Name]:
+			best, bestShared = candidate, shared
+		}
+	}
+	return best
+}
+
+func holds(replicas []cluster.Replica, store string) bool {
+	return slices.ContainsFunc(replicas, func(replica cluster.Replica) bool { return replica.Store == store })
+}
+
+func (d *draft) sharesZone(replicas []cluster.Replica, zone string) bool {
+	return slices.ContainsFunc(replicas, func(replica cluster.Replica) bool { return d.zone(replica.Store) == zone })
+}
+
+func (d *draft) replicaCounts() map[string]int {
+	counts := make(map[string]int, len(d.stores))
+	for _, partition := range d.partitions {
+		for _, replica := range partition.Replicas {
+			counts[replica.Store]++
+		}
+	}
+	return counts
+}
+
+// primaryCounts counts the partitions that each store leads, or is to lead.
+func (d *draft) primaryCounts() map[string]int {
+	counts := make(map[string]int, len(d.stores))
+	for _, partition := range d.partitions {
+		switch primary, found := partition.Primary(); {
+		case partition.Wanted != "":
+			counts[partition.Wanted]++
+		case found:
+			counts[primary.Store]++
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/controlplane/placement_test.go
@@ -0,0 +1,384 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/rpc"
+)
+
+// placementWorld drives the planning functions as the manager does, without a group.
+type placementWorld struct {
+	t       *testing.T
+	current *content
+	nodes   map[string]nodeStatus
+	copies  int
+}
+
+func newPlacementWorld(t *testing.T, copies int, stores ...string) *placementWorld {
+	world := &placementWorld{t: t, current: &content{table: &cluster.Table{}}, nodes: map[string]nodeStatus{}, copies: copies}
+	for i, store := range stores {
+		world.start(store, fmt.Sprintf("zone-%d", i%3), "disk-"+store)
+	}
+	return world
+}
+
+func (w *placementWorld) start(store, zone, disk string) {
+	info := cluster.NodeInfo{Name: store, Zone: zone, DiskID: disk, Store: true, Incarnation: "i", Address: store + ":1"}
+	w.nodes[store] = nodeStatus{info: info, live: true, recent: true, expires: time.Now().Add(time.Hour)}
+}
+
+func (w *placementWorld) stop(store string) {
+	node := w.nodes[store]
+	node.live, node.recent, node.expires = false, false, time.Now()
+	w.nodes[store] = node
+}
+
+func (w *placementWorld) change(store string, change func(*cluster.NodeInfo)) {
+	node := w.nodes[store]
+	change(&node.info)
+	w.nodes[store] = node
+}
+
+// plan plans once, with edits before, checks the result, and puts it in force.
+func (w *placementWorld) plan(edits ...func(*draft) error) error {
+	draft := newDraft(w.current, w.nodes, w.copies)
+	draft.updateStores()
+	for _, edit := range edits {
+		if err := edit(draft); err != nil {
+			return err
+		}
+	}
+	draft.updateStores()
+	draft.placeInitially()
+	draft.repair()
+	draft.rebalance()
+	draft.completeJobs()
+	change := draft.diff(w.current)
+	if change == nil {
+		return nil
+	}
+	next := *w.current
+	applyTable(&next, change)
+	w.check(w.current.table, next.table)
+	w.current = &next
+	return nil
+}
+
+// check holds what is true of every change of the table.
+func (w *placementWorld) check(before, after *cluster.Table) {
+	w.t.Helper()
+	assert.Equal(w.t, after.Revision, before.Revision+1)
+	for id, partition := range after.Partitions {
+		assert.Equal(w.t, partition.ID, id)
+		seen := map[string]bool{}
+		for _, replica := range partition.Replicas {
+			assert.Assert(w.t, !seen[replica.Store], "partition %d holds %s twice", id, replica.Store)
+			seen[replica.Store] = true
+		}
+		if id >= len(before.Partitions) {
+			continue
+		}
+		known := before.Partitions[id]
+		if partition.Epoch == known.Epoch {
+			assert.Equal(w.t, storesOf(partition), storesOf(known), "the view changed without its epoch")
+		}
+		primary, _ := partition.Primary()
+		was := known.Find(primary.Store)
+		assert.Assert(w.t, primary.Synced && was >= 0, "partition %d is led by %s, which held no copy", id, primary.Store)
+	}
+}
+
+func storesOf(partition cluster.Partition) string {
+	text := ""
+	for _, replica := range partition.Replicas {
+		text += replica.Store + "/" + replica.DiskID + " "
+	}
+	return text
+}
+
+// settle plans until nothing changes, with every primary syncing its backups and handing over as wished.
+func (w *placementWorld) settle() {
+	w.t.Helper()
+	for range 200 {
+		before := w.current.table.Revision
+		assert.NilError(w.t, w.plan())
+		w.followWishes()
+		if w.current.table.Revision == before {
+			return
+		}
+	}
+	w.t.Fatal("the placement does not come to rest")
+}
+
+func (w *placementWorld) followWishes() {
+	for _, partition := range w.current.table.Partitions {
+		primary, _ := partition.Primary()
+		if !w.nodes[primary.Store].live {
+			continue
+		}
+		for _, replica := range partition.Replicas[1:] {
+			if !replica.Synced && w.nodes[replica.Store].live {
+				w.ask(cluster.PartitionAsk{Synced: replica.Store}, partition.ID)
+			}
+		}
+		latest := w.current.table.Partitions[partition.ID]
+		position := latest.Find(latest.Wanted)
+		if position > 0 && latest.Replicas[position].Synced {
+			w.ask(cluster.PartitionAsk{Handover: true}, partition.ID)
+		}
+	}
+}
+
+// ask fills in the partition's primary and epoch.
+func (w *placementWorld) ask(ask cluster.PartitionAsk, id int) {
+	w.t.Helper()
+	assert.NilError(w.t, w.tryAsk(ask, id))
+}
+
+func (w *placementWorld) tryAsk(ask cluster.PartitionAsk, id int) error {
+	partition := w.current.table.Partitions[id]
+	ask.Partition, ask.Epoch, ask.Store = id, partition.Epoch, partition.Replicas[0].Store
+	return w.plan(func(draft *draft) error { return draft.grant(&ask) })
+}
+
+func (w *placementWorld) leads(store string) int {
+	count := 0
+	for _, partition := range w.current.table.Partitions {
+		if partition.Replicas[0].Store == store {
+			count++
+		}
+	}
+	return count
+}
+
+func (w *placementWorld) requireWhole() {
+	w.t.Helper()
+	draft := newDraft(w.current, w.nodes, w.copies)
+	assert.Assert(w.t, draft.whole())
+	for _, partition := range w.current.table.Partitions {
+		assert.Equal(w.t, len(partition.Replicas), w.copies, "partition %d: %s", partition.ID, storesOf(partition))
+		assert.Equal(w.t, partition.Wanted, "")
+	}
+}
+
+func TestInitialPlacementIsEvenAndSpreadOverZones(t *testing.T) {
+	for count := 2; count <= 9; count++ {
+		var stores []string
+		for i := range count {
+			stores = append(stores, fmt.Sprintf("store-%d", i))
+		}
+		world := newPlacementWorld(t, 2, stores...)
+		assert.NilError(t, world.plan())
+		world.requireWhole()
+		for _, store := range stores {
+			leads := world.leads(store)
+			assert.Assert(t, leads >= PartitionCount/count && leads <= PartitionCount/count+1, "%s leads %d", store, leads)
+		}
+		for _, partition := range world.current.table.Partitions {
+			first, second := partition.Replicas[0].Store, partition.Replicas[1].Store
+			assert.Assert(t, world.nodes[first].info.Zone != world.nodes[second].info.Zone)
+		}
+	}
+}
+
+func TestInitialPlacementWaitsForEnoughStores(t *testing.T) {
+	world := newPlacementWorld(t, 3, "a", "b")
+	assert.NilError(t, world.plan())
+	assert.Equal(t, len(world.current.table.Partitions), 0)
+}
+
+func TestStoreDownIsReplacedAndBackupsArePromoted(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	world.stop("a")
+	assert.NilError(t, world.plan())
+	for _, partition := range world.current.table.Partitions {
+		assert.Equal(t, partition.Find("a"), -1)
+		assert.Equal(t, len(partition.Replicas), 2)
+	}
+	world.settle()
+	world.requireWhole()
+}
+
+func TestReturnedStoreGetsPartitionsAgain(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c")
+	assert.NilError(t, world.plan())
+	world.stop("a")
+	world.settle()
+	assert.Equal(t, world.leads("a"), 0)
+	world.start("a", "zone-0", "another-disk")
+	world.settle()
+	world.requireWhole()
+	for _, store := range []string{"a", "b", "c"} {
+		assert.Assert(t, world.leads(store) >= 10, "%s leads %d", store, world.leads(store))
+	}
+}
+
+func TestAnotherDiskIsAnotherReplica(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c")
+	assert.NilError(t, world.plan())
+	world.start("a", "zone-0", "another-disk")
+	assert.NilError(t, world.plan())
+	for _, partition := range world.current.table.Partitions {
+		for i, replica := range partition.Replicas {
+			assert.Assert(t, replica.DiskID != "disk-a")
+			assert.Assert(t, replica.Store != "a" || !replica.Synced && i > 0)
+		}
+	}
+	world.settle()
+	world.requireWhole()
+}
+
+func TestGroupWithoutLivingSyncedReplicaWaits(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	before := world.current.table.Partitions
+	for store := range world.nodes {
+		world.stop(store)
+	}
+	assert.NilError(t, world.plan())
+	for id, partition := range world.current.table.Partitions {
+		assert.Assert(t, equalPartitions(partition, before[id]))
+	}
+	for _, store := range []string{"a", "b", "c", "d"} {
+		world.start(store, "zone", "disk-"+store)
+	}
+	assert.NilError(t, world.plan())
+	for id, partition := range world.current.table.Partitions {
+		assert.Assert(t, equalPartitions(partition, before[id]))
+	}
+}
+
+func TestNothingIsDroppedOnTheWordOfStoresThatMayHaveDiedAsWell(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	before := world.current.table.Partitions
+	for store, node := range world.nodes {
+		node.recent = false // the leases of the others still run, but were not renewed lately
+		world.nodes[store] = node
+	}
+	world.stop("a")
+	assert.NilError(t, world.plan())
+	for id, partition := range world.current.table.Partitions {
+		assert.Assert(t, equalPartitions(partition, before[id]))
+	}
+}
+
+func TestDeadBackupStaysWhereNoStoreCanTakeItsPlace(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b")
+	assert.NilError(t, world.plan())
+	world.stop("a")
+	assert.NilError(t, world.plan())
+	for _, partition := range world.current.table.Partitions {
+		assert.Equal(t, partition.Replicas[0].Store, "b")
+		assert.Equal(t, partition.Replicas[1].Store, "a")
+	}
+}
+
+func TestLeavingStoreHandsOverAndStaysAsBackup(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c")
+	assert.NilError(t, world.plan())
+	world.change("a", func(info *cluster.NodeInfo) { info.Leaving = true })
+	assert.NilError(t, world.plan())
+	for id, partition := range world.current.table.Partitions {
+		if partition.Replicas[0].Store == "a" {
+			world.ask(cluster.PartitionAsk{Handover: true}, id)
+			after := world.current.table.Partitions[id]
+			assert.Equal(t, after.Find("a"), len(after.Replicas)-1)
+			assert.Equal(t, after.Epoch, partition.Epoch+1)
+		}
+	}
+	assert.Equal(t, world.leads("a"), 0)
+}
+
+func TestHandoverNeedsALivingSyncedBackup(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b")
+	assert.NilError(t, world.plan())
+	world.change("a", func(info *cluster.NodeInfo) { info.Leaving = true })
+	world.change("b", func(info *cluster.NodeInfo) { info.Leaving = true })
+	err := world.tryAsk(cluster.PartitionAsk{Handover: true}, 0)
+	assert.Equal(t, rpc.CodeOf(err), rpc.CodeUnavailable)
+}
+
+func TestAskWithAnOldEpochIsRefused(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c")
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	ask := cluster.PartitionAsk{Partition: 0, Epoch: partition.Epoch + 1, Store: partition.Replicas[0].Store, Handover: true}
+	err := world.plan(func(draft *draft) error { return draft.grant(&ask) })
+	assert.Equal(t, rpc.CodeOf(err), rpc.CodeConflict)
+	ask.Epoch, ask.Store = partition.Epoch, partition.Replicas[1].Store
+	err = world.plan(func(draft *draft) error { return draft.grant(&ask) })
+	assert.Equal(t, rpc.CodeOf(err), rpc.CodeConflict)
+}
+
+func TestDropReplacesABackupThatSeemsAlive(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c")
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	dropped := partition.Replicas[1].Store
+	world.ask(cluster.PartitionAsk{Drop: dropped}, 0)
+	after := world.current.table.Partitions[0]
+	assert.Equal(t, after.Find(dropped), -1)
+	assert.Equal(t, len(after.Replicas), 2)
+	assert.Assert(t, !after.Replicas[1].Synced)
+	assert.Equal(t, after.Epoch, partition.Epoch+1)
+}
+
+func TestDropKeepsTheLastCopies(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b")
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	err := world.tryAsk(cluster.PartitionAsk{Drop: partition.Replicas[1].Store}, 0)
+	assert.Equal(t, rpc.CodeOf(err), rpc.CodeUnavailable)
+}
+
+func TestFailingDiskCountsAsDown(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c")
+	assert.NilError(t, world.plan())
+	world.change("a", func(info *cluster.NodeInfo) { info.DiskFailing = true })
+	world.settle()
+	world.requireWhole()
+	for _, partition := range world.current.table.Partitions {
+		assert.Equal(t, partition.Find("a"), -1)
+	}
+}
+
+func TestRetiredStoreIsEmptiedForGood(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	retire := func(draft *draft) error {
+		assert.Equal(t, draft.startRetire("a", 3).status, 200)
+		return nil
+	}
+	assert.NilError(t, world.plan(retire))
+	assert.Equal(t, world.current.table.Store("a").State, cluster.StoreRetiring)
+	assert.Assert(t, !world.current.jobs[0].Completed)
+	world.settle()
+	assert.Assert(t, world.current.jobs[0].Completed)
+	assert.Equal(t, world.current.table.Store("a").State, cluster.StoreRetired)
+	world.requireWhole()
+	world.stop("b")
+	world.settle()
+	for _, partition := range world.current.table.Partitions {
+		assert.Equal(t, partition.Find("a"), -1)
+	}
+	world.start("a", "zone-0", "another-disk")
+	world.settle()
+	assert.Assert(t, world.leads("a") > 0)
+}
+
+func TestRetireIsRefusedWhereTooFewWouldRemain(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c")
+	assert.NilError(t, world.plan())
+	assert.NilError(t, world.plan(func(draft *draft) error {
+		assert.Equal(t, draft.startRetire("a", 3).status, 409)
+		assert.Equal(t, draft.startRetire("x", 3).status, 404)
+		return nil
+	}))
+}
--- /dev/null
+++ b/internal/controlplane/plane.go
@@ -0,0 +1,261 @@
+package controlplane
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/configuration"
+	"ivyfold/internal/controlplane/replication"
+	"ivyfold/internal/journal"
+	"ivyfold/internal/network"
+	"ivyfold/internal/rpc"
+)
+
+// roleCheckInterval bounds how late a loop that works only at the primary notices that its process has become it.
+const roleCheckInterval = time.Second
+
+// Options holds what a Plane needs.
+type Options struct {
+	Info         cluster.NodeInfo
+	Network      network.Network
+	Pool         *rpc.Pool
+	Server       *rpc.Server
+	FS           journal.FS // nil without a disk
+	Bootstrap    bool       // this is the first start of the whole system
+	Tolerated    int        // how many losses of disks the system must bear
+	Seeds        []string   // control addresses, "ip:port"
+	InternalPort int
+	CloudAddress string         // where the platform's list of workers is; may be empty
+	Agent        *cluster.Agent // of this process; may be nil
+	Logger       *zap.Logger
+	Seed         uint64 // of random pauses
+}
+
+// Plane is a process's part in the control plane.
+type Plane struct {
+	options  Options
+	logger   *zap.Logger
+	group    group // nil on a process that cannot be a member
+	state    *stateMachine
+	leases   *leaseTable
+	workers  workerCache
+	manager  *manager
+	members  *memberManager
+	reader   *workerReader
+	founding *founding
+	orders   semaphore
+	role     broadcast // the group's role here has changed
+
+	lifetime context.Context
+	end      context.CancelFunc
+}
+
+// New loads the control state from the disk and registers the calls. Run starts the part in the control plane.
+func New(options Options) (*Plane, error) {
+	plane, err := newPlane(options)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if !plane.canBeMember() {
+		return plane, nil
+	}
+	opened, err := replication.Open(plane.groupOptions())
+	if err != nil {
+		return nil, trace.Wrap(err, "opening the control group")
+	}
+	plane.join(opened)
+	return plane, nil
+}
+
+// newPlane makes a plane that serves the duties of a seed only.
+func newPlane(options Options) (*Plane, error) {
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
+	plane := &Plane{options: options, logger: options.Logger, state: newStateMachine(), orders: newSemaphore()}
+	plane.lifetime, plane.end = context.WithCancel(context.Background())
+	founding, err := newFounding(plane)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	plane.founding = founding
+	options.Server.Handle(cluster.MethodRegister, founding.handleRegister)
+	options.Server.Handle(cluster.MethodCore, founding.handleCore)
+	if options.Agent != nil {
+		options.Agent.AddCoreSource(plane.groupCore)
+		options.Agent.SetLocalDocuments(plane.document)
+	}
+	return plane, nil
+}
+
+func (p *Plane) canBeMember() bool {
+	return p.options.Info.Core && p.options.FS != nil && p.options.Info.DiskID != ""
+}
+
+func (p *Plane) groupOptions() replication.Options {
+	p.manager = newManager(p)
+	p.leases = newLeaseTable(p.manager.nudge)
+	p.members = &memberManager{plane: p}
+	p.reader = newWorkerReader(p)
+	return replication.Options{
+		Self:             p.self(),
+		Pool:             p.options.Pool,
+		Server:           p.options.Server,
+		FS:               p.options.FS,
+		StateMachine:     p.state,
+		Copies:           p.copies(),
+		AllowFounding:    p.options.Bootstrap,
+		Logger:           p.logger,
+		Seed:             p.options.Seed,
+		HeartbeatPayload: p.reader.heartbeatPayload,
+		OnHeartbeat:      p.reader.onHeartbeat,
+		AnswerPayload:    func() []byte { return p.leases.pass(time.Now()) },
+		OnAnswer:         p.onAnswer,
+	}
+}
+
+// join takes part in a group: it registers the calls that its members serve.
+func (p *Plane) join(group group) {
+	p.group = group
+	group.OnChange(func(replication.Role) {
+		p.role.fire()
+		p.manager.nudge()
+	})
+	server := p.options.Server
+	server.Handle(cluster.MethodSync, p.handleSync)
+	server.Handle(cluster.MethodReport, p.handleReport)
+	server.Handle(cluster.MethodOperator, p.handleOperator)
+	server.Handle(cluster.MethodPartitionAsk, p.handlePartitionAsk)
+	server.Handle(methodWorkers, p.reader.handleWorkers)
+	server.Handle(methodFound, p.founding.handleFound)
+}
+
+// Run takes part in the control plane until the context ends.
+func (p *Plane) Run(ctx context.Context) {
+	defer p.end()
+	loops := []func(context.Context){p.founding.run}
+	if p.group != nil {
+		defer p.group.Close()
+		loops = append(loops, p.group.Run, p.manager.run, p.members.run, p.reader.run)
+	}
+	var wait sync.WaitGroup
+	for _, loop := range loops {
+		wait.Go(func() { loop(ctx) })
+	}
+	wait.Wait()
+}
+
+// whilePrimary calls a function again and again, with pauses, while this process is the primary. Before the first
+// call of each such time it calls begin.
+func (p *Plane) whilePrimary(ctx context.Context, interval time.Duration, begin func(), step func(context.Context)) {
+	leading := false
+	for ctx.Err() == nil {
+		changed := p.role.next()
+		pause := roleCheckInterval
+		primary := p.group.Role().Primary
+		if primary && !leading {
+			begin()
+		}
+		leading = primary
+		if primary {
+			step(ctx)
+			changed, pause = nil, interval
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (p *Plane) self() replication.Member {
+	info := p.options.Info
+	return replication.Member{Name: info.Name, Address: info.Address, DiskID: info.DiskID}
+}
+
+func (p *Plane) copies() int { return p.options.Tolerated + 1 }
+
+// fresh tells whether the state here may be passed on.
+func (p *Plane) fresh() bool {
+	role := p.group.Role()
+	return role.Fresh && slices.Contains(role.View.InSync, p.options.Info.DiskID)
+}
+
+// document returns the configuration of a version where it is the current one here, or nil.
+func (p *Plane) document(version uint64) *configuration.Document {
+	document := p.state.current.Load().document
+	if document == nil || document.Version() != version {
+		return nil
+	}
+	return document
+}
+
+// groupCore lists the members of the group as this process remembers them.
+func (p *Plane) groupCore() []cluster.CoreEntry {
+	if p.group == nil {
+		return nil
+	}
+	return coreEntries(p.group.Role().View.Members)
+}
+
+func coreEntries(members []replication.Member) []cluster.CoreEntry {
+	entries := make([]cluster.CoreEntry, 0, len(members))
+	for _, member := range members {
+		entries = append(entries, cluster.CoreEntry{Name: member.Name, Address: member.Address, DiskID: member.DiskID})
+	}
+	return entries
+}
+
+// requirePrimary returns an error that tells where the primary is, unless it is here.
+func (p *Plane) requirePrimary() error {
+	if p.group.Role().Primary {
+		return nil
+	}
+	return p.notLeader()
+}
+
+func (p *Plane) notLeader() error {
+	view := p.group.Role().View
+	for _, member := range view.Members {
+		if member.DiskID == view.Primary && member.DiskID != p.options.Info.DiskID {
+			return &rpc.Error{Code: rpc.CodeNotLeader, Message: member.Address}
+		}
+	}
+	return &rpc.Error{Code: rpc.CodeNotLeader}
+}
+
+// callError turns a failure into one that the caller of a call understands.
+func (p *Plane) callError(err error) error {
+	switch {
+	case errors.Is(err, replication.ErrNotPrimary):
+		return p.notLeader()
+	case errors.Is(err, errOutdated):
+		return unavailable(err.Error())
+	}
+	return err
+}
+
+func (p *Plane) onAnswer(_ replication.Member, payload []byte) {
+	if len(payload) == 0 {
+		return
+	}
+	if err := p.leases.take(payload, time.Now()); err != nil {
+		p.logger.Warn("leases of a backup not read", zap.Error(err))
+	}
+}
+
+func unavailable(text string) error { return &rpc.Error{Code: rpc.CodeUnavailable, Message: text} }
+
+func versionField(document *configuration.Document) zap.Field {
+	return zap.Uint64("version", document.Version())
+}
--- /dev/null
+++ b/internal/controlplane/repair.go
@@ -0,0 +1,212 @@
+package controlplane
+
+import (
+	"slices"
+
+	"ivyfold/internal/cluster"
+)
+
+// repair brings every replica group in line with the stores: it promotes a synced backup where a primary is down,
+// replaces copies that are lost or to be moved, and drops those that are too many.
+func (d *draft) repair() {
+	for i := range d.partitions {
+		d.partitions[i] = d.repairPartition(d.partitions[i])
+	}
+}
+
+func (d *draft) repairPartition(partition cluster.Partition) cluster.Partition {
+	if d.settled(partition) {
+		return partition
+	}
+	next := partition
+	next.Replicas = slices.Clone(partition.Replicas)
+	if !d.promote(&next) {
+		return partition // nobody who may lead is alive: the group waits for them
+	}
+	d.dropDead(&next)
+	d.addMissing(&next)
+	d.dropSurplus(&next)
+	d.chooseWanted(&next)
+	if !slices.Equal(next.Replicas, partition.Replicas) {
+		next.Epoch++
+	}
+	return next
+}
+
+// settled tells whether a replica group is as it should be.
+func (d *draft) settled(partition cluster.Partition) bool {
+	if partition.Wanted != "" || len(partition.Replicas) != d.copies {
+		return false
+	}
+	return d.stayingCopies(partition.Replicas) == d.copies
+}
+
+// promote makes sure that the first replica is alive. It returns false where no synced replica surely is.
+func (d *draft) promote(partition *cluster.Partition) bool {
+	primary, found := partition.Primary()
+	if !found {
+		return false
+	}
+	if d.alive(primary) {
+		return d.recent(primary) || d.allAlive(partition.Replicas)
+	}
+	successor := d.successor(partition)
+	if successor < 0 {
+		return false
+	}
+	promoted := partition.Replicas[successor]
+	others := slices.Delete(slices.Clone(partition.Replicas), successor, successor+1)
+	partition.Replicas = append([]cluster.Replica{promoted}, append(others[1:], primary)...)
+	return true
+}
+
+func (d *draft) allAlive(replicas []cluster.Replica) bool {
+	return !slices.ContainsFunc(replicas, func(replica cluster.Replica) bool { return !d.alive(replica) })
+}
+
+// successor returns the position of the backup that is to lead next, or -1: the wanted one, else the first that stays,
+// else the first that is still alive.
+func (d *draft) successor(partition *cluster.Partition) int {
+	fallback := -1
+	best := -1
+	for i := 1; i < len(partition.Replicas); i++ {
+		replica := partition.Replicas[i]
+		if !replica.Synced || !d.recent(replica) {
+			continue
+		}
+		if d.store(replica.Store).State != cluster.StoreActive {
+			if fallback < 0 {
+				fallback = i
+			}
+			continue
+		}
+		if replica.Store == partition.Wanted {
+			return i
+		}
+		if best < 0 {
+			best = i
+		}
+	}
+	if best < 0 {
+		return fallback
+	}
+	return best
+}
+
+// dropDead removes backups that are down, unless the group would have too few copies and no store can take their place.
+func (d *draft) dropDead(partition *cluster.Partition) {
+	for i := len(partition.Replicas) - 1; i > 0; i-- {
+		if d.alive(partition.Replicas[i]) {
+			continue
+		}
+		d.dropBackup(partition, i)
+	}
+}
+
+// dropBackup removes a backup, and puts another store in its place where copies are missing. It returns false, and
+// changes nothing, where copies would be missing and no store can be had.
+func (d *draft) dropBackup(partition *cluster.Partition, position int) bool {
+	dropped := partition.Replicas[position]
+	remaining := slices.Delete(slices.Clone(partition.Replicas), position, position+1)
+	if d.stayingCopies(remaining) < d.copies {
+		exclude := ""
+		if d.alive(dropped) {
+			exclude = dropped.Store
+		}
+		replacement := d.replacement(remaining, exclude)
+		if replacement == nil {
+			return false
+		}
+		remaining = append(remaining, replicaAt(*replacement, false))
+	}
+	partition.Replicas = remaining
+	return true
+}
+
+func (d *draft) stayingCopies(replicas []cluster.Replica) int {
+	count := 0
+	for _, replica := range replicas {
+		if d.staying(replica) {
+			count++
+		}
+	}
+	return count
+}
+
+// addMissing adds backups until enough stores that stay hold the partition.
+func (d *draft) addMissing(partition *cluster.Partition) {
+	for d.stayingCopies(partition.Replicas) < d.copies {
+		replacement := d.replacement(partition.Replicas, "")
+		if replacement == nil {
+			return
+		}
+		partition.Replicas = append(partition.Replicas, replicaAt(*replacement, false))
+	}
+}
+
+// dropSurplus removes backups that are not needed any more, for as long as enough whole copies stay.
+func (d *draft) dropSurplus(partition *cluster.Partition) {
+	for len(partition.Replicas) > d.copies {
+		position := d.surplus(partition)
+		if position < 0 {
+			return
+		}
+		partition.Replicas = slices.Delete(partition.Replicas, position, position+1)
+	}
+}
+
+// surplus returns the position of the backup that can best be spared, or -1: a retiring one, then one that is not
+// synced, then the one whose store holds the most copies.
+func (d *draft) surplus(partition *cluster.Partition) int {
+	load := d.replicaCounts()
+	best, bestRank := -1, 0
+	for i := 1; i < len(partition.Replicas); i++ {
+		replica := partition.Replicas[i]
+		rest := slices.Delete(slices.Clone(partition.Replicas), i, i+1)
+		if replica.Store == partition.Wanted || d.syncedCopies(rest) < d.copies {
+			continue
+		}
+		if rank := d.surplusRank(replica, load); best < 0 || rank > bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	return best
+}
+
+func (d *draft) surplusRank(replica cluster.Replica, load map[string]int) int {
+	const retiring, unsynced = 2 * PartitionCount, PartitionCount + 1
+	switch {
+	case d.retiring(replica):
+		return retiring
+	case !replica.Synced:
+		return unsynced
+	}
+	return load[replica.Store]
+}
+
+// chooseWanted keeps the wish for another primary only while it makes sense, and wishes for one where the primary is
+// to be emptied.
+func (d *draft) chooseWanted(partition *cluster.Partition) {
+	primary := partition.Replicas[0]
+	if partition.Wanted != "" && !d.mayLead(partition, partition.Wanted) {
+		partition.Wanted = ""
+	}
+	if partition.Wanted != "" || !d.retiring(primary) {
+		return
+	}
+	for _, replica := range partition.Replicas[1:] {
+		if replica.Synced && d.mayLead(partition, replica.Store) {
+			partition.Wanted = replica.Store
+			return
+		}
+	}
+}
+
+// mayLead tells whether a store is an active backup of a partition.
+func (d *draft) mayLead(partition *cluster.Partition, store string) bool {
+	position := partition.Find(store)
+	if position <= 0 || !d.staying(partition.Replicas[position]) {
+		return false
+	}
+	return d.store(store).State == cluster.StoreActive
+}
--- /dev/null
+++ b/internal/controlplane/replication/election.go
@@ -0,0 +1,177 @@
+package replication
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"ivyfold/internal/rpc"
+)
+
+const (
+	electionSpread   = 150 * time.Millisecond // the random pause before an election is shorter
+	electionBackoff  = 100 * time.Millisecond // the least pause after an election that failed
+	electionJitter   = 200 * time.Millisecond // what is added to it at random
+	shortestLook     = 50 * time.Millisecond  // between two looks at a primary that is silent
+	strangerInterval = 500 * time.Millisecond // between two looks of a process that is no member
+)
+
+// errNotInSync means that this process may not lead: it may lack acknowledged changes.
+var errNotInSync = errors.New("replication: not in the in-sync set")
+
+// monitor watches the primary's life and stands for its place when it is gone, until the group is closed.
+func (g *Group) monitor() {
+	for pause(g.ctx, g.supervise()) {
+	}
+}
+
+// supervise looks once, and returns after which time to look again.
+func (g *Group) supervise() time.Duration {
+	g.notify()
+	if g.leading.Load() != nil {
+		return g.timing.suspectAfter()
+	}
+	known := g.newestKnown()
+	if known == nil {
+		return strangerInterval
+	}
+	if _, member := findMember(known.Members, g.self.DiskID); !member {
+		return strangerInterval
+	}
+	if held := g.presence.heldBack(time.Now()); held > 0 {
+		return held
+	}
+	if !g.primaryGone(g.ctx) {
+		return g.untilNextLook()
+	}
+	return g.standWhenGone()
+}
+
+// untilNextLook returns how long a primary that seems alive may stay silent.
+func (g *Group) untilNextLook() time.Duration {
+	silence, _ := g.presence.silence(time.Now())
+	limit := g.timing.suspectAfter()
+	if silence >= limit {
+		limit = min(g.timing.LeaseDuration, silence+g.timing.ProbeTimeout)
+	}
+	return max(shortestLook, limit-silence)
+}
+
+// standWhenGone holds an election after a random pause, unless another process has by then.
+func (g *Group) standWhenGone() time.Duration {
+	if !pause(g.ctx, g.randomPause(electionSpread)) {
+		return 0
+	}
+	if g.presence.heldBack(time.Now()) > 0 || !g.primaryGone(g.ctx) {
+		return shortestLook
+	}
+	if err := g.elect(g.ctx); err != nil {
+		g.logger.Debug("election failed", zap.Error(err))
+		return electionBackoff + g.randomPause(electionJitter)
+	}
+	return g.timing.suspectAfter()
+}
+
+// newestKnown returns the newest view that this process has accepted or been told of.
+func (g *Group) newestKnown() *View { return newer(g.witness.record().Accepted, g.toldOf.Load()) }
+
+// learn remembers a view that others have accepted.
+func (g *Group) learn(view *View) {
+	if view.Epoch > 0 && view != g.newestKnown() {
+		g.toldOf.Store(newer(g.toldOf.Load(), view))
+	}
+}
+
+// primaryGone tells whether the primary is dead, leads no more, or has been silent for the lease.
+func (g *Group) primaryGone(ctx context.Context) bool {
+	record := g.witness.record()
+	if record.Accepted == nil || record.Accepted.Primary == g.self.DiskID {
+		return g.leading.Load() == nil
+	}
+	silence, gone := g.presence.silence(time.Now())
+	if gone || silence >= g.timing.LeaseDuration {
+		return true
+	}
+	if silence < g.timing.suspectAfter() {
+		return false
+	}
+	return g.probePrimary(ctx, *record.Accepted)
+}
+
+// probePrimary asks a silent primary whether it leads.
+func (g *Group) probePrimary(ctx context.Context, view View) bool {
+	primary, found := view.PrimaryMember()
+	if !found {
+		return true
+	}
+	asked := time.Now()
+	var status statusAnswer
+	_, err := g.call(ctx, g.timing.ProbeTimeout, primary, methodStatus, struct{}{}, nil, &status)
+	var reported *rpc.Error
+	switch {
+	case err == nil:
+		if status.Leading && status.DiskID == primary.DiskID {
+			return false
+		}
+	case errors.As(err, &reported), isRefused(err):
+	default:
+		return false
+	}
+	g.presence.markGone(asked)
+	return true
+}
+
+// elect makes a view with this process as the primary, and leads it.
+func (g *Group) elect(ctx context.Context) error {
+	known := g.newestKnown()
+	if known == nil {
+		return trace.Wrap(errNotInSync)
+	}
+	change := viewChange{base: *known, next: g.succeed}
+	if known.Primary != g.self.DiskID {
+		change.absent = map[string]bool{known.Primary: true}
+	}
+	made, err := g.changeView(ctx, change)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return g.lead(made)
+}
+
+// succeed derives the view of a new primary.
+func (g *Group) succeed(newest View) (View, error) {
+	if _, member := findMember(newest.Members, g.self.DiskID); !member || !newest.HasInSync(g.self.DiskID) {
+		return View{}, trace.Wrap(errNotInSync)
+	}
+	return View{Members: newest.Members, Previous: newest.Previous}, nil
+}
+
+// Found makes the first view of a new group, with this process as the primary. It may be repeated; it does nothing
+// where this process knows of a view.
+func (g *Group) Found(ctx context.Context, members []Member) error {
+	if g.newestKnown() != nil {
+		return nil
+	}
+	genesis := View{Members: members}
+	for _, member := range members {
+		genesis.InSync = append(genesis.InSync, member.DiskID)
+	}
+	if !g.mayFound(genesis) {
+		return trace.Wrap(ErrNotFoundable)
+	}
+	made, err := g.changeView(ctx, viewChange{base: genesis, founding: true, next: g.succeed})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return g.lead(made)
+}
+
+// mayFound tells whether this process may take part in the founding of a group.
+func (g *Group) mayFound(genesis View) bool {
+	_, member := findMember(genesis.Members, g.self.DiskID)
+	blank := g.witness.record().Accepted == nil && g.replica.end() == position{}
+	return member && blank && g.options.AllowFounding
+}
--- /dev/null
+++ b/internal/controlplane/replication/group.go
@@ -0,0 +1,186 @@
+package replication
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"ivyfold/internal/rpc"
+)
+
+// Group is this process's part in the replicated group.
+type Group struct {
+	options Options
+	self    Member
+	timing  Timing
+	logger  *zap.Logger
+	witness *witness
+	replica *replica
+
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
+
+	leading      atomic.Pointer[leadership] // nil while this process does not lead
+	making       gate                       // held while this process makes a view
+	presence     presence
+	highestEpoch atomic.Uint64        // the highest epoch known to be promised by anyone
+	toldOf       atomic.Pointer[View] // the newest view heard of from other witnesses
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	observersMu sync.Mutex
+	observers   []func(Role)
+	reported    Role
+}
+
+// Open loads what the disk holds and registers the group's calls. It takes no part in the group's life until Run.
+func Open(options Options) (*Group, error) {
+	options = options.withDefaults()
+	witness, err := openWitness(options.FS)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	replica, err := openReplica(options)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	g := &Group{
+		options: options,
+		self:    options.Self,
+		timing:  options.Timing,
+		logger:  options.Logger.With(zap.String("member", options.Self.Name)),
+		making:  newGate(),
+		witness: witness,
+		replica: replica,
+		random:  rand.New(rand.NewPCG(options.Seed, hash(options.Self.DiskID))),
+	}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.presence.heardFromPrimary(time.Now())
+	g.register(options.Server)
+	return g, nil
+}
+
+func hash(text string) uint64 {
+	sum := fnv.New64a()
+	_, _ = sum.Write([]byte(text))
+	return sum.Sum64()
+}
+
+func (g *Group) register(server *rpc.Server) {
+	server.Handle(methodPromise, handle(g, g.servePromise))
+	server.Handle(methodAccept, handle(g, g.serveAccept))
+	server.Handle(methodAttach, handle(g, g.serveAttach))
+	server.Handle(methodAppend, handle(g, g.serveAppend))
+	server.Handle(methodHeartbeat, handle(g, g.serveHeartbeat))
+	server.Handle(methodStatus, handle(g, g.serveStatus))
+}
+
+// handle turns a method of the group with typed parameters into a handler.
+func handle[Request any](
+	g *Group, serve func(ctx context.Context, request Request, body []byte) (any, []byte, error),
+) rpc.Handler {
+	return func(ctx context.Context, call *rpc.Call) (any, []byte, error) {
+		if g.ctx.Err() != nil {
+			return nil, nil, &rpc.Error{Code: rpc.CodeUnavailable, Message: "the group is closed"}
+		}
+		var request Request
+		if err := call.Decode(&request); err != nil {
+			return nil, nil, err
+		}
+		return serve(ctx, request, call.Body)
+	}
+}
+
+// Run takes part in the group until the context ends.
+func (g *Group) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, g.cancel)
+	defer stop()
+	g.monitor()
+}
+
+// Close ends the part in the group. The log is synced and closed.
+func (g *Group) Close() {
+	g.cancel()
+	if l := g.leading.Load(); l != nil {
+		g.resign(l, "closing")
+	}
+	if err := g.replica.log.Close(); err != nil {
+		g.logger.Warn("closing the log failed", zap.Error(err))
+	}
+}
+
+// Role tells which part this process plays now.
+func (g *Group) Role() Role {
+	now := time.Now()
+	role := Role{}
+	if l := g.leading.Load(); l != nil {
+		role.View = l.currentView()
+		role.Primary = l.leaseRuns(now)
+		role.Fresh = role.Primary
+	} else {
+		if accepted := g.witness.record().Accepted; accepted != nil {
+			role.View = *accepted
+		}
+		role.Fresh = g.presence.fresh(now, g.timing.LeaseDuration)
+	}
+	role.Epoch = role.View.Epoch
+	return role
+}
+
+// OnChange has a function called with the new role whenever the epoch, the primary's part or the freshness changes.
+// The function must return soon.
+func (g *Group) OnChange(observer func(Role)) {
+	g.observersMu.Lock()
+	defer g.observersMu.Unlock()
+	g.observers = append(g.observers, observer)
+}
+
+// notify tells the observers where the role has changed.
+func (g *Group) notify() {
+	g.observersMu.Lock()
+	defer g.observersMu.Unlock()
+	role := g.Role()
+	known := g.reported
+	if role.Epoch == known.Epoch && role.Primary == known.Primary && role.Fresh == known.Fresh {
+		return
+	}
+	g.reported = role
+	for _, observer := range g.observers {
+		observer(role)
+	}
+}
+
+// randomPause returns a duration up to a limit.
+func (g *Group) randomPause(limit time.Duration) time.Duration {
+	g.randomMu.Lock()
+	defer g.randomMu.Unlock()
+	return time.Duration(g.random.Int64N(int64(limit)))
+}
+
+// call makes a call to a member within a limit.
+func (g *Group) call(
+	ctx context.Context, limit time.Duration, to Member, method string, params any, body []byte, result any,
+) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return g.options.Pool.Get(to.Address).Call(ctx, method, params, body, result)
+}
+
+// pause waits, and tells false when the context has ended.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/controlplane/replication/group_test.go
@@ -0,0 +1,299 @@
+package replication
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFoundingTakesAllMembersIn(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 4, 5, 8} {
+		inCluster(t, size, 1, uint64(size), func(c *cluster) {
+			c.awaitInSync(time.Second, size)
+			leader := c.awaitPrimary(time.Second)
+			assert.Equal(t, leader.member.Name, "member-1")
+			assert.Assert(t, leader.process.group.Role().Epoch >= 1)
+			leader.mustPropose("a")
+			assert.NilError(t, leader.confirm(time.Second))
+			c.awaitAllHold(time.Second, "a")
+		})
+	}
+}
+
+func TestNobodyFoundsWithoutLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 0, 2, 1)
+		defer c.close()
+		for range 3 {
+			added := c.addNode()
+			added.options = func(options *Options) { options.AllowFounding = added.member.Name == "member-1" }
+			added.start()
+		}
+		err := c.nodes[0].process.group.Found(t.Context(), c.members())
+		assert.ErrorIs(t, err, ErrNoMajority)
+		err = c.nodes[1].process.group.Found(t.Context(), c.members())
+		assert.ErrorIs(t, err, ErrNotFoundable)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(c.primaries()), 0)
+	})
+}
+
+func TestOnlyOneOfTwoFoundersLeads(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, 4, 2, seed)
+			defer c.close()
+			for _, founder := range c.nodes[:2] {
+				go func() { _ = founder.process.group.Found(t.Context(), c.members()) }()
+			}
+			time.Sleep(2 * time.Second)
+			_ = c.nodes[0].process.group.Found(t.Context(), c.members())
+			c.awaitPrimary(5 * time.Second)
+			c.awaitInSync(3*time.Second, 4)
+		})
+	}
+}
+
+func TestFailoverTimes(t *testing.T) {
+	cases := []struct {
+		name  string
+		end   func(*node)
+		limit time.Duration
+	}{
+		{"kill", (*node).kill, 700 * time.Millisecond},
+		{"power loss", (*node).powerOff, 1600 * time.Millisecond},
+		{"cut", func(n *node) { n.cluster.isolate(n) }, 1600 * time.Millisecond},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			for seed := range uint64(8) {
+				inCluster(t, 3+int(seed%3), 2, seed, func(c *cluster) {
+					old := c.awaitPrimary(time.Second)
+					old.mustPropose("a")
+					each.end(old)
+					next := c.awaitOtherPrimary(each.limit, old)
+					next.mustPropose("b")
+					assert.DeepEqual(t, next.process.machine.list(), []string{"a", "b"})
+				})
+			}
+		})
+	}
+}
+
+func TestCutPrimaryStopsClaimingAndComesBack(t *testing.T) {
+	inCluster(t, 5, 3, 3, func(c *cluster) {
+		old := c.awaitPrimary(time.Second)
+		old.mustPropose("a")
+		c.isolate(old)
+		assert.ErrorIs(t, old.propose("lost", 5*time.Second), ErrUnknownOutcome)
+		next := c.awaitOtherPrimary(time.Second, old)
+		assert.Assert(t, !old.process.group.Role().Primary)
+		assert.ErrorIs(t, old.confirm(time.Second), ErrNotPrimary)
+		next.mustPropose("b")
+		c.rejoin(old)
+		c.awaitInSync(3*time.Second, 5)
+		c.awaitAllHold(time.Second, "a", "b")
+	})
+}
+
+func TestPrimaryInMinorityNeverCommits(t *testing.T) {
+	for seed := range uint64(6) {
+		inCluster(t, 5, 2, seed, func(c *cluster) {
+			old := c.awaitPrimary(time.Second)
+			old.mustPropose("a")
+			companion := c.nodes[1]
+			if companion == old {
+				companion = c.nodes[2]
+			}
+			c.isolate(old, companion)
+			outcome := make(chan error, 1)
+			go func() { outcome <- old.propose("minority", 6*time.Second) }()
+			next := c.awaitOtherPrimary(2*time.Second, old)
+			next.mustPropose("b")
+			assert.Assert(t, <-outcome != nil)
+			c.rejoin(old, companion)
+			c.awaitInSync(4*time.Second, 5)
+			c.awaitAllHold(time.Second, "a", "b")
+		})
+	}
+}
+
+func TestHalfOfAnEvenGroupDoesNothing(t *testing.T) {
+	for _, size := range []int{4, 8} {
+		inCluster(t, size, 2, 5, func(c *cluster) {
+			old := c.awaitPrimary(time.Second)
+			old.mustPropose("a")
+			c.isolate(c.nodes[:size/2]...)
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, len(c.primaries()), 0)
+			c.rejoin(c.nodes[:size/2]...)
+			next := c.awaitPrimary(3 * time.Second)
+			next.mustPropose("b")
+			c.awaitInSync(3*time.Second, size)
+			c.awaitAllHold(time.Second, "a", "b")
+		})
+	}
+}
+
+func TestAllKilledAtOnce(t *testing.T) {
+	for seed := range uint64(6) {
+		inCluster(t, 3+int(seed%3), 2, seed, func(c *cluster) {
+			c.awaitPrimary(time.Second).mustPropose("a")
+			for _, each := range c.nodes {
+				each.kill()
+			}
+			time.Sleep(300 * time.Millisecond)
+			for _, each := range c.nodes {
+				each.back()
+			}
+			next := c.awaitPrimary(1500 * time.Millisecond)
+			next.mustPropose("b")
+			c.awaitInSync(2*time.Second, len(c.nodes))
+			c.awaitAllHold(time.Second, "a", "b")
+		})
+	}
+}
+
+func TestAllLosePowerAtOnce(t *testing.T) {
+	for seed := range uint64(6) {
+		inCluster(t, 3, 2, seed, func(c *cluster) {
+			c.awaitPrimary(time.Second).mustPropose("a")
+			for _, each := range c.nodes {
+				each.powerOff()
+			}
+			time.Sleep(time.Second)
+			for _, each := range c.nodes {
+				each.back()
+			}
+			c.awaitPrimary(2 * time.Second).mustPropose("b")
+			c.awaitInSync(2*time.Second, 3)
+			c.awaitAllHold(time.Second, "a", "b")
+		})
+	}
+}
+
+func TestBackupIsDroppedAndTakenBack(t *testing.T) {
+	inCluster(t, 3, 2, 2, func(c *cluster) {
+		leader := c.awaitPrimary(time.Second)
+		backup := c.nodes[1]
+		backup.powerOff()
+		started := time.Now()
+		leader.mustPropose("a")
+		assert.Assert(t, time.Since(started) < 900*time.Millisecond, "%v", time.Since(started))
+		started = time.Now()
+		leader.mustPropose("b")
+		assert.Assert(t, time.Since(started) < 50*time.Millisecond, "%v", time.Since(started))
+		backup.back()
+		c.awaitInSync(1500*time.Millisecond, 3)
+		c.awaitAllHold(time.Second, "a", "b")
+	})
+}
+
+func TestRestartedBackupNeedsNoNewView(t *testing.T) {
+	inCluster(t, 3, 2, 2, func(c *cluster) {
+		leader := c.awaitPrimary(time.Second)
+		leader.mustPropose("a")
+		c.nodes[1].kill()
+		c.nodes[1].back()
+		leader.mustPropose("b")
+		c.awaitInSync(time.Second, 3)
+		c.awaitAllHold(time.Second, "a", "b")
+	})
+}
+
+func TestRejectedChangeIsReported(t *testing.T) {
+	inCluster(t, 3, 2, 2, func(c *cluster) {
+		leader := c.awaitPrimary(time.Second)
+		assert.ErrorIs(t, leader.propose("reject", time.Second), errRejected)
+		leader.mustPropose("a")
+		c.awaitAllHold(time.Second, "a")
+	})
+}
+
+func TestProposalsWaitForEnoughCopies(t *testing.T) {
+	inCluster(t, 3, 3, 2, func(c *cluster) {
+		leader := c.awaitPrimary(time.Second)
+		leader.mustPropose("a")
+		c.nodes[1].kill()
+		assert.Assert(t, leader.propose("b", 2*time.Second) != nil)
+		assert.ErrorIs(t, leader.propose("c", 2*time.Second), ErrNotPrimary)
+		assert.NilError(t, leader.confirm(time.Second))
+		c.nodes[1].back()
+		c.awaitInSync(2*time.Second, 3)
+		leader.mustPropose("d")
+	})
+}
+
+func TestStalledDiskOfPrimaryMakesItResign(t *testing.T) {
+	inCluster(t, 3, 2, 4, func(c *cluster) {
+		old := c.awaitPrimary(time.Second)
+		old.mustPropose("a")
+		old.disk.SetStalled(true)
+		go func() { _ = old.propose("stalled", 5*time.Second) }()
+		next := c.awaitOtherPrimary(3*time.Second, old)
+		next.mustPropose("b")
+		old.disk.SetStalled(false)
+		c.awaitInSync(3*time.Second, 3)
+	})
+}
+
+func TestStalledDiskOfBackupIsLeftOut(t *testing.T) {
+	inCluster(t, 3, 2, 4, func(c *cluster) {
+		leader := c.awaitPrimary(time.Second)
+		leader.mustPropose("a")
+		c.nodes[1].disk.SetStalled(true)
+		leader.mustPropose("b")
+		assert.NilError(t, leader.propose("c", 500*time.Millisecond))
+		c.nodes[1].disk.SetStalled(false)
+		c.awaitInSync(4*time.Second, 3)
+		c.awaitAllHold(time.Second, "a", "b", "c")
+	})
+}
+
+func TestBackupsAreFreshOnlyWhileTheyHear(t *testing.T) {
+	inCluster(t, 3, 2, 4, func(c *cluster) {
+		backup := c.nodes[1]
+		c.await(time.Second, "fresh", func() bool { return backup.process.group.Role().Fresh })
+		c.isolate(backup)
+		time.Sleep(time.Second)
+		assert.Assert(t, !backup.process.group.Role().Fresh)
+		c.rejoin(backup)
+		c.await(2*time.Second, "fresh again", func() bool { return backup.process.group.Role().Fresh })
+	})
+}
+
+func TestHeartbeatsCarryPayloads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 0, 2, 1)
+		defer c.close()
+		down, up := make(chan string, 1000), make(chan string, 1000)
+		for range 3 {
+			added := c.addNode()
+			added.options = func(options *Options) {
+				options.HeartbeatPayload = func() []byte { return []byte("down") }
+				options.OnHeartbeat = func(payload []byte) { down <- string(payload) }
+				options.AnswerPayload = func() []byte { return []byte(added.member.Name) }
+				options.OnAnswer = func(from Member, payload []byte) { up <- from.Name + "=" + string(payload) }
+			}
+			added.start()
+		}
+		c.found()
+		assert.Equal(t, <-down, "down")
+		received := <-up
+		assert.Assert(t, received == "member-2=member-2" || received == "member-3=member-3", received)
+	})
+}
+
+func TestObserversSeeTheRole(t *testing.T) {
+	inCluster(t, 3, 2, 4, func(c *cluster) {
+		backup := c.nodes[1]
+		roles := make(chan Role, 100)
+		backup.process.group.OnChange(func(role Role) { roles <- role })
+		c.isolate(c.nodes[0])
+		c.awaitOtherPrimary(2*time.Second, c.nodes[0])
+		seen := <-roles
+		assert.Assert(t, seen.Epoch >= 1)
+	})
+}
--- /dev/null
+++ b/internal/controlplane/replication/membership_test.go
@@ -0,0 +1,98 @@
+package replication
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMembersAreAddedAndRemoved(t *testing.T) {
+	inCluster(t, 3, 2, 1, func(c *cluster) {
+		leader := c.awaitPrimary(time.Second)
+		leader.mustPropose("a")
+		for size := 4; size <= 6; size++ {
+			added := c.addNode()
+			added.start()
+			assert.NilError(t, leader.process.group.AddMember(t.Context(), added.member))
+			c.awaitInSync(time.Second, size)
+		}
+		removed := c.nodes[1]
+		assert.NilError(t, leader.process.group.RemoveMember(t.Context(), removed.member.DiskID))
+		c.awaitInSync(time.Second, 5)
+		view := leader.process.group.Role().View
+		assert.Equal(t, len(view.Members), 5)
+		assert.Equal(t, len(view.Previous), 0)
+		leader.mustPropose("b")
+		leader.kill()
+		next := c.awaitOtherPrimary(time.Second, leader)
+		assert.Assert(t, next != removed)
+		next.mustPropose("c")
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(c.primaries()), 1)
+	})
+}
+
+func TestPrimaryDoesNotRemoveItself(t *testing.T) {
+	inCluster(t, 3, 2, 1, func(c *cluster) {
+		leader := c.awaitPrimary(time.Second)
+		assert.Assert(t, leader.process.group.RemoveMember(t.Context(), leader.member.DiskID) != nil)
+	})
+}
+
+func TestWipedMemberIsAStrangerUntilReplaced(t *testing.T) {
+	inCluster(t, 3, 2, 1, func(c *cluster) {
+		leader := c.awaitPrimary(time.Second)
+		leader.mustPropose("a")
+		wiped := c.nodes[1]
+		oldID := wiped.member.DiskID
+		wiped.wipe()
+		wiped.back()
+		c.awaitInSync(2*time.Second, 2)
+		assert.Assert(t, wiped.process.group.witness.record().Accepted == nil)
+		assert.NilError(t, leader.process.group.ReplaceMember(t.Context(), oldID, wiped.member))
+		c.awaitInSync(time.Second, 3)
+		leader.mustPropose("b")
+		c.awaitAllHold(time.Second, "a", "b")
+		leader.kill()
+		c.awaitOtherPrimary(time.Second, leader).mustPropose("c")
+	})
+}
+
+func TestWipedPrimaryIsReplaced(t *testing.T) {
+	inCluster(t, 4, 2, 1, func(c *cluster) {
+		old := c.awaitPrimary(time.Second)
+		old.mustPropose("a")
+		oldID := old.member.DiskID
+		old.wipe()
+		old.back()
+		next := c.awaitOtherPrimary(2*time.Second, old)
+		assert.NilError(t, next.process.group.ReplaceMember(t.Context(), oldID, old.member))
+		c.awaitInSync(2*time.Second, 4)
+		c.awaitAllHold(time.Second, "a")
+	})
+}
+
+func TestTwoOfFiveAreWipedAtOnce(t *testing.T) {
+	for seed := range uint64(5) {
+		inCluster(t, 5, 3, seed, func(c *cluster) {
+			leader := c.awaitPrimary(time.Second)
+			leader.mustPropose("a")
+			gone := []string{c.nodes[0].member.DiskID, c.nodes[1].member.DiskID}
+			for _, each := range c.nodes[:2] {
+				each.wipe()
+				each.back()
+			}
+			next := c.awaitOtherPrimary(2*time.Second, c.nodes[0], c.nodes[1])
+			for i, each := range c.nodes[:2] {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				assert.NilError(t, next.process.group.ReplaceMember(ctx, gone[i], each.member))
+				cancel()
+			}
+			c.awaitInSync(2*time.Second, 5)
+			next.mustPropose("b")
+			c.awaitAllHold(time.Second, "a", "b")
+		})
+	}
+}
--- /dev/null
+++ b/internal/controlplane/replication/types.go
@@ -0,0 +1,130 @@
+// Package replication keeps one small state machine on several processes by primary-backup replication.
+//
+// The primary appends a change to its log, sends it to every backup of the in-sync set and acknowledges it when all
+// of them have synced it. Which process is the primary and which backups are in sync is said by a view. Views are
+// decided by the members of the group in their second part as witnesses: a witness stores only the highest epoch it
+// has promised and the newest view it has accepted, and a view is in force when a majority has accepted it.
+//
+// A view is made in three rounds: promises for a new epoch, by which the newest accepted view is learnt; alignment, in
+// which every process of the new in-sync set gets the same log on its disk; and acceptance. So everything in the log
+// of a new primary is committed at the moment its view is in force.
+package replication
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyfold/internal/journal"
+	"ivyfold/internal/rpc"
+)
+
+// ErrNotPrimary means that this process does not lead the group at present; what was asked for was surely not done.
+var ErrNotPrimary = errors.New("replication: not the primary")
+
+// ErrUnknownOutcome means that the change was sent out but not confirmed: it may come into force or not.
+var ErrUnknownOutcome = errors.New("replication: outcome unknown")
+
+// ErrNoMajority means that no majority of the members could be won for a view.
+var ErrNoMajority = errors.New("replication: no majority")
+
+// ErrNotFoundable means that this process may not found a group: it is not allowed to, or not among the members.
+var ErrNotFoundable = errors.New("replication: may not found a group")
+
+// StateMachine is what the group replicates. It must be deterministic. The group never calls it concurrently; it must
+// not call back into the group.
+type StateMachine interface {
+	// Apply carries a committed change out. An error is handed to the proposer; the change counts as applied.
+	Apply(change []byte) error
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by a snapshot.
+	Restore(snapshot []byte) error
+}
+
+// Member is a process that takes part in the group. Its identity is its disk: a process that lost its disk is another
+// member.
+type Member struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	DiskID  string `json:"diskId"`
+}
+
+// Role is the part that a process plays at a moment.
+type Role struct {
+	View    View   // the newest view this process has accepted
+	Epoch   uint64 // the view's epoch
+	Primary bool   // it leads the group: a majority and the whole in-sync set have answered within the lease
+	Fresh   bool   // its state is current enough to be read
+}
+
+// Timing holds the durations of the protocol. Zero values are replaced by the defaults.
+type Timing struct {
+	HeartbeatInterval time.Duration // how often the primary calls each member
+	LeaseDuration     time.Duration // for how long a witness stands by a primary it has heard from
+	DropAfter         time.Duration // after which silence a backup leaves the in-sync set
+	RefusedDropAfter  time.Duration // the same after its address refused a connection
+	RoundTimeout      time.Duration // limit of a round of promises, of alignment or of acceptance
+	ProbeTimeout      time.Duration // limit of the call by which a backup looks whether a silent primary lives
+	CopyTimeout       time.Duration // limit of a transfer of the whole state
+}
+
+const (
+	defaultHeartbeatInterval = 150 * time.Millisecond
+	defaultLeaseDuration     = 900 * time.Millisecond
+	defaultDropAfter         = 600 * time.Millisecond
+	defaultRefusedDropAfter  = 100 * time.Millisecond
+	defaultRoundTimeout      = 500 * time.Millisecond
+	defaultProbeTimeout      = 200 * time.Millisecond
+	defaultCopyTimeout       = 3 * time.Second
+)
+
+// Options say what a group works with.
+type Options struct {
+	Self          Member
+	Pool          *rpc.Pool
+	Server        *rpc.Server
+	FS            journal.FS
+	StateMachine  StateMachine
+	Copies        int // on how many disks a change is before it is acknowledged: tolerated losses + 1
+	AllowFounding bool
+	Logger        *zap.Logger
+	Seed          uint64 // of the random pauses before elections
+	Timing        Timing
+
+	// HeartbeatPayload is asked at the primary for what each heartbeat carries to a backup. It may be nil.
+	HeartbeatPayload func() []byte
+	// OnHeartbeat gets a heartbeat's payload at the backup. It may be nil.
+	OnHeartbeat func(payload []byte)
+	// AnswerPayload is asked at the backup for what the answer to a heartbeat carries. It may be nil.
+	AnswerPayload func() []byte
+	// OnAnswer gets the answer's payload at the primary. It may be nil.
+	OnAnswer func(from Member, payload []byte)
+}
+
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Copies < 1 {
+		o.Copies = 1
+	}
+	setDefault(&o.Timing.HeartbeatInterval, defaultHeartbeatInterval)
+	setDefault(&o.Timing.LeaseDuration, defaultLeaseDuration)
+	setDefault(&o.Timing.DropAfter, defaultDropAfter)
+	setDefault(&o.Timing.RefusedDropAfter, defaultRefusedDropAfter)
+	setDefault(&o.Timing.RoundTimeout, defaultRoundTimeout)
+	setDefault(&o.Timing.ProbeTimeout, defaultProbeTimeout)
+	setDefault(&o.Timing.CopyTimeout, defaultCopyTimeout)
+	return o
+}
+
+func setDefault(value *time.Duration, fallback time.Duration) {
+	if *value <= 0 {
+		*value = fallback
+	}
+}
+
+// suspectAfter is the silence after which a backup looks whether the primary lives.
+func (t Timing) suspectAfter() time.Duration { return 2 * t.HeartbeatInterval }
--- /dev/null
+++ b/internal/controlplane/replication/witness.go
@@ -0,0 +1,102 @@
+package replication
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"ivyfold/internal/journal"
+)
+
+// witnessFile is the name of the file that holds a witness's record.
+const witnessFile = "witness"
+
+// witnessRecord is all that a witness remembers. Records are immutable.
+type witnessRecord struct {
+	Promised   uint64 `json:"promised"`   // the highest epoch promised
+	PromisedTo string `json:"promisedTo"` // the disk id of the process it was promised to
+	Accepted   *View  `json:"accepted,omitempty"`
+}
+
+// allows tells whether the record lets a process act in an epoch.
+func (r *witnessRecord) allows(epoch uint64, diskID string) bool {
+	return epoch > r.Promised || (epoch == r.Promised && diskID == r.PromisedTo)
+}
+
+func (r *witnessRecord) acceptedEpoch() uint64 {
+	if r.Accepted == nil {
+		return 0
+	}
+	return r.Accepted.Epoch
+}
+
+// witness keeps the record on disk. A change is durable before it can be seen.
+type witness struct {
+	fs      journal.FS
+	writing gate // held while the file is written
+	current atomic.Pointer[witnessRecord]
+}
+
+func openWitness(fileSystem journal.FS) (*witness, error) {
+	w := &witness{fs: fileSystem, writing: newGate()}
+	record := &witnessRecord{}
+	data, err := journal.LoadFile(fileSystem, witnessFile)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil:
+		return nil, trace.Wrap(err)
+	default:
+		if err := json.Unmarshal(data, record); err != nil {
+			return nil, trace.Wrap(err, "reading the witness's record")
+		}
+	}
+	w.current.Store(record)
+	return w, nil
+}
+
+func (w *witness) record() *witnessRecord { return w.current.Load() }
+
+// promise promises an epoch to a process. It tells false where a higher epoch, or the same one, was promised to
+// another.
+func (w *witness) promise(epoch uint64, diskID string) (bool, error) {
+	w.writing.enter()
+	defer w.writing.leave()
+	record := w.record()
+	if !record.allows(epoch, diskID) {
+		return false, nil
+	}
+	if epoch == record.Promised {
+		return true, nil
+	}
+	return true, w.save(&witnessRecord{Promised: epoch, PromisedTo: diskID, Accepted: record.Accepted})
+}
+
+// accept accepts a view. It tells false where the view's epoch has been overtaken.
+func (w *witness) accept(view View) (bool, error) {
+	w.writing.enter()
+	defer w.writing.leave()
+	record := w.record()
+	if !record.allows(view.Epoch, view.Primary) {
+		return false, nil
+	}
+	if record.acceptedEpoch() == view.Epoch {
+		return true, nil
+	}
+	return true, w.save(&witnessRecord{Promised: view.Epoch, PromisedTo: view.Primary, Accepted: &view})
+}
+
+// save writes a record and makes it the current one. The caller holds the lock.
+func (w *witness) save(record *witnessRecord) error {
+	data, err := json.Marshal(record)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := journal.SaveFile(w.fs, witnessFile, data); err != nil {
+		return trace.Wrap(err)
+	}
+	w.current.Store(record)
+	return nil
+}
--- /dev/null
+++ b/internal/controlplane/workerlist.go
@@ -0,0 +1,205 @@
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/network"
+	"ivyfold/internal/rpc"
+)
+
+const (
+	workerReadInterval = time.Second
+	workerReadTimeout  = 2 * time.Second
+	workerFetchTimeout = time.Second
+	idleConnections    = 5 * time.Second
+
+	methodWorkers = "control.workers" // empty -> cluster.WorkerList, at the primary
+)
+
+// workerNews is what the primary tells its backups of the list of workers with each heartbeat.
+type workerNews struct {
+	Epoch    uint64 `json:"epoch"`
+	Revision uint64 `json:"revision"`
+	AgeMS    int64  `json:"ageMs"`
+	Address  string `json:"address"` // where the list can be fetched
+}
+
+// workerCache holds the newest list of workers that this member knows.
+type workerCache struct {
+	mutex   sync.Mutex
+	list    *cluster.WorkerList
+	readAt  time.Time
+	changed broadcast
+}
+
+// load returns the list, which may be nil, and when it was last read from the platform.
+func (c *workerCache) load() (*cluster.WorkerList, time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.list, c.readAt
+}
+
+// noteRead takes in what the platform's list held. It gets a new revision only where something has changed that
+// matters for a choice between workers.
+func (c *workerCache) noteRead(epoch uint64, workers []cluster.Worker, now time.Time) {
+	c.mutex.Lock()
+	c.readAt = now
+	known := c.list
+	if known != nil && known.Epoch == epoch && slices.EqualFunc(known.Workers, workers, sameWorker) {
+		c.mutex.Unlock()
+		return
+	}
+	next := &cluster.WorkerList{Epoch: epoch, Revision: 1, Workers: workers, ReadAt: now}
+	if known != nil && known.Epoch == epoch {
+		next.Revision = known.Revision + 1
+	}
+	c.list = next
+	c.mutex.Unlock()
+	c.changed.fire()
+}
+
+// sameWorker compares two entries apart from the time that is left for warming up.
+func sameWorker(a, b cluster.Worker) bool {
+	a.WarmupLeft, b.WarmupLeft = 0, 0
+	return a == b
+}
+
+// store takes over a list that the primary has read.
+func (c *workerCache) store(list *cluster.WorkerList, readAt time.Time) {
+	c.mutex.Lock()
+	if !list.NewerThan(c.list) {
+		c.mutex.Unlock()
+		return
+	}
+	list.ReadAt = readAt
+	c.list, c.readAt = list, readAt
+	c.mutex.Unlock()
+	c.changed.fire()
+}
+
+// confirm notes that the list was read again and found unchanged. It returns false where the list here is older.
+func (c *workerCache) confirm(news *workerNews, readAt time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.list == nil || c.list.Epoch != news.Epoch || c.list.Revision != news.Revision {
+		offered := &cluster.WorkerList{Epoch: news.Epoch, Revision: news.Revision}
+		return !offered.NewerThan(c.list)
+	}
+	if readAt.After(c.readAt) {
+		c.readAt = readAt
+	}
+	return true
+}
+
+// workerReader reads the platform's list while its process is the primary, and passes it on to the backups.
+type workerReader struct {
+	plane    *Plane
+	client   *http.Client
+	fetching semaphore
+}
+
+func newWorkerReader(plane *Plane) *workerReader {
+	return &workerReader{plane: plane, client: NewPlatformClient(plane.options.Network), fetching: newSemaphore()}
+}
+
+// NewPlatformClient returns an HTTP client for the platform's interface.
+func NewPlatformClient(network network.Network) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return network.Dial(ctx, address)
+		},
+		DisableCompression: true,
+		IdleConnTimeout:    idleConnections,
+	}}
+}
+
+func (r *workerReader) run(ctx context.Context) {
+	r.plane.whilePrimary(ctx, workerReadInterval, func() {}, r.step)
+	r.client.CloseIdleConnections()
+}
+
+func (r *workerReader) step(ctx context.Context) {
+	if r.plane.options.CloudAddress == "" {
+		return
+	}
+	before := r.plane.group.Role()
+	ctx, cancel := context.WithTimeout(ctx, workerReadTimeout)
+	defer cancel()
+	workers, err := ReadWorkers(ctx, r.client, r.plane.options.CloudAddress)
+	if err != nil {
+		r.plane.logger.Debug("list of workers not read", zap.Error(err))
+		return
+	}
+	if after := r.plane.group.Role(); after.Primary {
+		r.plane.workers.noteRead(before.Epoch, workers, time.Now())
+	}
+}
+
+// heartbeatPayload is what the primary tells its backups with each heartbeat.
+func (r *workerReader) heartbeatPayload() []byte {
+	list, readAt := r.plane.workers.load()
+	if list == nil {
+		return nil
+	}
+	payload, err := json.Marshal(workerNews{
+		Epoch:    list.Epoch,
+		Revision: list.Revision,
+		AgeMS:    time.Since(readAt).Milliseconds(),
+		Address:  r.plane.options.Info.Address,
+	})
+	if err != nil {
+		return nil
+	}
+	return payload
+}
+
+// onHeartbeat fetches the list where the primary has a newer one.
+func (r *workerReader) onHeartbeat(payload []byte) {
+	if len(payload) == 0 {
+		return
+	}
+	var news workerNews
+	if err := json.Unmarshal(payload, &news); err != nil {
+		return
+	}
+	readAt := time.Now().Add(-time.Duration(news.AgeMS) * time.Millisecond)
+	if r.plane.workers.confirm(&news, readAt) {
+		return
+	}
+	select {
+	case r.fetching <- struct{}{}:
+		go r.fetch(news.Address, readAt)
+	default:
+	}
+}
+
+func (r *workerReader) fetch(address string, readAt time.Time) {
+	defer r.fetching.unlock()
+	ctx, cancel := context.WithTimeout(r.plane.lifetime, workerFetchTimeout)
+	defer cancel()
+	var list cluster.WorkerList
+	if _, err := r.plane.options.Pool.Get(address).Call(ctx, methodWorkers, struct{}{}, nil, &list); err != nil {
+		r.plane.logger.Debug("list of workers not fetched", zap.Error(trace.Wrap(err)))
+		return
+	}
+	r.plane.workers.store(&list, readAt)
+}
+
+// handleWorkers gives the list to another member.
+func (r *workerReader) handleWorkers(context.Context, *rpc.Call) (any, []byte, error) {
+	list, _ := r.plane.workers.load()
+	if list == nil {
+		return nil, nil, unavailable("no list of workers yet")
+	}
+	return list, nil, nil
+}
--- /dev/null
+++ b/internal/delivery/attempt.go
@@ -0,0 +1,223 @@
+package delivery
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyfold/internal/configuration"
+	"ivyfold/internal/message"
+)
+
+const (
+	answerLimit = 1 << 20
+	freshCheck  = 20 * time.Millisecond // the owner is asked again if so much passed before the first byte
+)
+
+// attempt is one send of a message to a worker. It is made by the loop; what it reads of the loop's state is copied.
+type attempt struct {
+	engine      *Engine
+	decider     *decider
+	job         *job
+	destination *destination
+	message     *message.Message
+	route       *configuration.Route
+	failures    int
+	address     string
+	instance    string // empty for a static endpoint
+	transport   *http.Transport
+	launched    time.Time
+
+	began      atomic.Bool // its first byte may be out
+	withdrawn  atomic.Bool
+	connection atomic.Pointer[workerConnection]
+}
+
+// launch starts an attempt, which the gate has let in.
+func (e *Engine) launch(d *decider, j *job, to *destination) {
+	a := &attempt{
+		engine:      e,
+		decider:     d,
+		job:         j,
+		destination: to,
+		message:     j.entry.message,
+		route:       j.route,
+		failures:    j.entry.failures,
+		address:     to.worker.Address,
+		transport:   to.transport,
+		launched:    time.Now(),
+	}
+	if !to.static {
+		a.instance = to.worker.ID
+	}
+	e.flights.Go(a.fly)
+}
+
+// fly makes the attempt, tells the owner what came of it, and then the loop.
+func (a *attempt) fly() {
+	r := a.run()
+	a.tellOwner(&r)
+	a.engine.gate.leave(a.message.Partition)
+	a.engine.mailbox.post(attemptEnded{a, r})
+}
+
+func (a *attempt) tellOwner(r *result) {
+	owner := a.engine.options.Owner
+	switch r.verdict {
+	case verdictCompleted:
+		r.ended = true
+		owner.Ended(a.message, message.Outcome{State: message.Completed, Stamp: r.stamp})
+	case verdictRejected:
+		r.ended = true
+		owner.Ended(a.message, deadLetter)
+	case verdictFailed:
+		failures := a.failures + 1
+		if r.ended = a.route.MaxAttempts > 0 && failures >= a.route.MaxAttempts; r.ended {
+			owner.Ended(a.message, deadLetter)
+			return
+		}
+		owner.Failed(a.message, failures)
+	}
+}
+
+// run sends the message and reads the answer.
+func (a *attempt) run() result {
+	body, err := a.engine.options.Owner.Body(a.message)
+	if err != nil {
+		a.engine.logger.Warn("a message's body can't be read", zap.String("message", a.message.ID), zap.Error(err))
+		return result{verdict: verdictUnreadable}
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), a.launched.Add(a.route.Timeout))
+	defer cancel()
+	request := a.request(ctx, body)
+	answer, err := a.transport.RoundTrip(request)
+	if err != nil {
+		return result{verdict: a.verdictOf(ctx)}
+	}
+	return a.read(ctx, answer)
+}
+
+// request makes the HTTP request of the attempt.
+func (a *attempt) request(ctx context.Context, body []byte) *http.Request {
+	request := &http.Request{
+		Method:     a.message.Method,
+		URL:        targetURL(a.address, a.message.Target),
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Host:       a.message.Host,
+		Header:     a.header(),
+		Body:       http.NoBody,
+	}
+	if len(body) > 0 {
+		request.ContentLength = int64(len(body))
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+	}
+	return request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConnection}))
+}
+
+func (a *attempt) header() http.Header {
+	left := a.route.Timeout - time.Since(a.launched)
+	header := http.Header{
+		headerRequestID: {a.message.RequestID},
+		headerDeadline:  {strconv.FormatInt(max(left.Milliseconds(), 1), 10)},
+		headerUserAgent: {""}, // none is sent
+	}
+	optional := []struct{ name, value string }{
+		{headerOrderKey, a.message.OrderKey},
+		{headerContentType, a.message.ContentType},
+		{headerExpectInstance, a.instance},
+	}
+	for _, field := range optional {
+		if field.value != "" {
+			header[field.name] = []string{field.value}
+		}
+	}
+	return header
+}
+
+// targetURL makes a URL that net/http writes byte for byte as the target came.
+func targetURL(address, target string) *url.URL {
+	if !strings.HasPrefix(target, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: target}
+	}
+	// An opaque part with two slashes in front would be written with the scheme.
+	path, query, hasQuery := strings.Cut(target, "?")
+	made := &url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	if plain, err := url.PathUnescape(path); err == nil {
+		made.Path, made.RawPath = plain, path
+	}
+	return made
+}
+
+// gotConnection notes which connection the attempt uses.
+func (a *attempt) gotConnection(info httptrace.GotConnInfo) {
+	if connection, ok := info.Conn.(*workerConnection); ok {
+		connection.attempt.Store(a)
+	}
+}
+
+// mayWrite is asked before each write: the first goes out only if the attempt may still start, and no attempt goes
+// out on a second connection.
+func (a *attempt) mayWrite(on *workerConnection) bool {
+	if a.began.Load() {
+		return a.connection.Load() == on
+	}
+	if a.destination.leaving.Load() || a.ownerObjects() {
+		a.withdrawn.Store(true)
+		return false
+	}
+	a.connection.Store(on)
+	a.began.Store(true)
+	return true
+}
+
+// ownerObjects asks the owner again if some time has passed since the loop did.
+func (a *attempt) ownerObjects() bool {
+	return time.Since(a.launched) > freshCheck && !a.engine.options.Owner.MayDeliver(a.message.Partition)
+}
+
+// verdictOf is the verdict of an attempt that got no answer.
+func (a *attempt) verdictOf(ctx context.Context) verdict {
+	switch {
+	case a.began.Load() && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdictTimedOut
+	case a.began.Load():
+		return verdictUncertain
+	case a.withdrawn.Load():
+		return verdictWithdrawn
+	default:
+		return verdictUnreachable
+	}
+}
+
+// read reads the answer whole and judges it. A connection on which something is wrong is closed.
+func (a *attempt) read(ctx context.Context, answer *http.Response) result {
+	judged := judge(answer, a.message.RequestID)
+	size, err := io.Copy(io.Discard, io.LimitReader(answer.Body, answerLimit))
+	_ = answer.Body.Close() // closes the connection unless all was read
+	if err != nil && judged.verdict.needsWhole() {
+		judged.verdict = a.verdictOf(ctx)
+	}
+	if err != nil || size == answerLimit || judged.verdict == verdictUncertain {
+		a.closeConnection()
+	}
+	return judged
+}
+
+func (a *attempt) closeConnection() {
+	if connection := a.connection.Load(); connection != nil {
+		_ = connection.Close()
+	}
+}
--- /dev/null
+++ b/internal/delivery/internal_test.go
@@ -0,0 +1,95 @@
+package delivery
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/message"
+)
+
+func TestTargetsAreWrittenAsTheyCame(t *testing.T) {
+	for _, target := range []string{"/", "/a/b", "/a%2Fb?x=1&y=%20", "/a?", "//a/b", "//a//b?q", "//a%2fb?", "/a b\u00e9", "*"} {
+		assert.Equal(t, targetURL("10.0.0.1:80", target).RequestURI(), target)
+	}
+}
+
+func TestKeepAliveTimeouts(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "timeout=5": 5 * time.Second, "max=3, Timeout = 1.5": 1500 * time.Millisecond,
+		"timeout=-1": 0, "timeout=x": 0, "timeout": 0} {
+		assert.Equal(t, keepAliveOf(http.Header{headerKeepAlive: {text}}), want, text)
+	}
+}
+
+func TestTokenBucket(t *testing.T) {
+	var bucket tokenBucket
+	now := time.Second
+	assert.Assert(t, bucket.take(now), "without a ceiling there is always a token")
+	bucket.setCeiling(now, 100, 2) // 46 a second, of which 3 may be saved up
+	assert.Assert(t, bucket.take(now))
+	assert.Assert(t, !bucket.take(now))
+	assert.Assert(t, bucket.wait(now) <= time.Second/46+time.Millisecond)
+	now += time.Minute
+	for range largestBurst {
+		assert.Assert(t, bucket.take(now))
+	}
+	assert.Assert(t, !bucket.take(now))
+	bucket.setCeiling(now, 100, 100) // 0.92 a second
+	assert.Assert(t, bucket.wait(now) > time.Second)
+	bucket.refund()
+	assert.Assert(t, bucket.take(now))
+}
+
+func TestWindow(t *testing.T) {
+	var w window
+	random := rand.New(rand.NewPCG(1, 1))
+	assert.Equal(t, w.capacity(0), 0)
+	assert.Equal(t, w.capacity(10), 10)
+	for range 4 {
+		w.full()
+	}
+	assert.Equal(t, w.capacity(10), 6)
+	assert.Equal(t, w.capacity(20), 16)
+	for range 20 {
+		w.failed(time.Second, 5, random)
+	}
+	assert.Equal(t, w.capacity(20), 1)
+	assert.Assert(t, w.resumeAt > time.Second && w.resumeAt <= time.Second+100*time.Millisecond)
+	w.answered(20)
+	assert.Equal(t, w.capacity(20), 3)
+	for range 30 {
+		w.answered(20)
+	}
+	assert.Equal(t, w.capacity(20), 20)
+}
+
+func TestChainsKeepTheSequence(t *testing.T) {
+	q := newQueue()
+	entryOf := func(sequence uint64) *entry {
+		return &entry{message: &message.Message{Sequence: sequence, OrderKey: "k"}}
+	}
+	first, second, third := entryOf(1), entryOf(2), entryOf(3)
+	for _, en := range []*entry{third, first, second} {
+		q.link(en)
+	}
+	assert.Assert(t, first.chain.first(first))
+	assert.Assert(t, q.unlink(second) == nil)
+	assert.Assert(t, q.unlink(first) == third)
+	third.placement = withDecider
+	early := entryOf(0)
+	q.link(early)
+	assert.Assert(t, third.chain.first(third), "one that is out stays the first")
+	assert.Assert(t, q.unlink(third) == early)
+	assert.Assert(t, q.unlink(early) == nil)
+	assert.Equal(t, len(q.chains)+len(q.partitions)+q.size, 0)
+}
+
+func TestWorkerNumbersThatCollide(t *testing.T) {
+	all := newDestinations(Options{})
+	all.byNumber[numberOf("i-2")] = all.add("i-1", cluster.Worker{ID: "i-1"})
+	assert.Equal(t, all.add("i-2", cluster.Worker{ID: "i-2"}).number, numberOf("i-2")+1)
+}
--- /dev/null
+++ b/internal/delivery/stats.go
@@ -0,0 +1,88 @@
+package delivery
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Stats are a few figures about an engine.
+type Stats struct {
+	Queued   int // messages that have not ended
+	InFlight int // attempts that are out
+	Services map[string]ServiceStats
+}
+
+// ServiceStats are a few figures about one service.
+type ServiceStats struct {
+	Due    int  // messages that could run now
+	Open   int  // messages that are with the decision module or out
+	Window int  // how many may be out
+	Ready  int  // workers
+	Down   bool // no worker has answered of late
+}
+
+// gauges are what the loop publishes after each turn.
+type gauges struct {
+	queued atomic.Int64
+	mutex  sync.Mutex // guards the map
+	byName map[string]*serviceGauge
+}
+
+type serviceGauge struct {
+	due, open, window, ready atomic.Int64
+	down                     atomic.Bool
+}
+
+// keep gives each service its gauge and forgets the others.
+func (g *gauges) keep(services map[string]*service) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.byName = make(map[string]*serviceGauge, len(services))
+	for name, s := range services {
+		if s.gauge == nil {
+			s.gauge = &serviceGauge{}
+		}
+		g.byName[name] = s.gauge
+	}
+}
+
+func (e *Engine) publishGauges() {
+	e.gauges.queued.Store(int64(e.queue.size))
+	for _, s := range e.services {
+		s.publishGauge()
+	}
+}
+
+func (s *service) publishGauge() {
+	due := 0
+	for _, l := range s.lanes {
+		due += l.dueCount()
+	}
+	limit := s.limit()
+	s.gauge.due.Store(int64(due))
+	s.gauge.open.Store(int64(s.open))
+	s.gauge.window.Store(int64(s.window.capacity(limit)))
+	s.gauge.ready.Store(int64(s.readyCount()))
+	s.gauge.down.Store(s.window.down)
+}
+
+// Stats returns the figures of the loop's last turn.
+func (e *Engine) Stats() Stats {
+	e.gauges.mutex.Lock()
+	defer e.gauges.mutex.Unlock()
+	stats := Stats{
+		Queued:   int(e.gauges.queued.Load()),
+		InFlight: e.InFlight(),
+		Services: make(map[string]ServiceStats, len(e.gauges.byName)),
+	}
+	for name, gauge := range e.gauges.byName {
+		stats.Services[name] = ServiceStats{
+			Due:    int(gauge.due.Load()),
+			Open:   int(gauge.open.Load()),
+			Window: int(gauge.window.Load()),
+			Ready:  int(gauge.ready.Load()),
+			Down:   gauge.down.Load(),
+		}
+	}
+	return stats
+}
--- /dev/null
+++ b/internal/delivery/tokens.go
@@ -0,0 +1,62 @@
+package delivery
+
+import "time"
+
+// How a service's ceiling is used. The rest is left for clocks and links that differ, and for attempts that several
+// stores start at one moment.
+const (
+	ceilingPart  = 0.92                   // of the ceiling, by all stores together
+	burstSpan    = 250 * time.Millisecond // so much of a store's part may be saved up
+	largestBurst = 3
+)
+
+// tokenBucket keeps sends under a rate. A rate of zero is no limit.
+type tokenBucket struct {
+	rate   float64 // tokens a second
+	burst  float64
+	tokens float64
+	filled time.Duration
+}
+
+// setCeiling gives the bucket this store's part of a service's ceiling.
+func (b *tokenBucket) setCeiling(now time.Duration, perSecond float64, deliverers int) {
+	b.fill(now)
+	fresh := b.burst == 0
+	b.rate = perSecond * ceilingPart / float64(max(deliverers, 1))
+	b.burst = min(max(b.rate*burstSpan.Seconds(), 1), largestBurst)
+	b.tokens = min(b.tokens, b.burst)
+	if fresh {
+		b.tokens = 1
+	}
+}
+
+func (b *tokenBucket) fill(now time.Duration) {
+	if now > b.filled {
+		b.tokens = min(b.tokens+b.rate*(now-b.filled).Seconds(), b.burst)
+		b.filled = now
+	}
+}
+
+// wait is how long it takes until a token is there.
+func (b *tokenBucket) wait(now time.Duration) time.Duration {
+	if b.rate <= 0 {
+		return 0
+	}
+	b.fill(now)
+	if b.tokens >= 1 {
+		return 0
+	}
+	return time.Duration((1-b.tokens)/b.rate*float64(time.Second)) + time.Microsecond
+}
+
+// take takes a token if there is one.
+func (b *tokenBucket) take(now time.Duration) bool {
+	if b.wait(now) > 0 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// refund gives back a token that was not used.
+func (b *tokenBucket) refund() { b.tokens = min(b.tokens+1, b.burst) }
--- /dev/null
+++ b/internal/delivery/transport.go
@@ -0,0 +1,68 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	longestDial       = time.Second
+	answerHeaderLimit = 64 << 10
+	bufferSize        = 4 << 10
+)
+
+// errWithdrawn means that an attempt was called off before its first byte.
+var errWithdrawn = errors.New("delivery: attempt withdrawn")
+
+// dialer opens a connection to a worker.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newDialer makes the dialer of an engine. Its connections ask their attempt before the first byte.
+func newDialer(options Options) dialer {
+	limit := longestDial
+	if options.Drain > 0 {
+		limit = min(limit, options.Drain/2)
+	}
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		connection, err := options.Network.Dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &workerConnection{Conn: connection}, nil
+	}
+}
+
+// newTransport makes the HTTP transport to one worker: HTTP/1.1, without proxies and compression.
+func newTransport(dial dialer, connections int, idle time.Duration) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxConnsPerHost:        connections,
+		MaxIdleConns:           connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idle,
+		MaxResponseHeaderBytes: answerHeaderLimit,
+		ReadBufferSize:         bufferSize,
+		WriteBufferSize:        bufferSize,
+	}
+}
+
+// workerConnection is a connection that lets an attempt's bytes pass only if the attempt may still start.
+type workerConnection struct {
+	net.Conn
+	attempt atomic.Pointer[attempt] // the one that uses it
+}
+
+// Write implements net.Conn.
+func (c *workerConnection) Write(data []byte) (int, error) {
+	if user := c.attempt.Load(); user != nil && !user.mayWrite(c) {
+		return 0, errWithdrawn
+	}
+	return c.Conn.Write(data)
+}
--- /dev/null
+++ b/internal/messagestore/client.go
@@ -0,0 +1,297 @@
+package messagestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/message"
+	"ivyfold/internal/rpc"
+)
+
+const (
+	putTimeout     = time.Second
+	queryTimeout   = 600 * time.Millisecond
+	retryPause     = 25 * time.Millisecond
+	suspectFor     = 300 * time.Millisecond
+	refusePatience = 300 * time.Millisecond // how long a message that could go anywhere is offered round
+	answerReserve  = 60 * time.Millisecond  // kept of the caller's time for the answer
+)
+
+// Client hands messages to the stores and asks for them, for a front.
+type Client struct {
+	zone   string
+	pool   *rpc.Pool
+	table  func() *cluster.Table
+	report func(report cluster.Report)
+
+	mu       sync.Mutex
+	suspects map[string]time.Time // by store: not preferred until then
+	routed   *cluster.Table       // the table that near and far were made from
+	near     []int                // partitions whose primary stands in this zone
+	far      []int                // all other partitions that have a primary
+}
+
+// NewClient returns a client of the stores that a table lists. Stores that can't be reached are reported.
+func NewClient(zone string, pool *rpc.Pool, table func() *cluster.Table, report func(cluster.Report)) *Client {
+	return &Client{zone: zone, pool: pool, table: table, report: report, suspects: make(map[string]time.Time)}
+}
+
+// Ready tells whether a message could be kept now.
+func (c *Client) Ready() bool {
+	table := c.table()
+	if table == nil {
+		return false
+	}
+	for _, view := range table.Partitions {
+		if len(view.Replicas) >= table.Copies {
+			return true
+		}
+	}
+	return false
+}
+
+// placement is where a message is to be kept: its partition, and the ID that names it.
+type placement struct {
+	partition int
+	id        string
+	sent      bool // the message may have reached a store under this ID
+}
+
+// Put has a message kept. An error that is message.ErrNotKept promises that it is not and will never run.
+func (c *Client) Put(
+	ctx context.Context, submission message.Submission, ordered bool, body []byte,
+) (string, error) {
+	ordered = ordered && submission.Message.OrderKey != ""
+	started := time.Now()
+	var place *placement
+	for {
+		if place == nil {
+			place = c.place(submission.Message.OrderKey, ordered)
+		}
+		if place != nil {
+			err := c.putOnce(ctx, place, submission, body)
+			if err == nil {
+				return place.id, nil
+			}
+			if rpc.CodeOf(err) == rpc.CodeInvalid {
+				return "", trace.Wrap(err)
+			}
+		}
+		sent := place != nil && place.sent
+		if !sent && !ordered && time.Since(started) > refusePatience || !c.pause(ctx) {
+			return "", c.putError(sent)
+		}
+		if !sent && !ordered {
+			place = nil
+		}
+	}
+}
+
+func (c *Client) putError(sent bool) error {
+	if sent {
+		return errors.New("no answer from the stores")
+	}
+	return trace.Wrap(message.ErrNotKept)
+}
+
+// pause waits before the next try, and tells whether there is time for one.
+func (c *Client) pause(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	if limited && time.Until(deadline) < retryPause+answerReserve {
+		return false
+	}
+	wait(ctx, retryPause)
+	return ctx.Err() == nil
+}
+
+// putOnce makes one call.
+func (c *Client) putOnce(
+	ctx context.Context, place *placement, submission message.Submission, body []byte,
+) error {
+	submission.Message.Partition, submission.Message.ID = place.partition, place.id
+	entry := c.primary(place.partition)
+	if entry == nil {
+		return trace.Wrap(rpc.ErrNotSent)
+	}
+	ctx, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	_, err := c.pool.Get(entry.Address).Call(ctx, methodPut, putRequest{submission}, body, nil)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, rpc.ErrNotSent):
+		c.suspect(entry, ctx.Err() == nil)
+	case errors.Is(err, rpc.ErrLost):
+		place.sent = true
+		c.suspect(entry, ctx.Err() == nil)
+	case rpc.CodeOf(err) != rpc.CodeNotLeader && rpc.CodeOf(err) != rpc.CodeUnavailable:
+		place.sent = true
+	}
+	return err
+}
+
+// suspect notes and reports that a store can't be reached.
+func (c *Client) suspect(entry *cluster.StoreEntry, refused bool) {
+	c.mu.Lock()
+	last := c.suspects[entry.Name]
+	c.suspects[entry.Name] = time.Now().Add(suspectFor)
+	c.mu.Unlock()
+	if time.Now().After(last) {
+		c.report(cluster.Report{Node: entry.Name, Address: entry.Address, Refused: refused})
+	}
+}
+
+// place picks a partition: by the order key where there is one, else any with a primary at hand.
+func (c *Client) place(orderKey string, ordered bool) *placement {
+	table := c.table()
+	if table == nil || len(table.Partitions) == 0 {
+		return nil
+	}
+	if ordered {
+		hash := fnv.New64a()
+		hash.Write([]byte(orderKey))
+		return newPlacement(int(hash.Sum64() % uint64(len(table.Partitions))))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.route(table)
+	for _, candidates := range [][]int{c.near, c.far} {
+		if id, found := c.anyOf(table, candidates); found {
+			return newPlacement(id)
+		}
+	}
+	return nil
+}
+
+// newPlacement names a message; the name's first part is the partition.
+func newPlacement(partition int) *placement {
+	return &placement{partition: partition, id: fmt.Sprintf("%x-%016x", partition, rand.Uint64())}
+}
+
+// route sorts the partitions by where their primaries stand. The caller holds the lock.
+func (c *Client) route(table *cluster.Table) {
+	if c.routed == table {
+		return
+	}
+	c.routed, c.near, c.far = table, nil, nil
+	for _, view := range table.Partitions {
+		primary, found := view.Primary()
+		entry := table.Store(primary.Store)
+		if !found || entry == nil || len(view.Replicas) < table.Copies {
+			continue
+		}
+		if entry.Zone == c.zone && entry.State == cluster.StoreActive {
+			c.near = append(c.near, view.ID)
+		} else {
+			c.far = append(c.far, view.ID)
+		}
+	}
+}
+
+// anyOf picks a candidate at random whose primary is not suspect. The caller holds the lock.
+func (c *Client) anyOf(table *cluster.Table, candidates []int) (int, bool) {
+	if len(candidates) == 0 {
+		return 0, false
+	}
+	first := rand.IntN(len(candidates))
+	now := time.Now()
+	for i := range candidates {
+		id := candidates[(first+i)%len(candidates)]
+		primary, _ := table.Partitions[id].Primary()
+		if now.After(c.suspects[primary.Store]) {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+// primary returns the store that leads a partition, or nil.
+func (c *Client) primary(id int) *cluster.StoreEntry {
+	table := c.table()
+	if table == nil || id < 0 || id >= len(table.Partitions) {
+		return nil
+	}
+	replica, found := table.Partitions[id].Primary()
+	if !found {
+		return nil
+	}
+	return table.Store(replica.Store)
+}
+
+// State asks for a message's state.
+func (c *Client) State(ctx context.Context, id string) (message.Outcome, error) {
+	var outcome message.Outcome
+	_, err := c.query(ctx, methodState, id, &outcome)
+	return outcome, err
+}
+
+// Body asks for a message's body.
+func (c *Client) Body(ctx context.Context, id string) ([]byte, error) {
+	body, err := c.query(ctx, methodBody, id, nil)
+	if errors.Is(err, message.ErrUnknown) {
+		return nil, trace.Wrap(message.ErrNoBody)
+	}
+	return body, err
+}
+
+// query asks the partition's replicas in turn, the primary first, until one knows.
+func (c *Client) query(ctx context.Context, method, id string, result any) ([]byte, error) {
+	partition, err := partitionOf(id)
+	if err != nil {
+		return nil, trace.Wrap(message.ErrUnknown)
+	}
+	for {
+		body, err := c.queryOnce(ctx, method, partition, id, result)
+		if err == nil || errors.Is(err, message.ErrUnknown) || !c.pause(ctx) {
+			return body, err
+		}
+	}
+}
+
+func (c *Client) queryOnce(ctx context.Context, method string, partition int, id string, result any) ([]byte, error) {
+	table := c.table()
+	if table == nil {
+		return nil, errors.New("no cluster table yet")
+	}
+	if partition >= len(table.Partitions) {
+		return nil, trace.Wrap(message.ErrUnknown)
+	}
+	last := errors.New("the partition has no replica")
+	for _, replica := range table.Partitions[partition].Replicas {
+		entry := table.Store(replica.Store)
+		if entry == nil {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, queryTimeout)
+		body, err := c.pool.Get(entry.Address).Call(limited, method, queryRequest{partition, id}, nil, result)
+		cancel()
+		if err == nil {
+			return body, nil
+		}
+		if rpc.CodeOf(err) == rpc.CodeNotFound {
+			return nil, trace.Wrap(message.ErrUnknown)
+		}
+		last = err
+	}
+	return nil, trace.Wrap(last)
+}
+
+// partitionOf reads the partition from a message's ID.
+func partitionOf(id string) (int, error) {
+	prefix, _, found := strings.Cut(id, "-")
+	if !found {
+		return 0, fmt.Errorf("message ID %q names no partition", id)
+	}
+	partition, err := strconv.ParseUint(prefix, 16, 31)
+	return int(partition), err
+}
--- /dev/null
+++ b/internal/messagestore/drain.go
@@ -0,0 +1,118 @@
+package messagestore
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyfold/internal/cluster"
+)
+
+// Drain hands every partition that the store leads to another store: deliveries stop, those that are out end, their
+// outcomes reach the backups, and the control plane promotes one of them. It returns when the store leads nothing,
+// or when the context ends.
+func (s *Store) Drain(ctx context.Context) {
+	for ctx.Err() == nil {
+		led := s.ledPartitions()
+		if len(led) == 0 {
+			return
+		}
+		for _, id := range led {
+			s.pause(id)
+		}
+		handed := false
+		for _, id := range led {
+			if s.engine.InFlightOf(id) == 0 {
+				handed = s.handOver(ctx, id) || handed
+			}
+		}
+		if !handed {
+			wait(ctx, handoverPoll)
+		}
+	}
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (s *Store) ledPartitions() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var led []int
+	for id, p := range s.partitions {
+		if p.leading {
+			led = append(led, id)
+		}
+	}
+	return led
+}
+
+// pause stops a partition's deliveries.
+func (s *Store) pause(id int) {
+	s.mu.Lock()
+	if p := s.partitions[id]; p != nil {
+		p.paused = true
+		s.setGate(p)
+	}
+	s.mu.Unlock()
+	s.engine.PausePartition(id)
+}
+
+// resume takes a partition's deliveries up again after a handover that did not come about.
+func (s *Store) resume(id int) {
+	s.mu.Lock()
+	if p := s.partitions[id]; p != nil {
+		p.paused = false
+		s.setGate(p)
+	}
+	s.mu.Unlock()
+	s.engine.ResumePartition(id)
+}
+
+// handOver brings the backups up to date and asks for a new primary. Deliveries of the partition have stopped.
+func (s *Store) handOver(ctx context.Context, id int) bool {
+	s.mu.Lock()
+	p := s.partitions[id]
+	if p == nil || !p.leading {
+		s.mu.Unlock()
+		return true
+	}
+	epoch := p.epoch
+	var backups []*peer
+	for _, replica := range p.backups() {
+		if p.resync[replica.DiskID] == nil {
+			backups = append(backups, s.peer(replica))
+		}
+	}
+	s.mu.Unlock()
+	for _, backup := range backups {
+		flushed, cancel := context.WithTimeout(ctx, replicateTimeout)
+		err := backup.flush(flushed, p)
+		cancel()
+		if err != nil {
+			s.logger.Info("flushing to a backup", zap.Int("partition", id), zap.Error(err))
+			return false
+		}
+	}
+	if len(backups) == 0 {
+		return false
+	}
+	if err := s.ask(cluster.PartitionAsk{Partition: id, Epoch: epoch, Handover: true}); err != nil {
+		s.logger.Info("handing a partition over", zap.Int("partition", id), zap.Error(err))
+		return false
+	}
+	s.mu.Lock()
+	if p.leading && p.epoch == epoch {
+		s.stepDown(p)
+		p.epoch = epoch + 1
+	}
+	s.mu.Unlock()
+	return true
+}
--- /dev/null
+++ b/internal/messagestore/harness_test.go
@@ -0,0 +1,301 @@
+package messagestore
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/journal"
+	"ivyfold/internal/message"
+	"ivyfold/internal/network/simulated"
+	"ivyfold/internal/rpc"
+)
+
+const (
+	testPartitions = 2
+	testCopies     = 2
+	testPort       = 7000
+)
+
+// testEngine records what a store gives its delivery engine.
+type testEngine struct {
+	mu        sync.Mutex
+	submitted []*message.Message
+	released  []int
+	inFlight  atomic.Int64
+}
+
+func (e *testEngine) Submit(m *message.Message, _ int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.submitted = append(e.submitted, m)
+}
+
+func (e *testEngine) Release(partition int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.released = append(e.released, partition)
+}
+
+func (e *testEngine) PausePartition(int)  {}
+func (e *testEngine) ResumePartition(int) {}
+func (e *testEngine) InFlightOf(int) int  { return int(e.inFlight.Load()) }
+
+func (e *testEngine) ids() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var ids []string
+	for _, m := range e.submitted {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// machine is a simulated store machine.
+type machine struct {
+	name   string
+	ip     string
+	disk   *journal.Memory
+	store  *Store
+	engine *testEngine
+	server *rpc.Server
+	pool   *rpc.Pool
+}
+
+// harness plays the control plane for a few stores.
+type harness struct {
+	t        *testing.T
+	network  *simulated.Network
+	machines map[string]*machine
+	names    []string
+	clients  *rpc.Pool
+
+	mu       sync.Mutex
+	table    *cluster.Table
+	leases   atomic.Bool
+	refusing bool // asks are refused
+}
+
+func newHarness(t *testing.T, names ...string) *harness {
+	h := &harness{t: t, network: simulated.New(1), machines: make(map[string]*machine), names: names}
+	h.leases.Store(true)
+	h.clients = rpc.NewPool(h.network.Host("10.0.1.1"))
+	for i, name := range names {
+		h.machines[name] = &machine{
+			name: name, ip: fmt.Sprintf("10.0.0.%d", i+1), disk: journal.NewMemory(uint64(i)),
+		}
+	}
+	table := &cluster.Table{Revision: 1, Copies: testCopies, Deliverers: len(names)}
+	for i, name := range names {
+		table.Stores = append(table.Stores, cluster.StoreEntry{
+			Name: name, Zone: fmt.Sprintf("z%d", i), Address: h.address(name), DiskID: "disk-" + name,
+			State: cluster.StoreActive,
+		})
+	}
+	for id := range testPartitions {
+		table.Partitions = append(table.Partitions, cluster.Partition{
+			ID: id, Epoch: 1, Replicas: []cluster.Replica{h.replica(names[id%len(names)]), h.replica(names[(id+1)%len(names)])},
+		})
+	}
+	h.table = table
+	for _, name := range names {
+		h.start(name)
+	}
+	return h
+}
+
+func (h *harness) address(name string) string {
+	return fmt.Sprintf("%s:%d", h.machines[name].ip, testPort)
+}
+
+func (h *harness) replica(name string) cluster.Replica {
+	return cluster.Replica{Store: name, DiskID: "disk-" + name, Synced: true}
+}
+
+// start starts a store's process.
+func (h *harness) start(name string) {
+	m := h.machines[name]
+	host := h.network.Host(m.ip)
+	m.server, m.pool, m.engine = rpc.NewServer(zap.NewNop()), rpc.NewPool(host), &testEngine{}
+	opened, err := Open(Options{
+		Name: name, DiskID: "disk-" + name, FS: m.disk.Mount(), Pool: m.pool, Server: m.server, Control: h,
+		Logger: zap.NewNop(), Copies: testCopies, StatusFor: time.Minute, DiskBytes: 64 << 20, CacheBytes: 1 << 20,
+	})
+	assert.NilError(h.t, err)
+	m.store = opened
+	m.store.Start(m.engine)
+	listener, err := host.Listen(h.address(name))
+	assert.NilError(h.t, err)
+	go m.server.Serve(listener)
+	h.mu.Lock()
+	table := h.table
+	h.mu.Unlock()
+	m.store.ApplyTable(table)
+}
+
+// stop ends a store's process without any farewell.
+func (h *harness) stop(name string) {
+	m := h.machines[name]
+	h.network.Kill(m.ip)
+	m.disk.Crash()
+	m.server.Close()
+	m.pool.Close()
+	m.store.Close()
+}
+
+// close ends everything.
+func (h *harness) close() {
+	h.clients.Close()
+	for _, m := range h.machines {
+		m.server.Close()
+		m.pool.Close()
+		m.store.Close()
+	}
+}
+
+// update changes the table and distributes it.
+func (h *harness) update(change func(table *cluster.Table)) {
+	h.mu.Lock()
+	next := *h.table
+	next.Stores = slices.Clone(next.Stores)
+	next.Partitions = slices.Clone(next.Partitions)
+	for i := range next.Partitions {
+		next.Partitions[i].Replicas = slices.Clone(next.Partitions[i].Replicas)
+	}
+	change(&next)
+	next.Revision++
+	h.table = &next
+	h.mu.Unlock()
+	for _, m := range h.machines {
+		go m.store.ApplyTable(&next)
+	}
+}
+
+func (h *harness) setView(id int, names ...string) {
+	h.update(func(table *cluster.Table) {
+		view := &table.Partitions[id]
+		view.Epoch++
+		view.Replicas = nil
+		for _, name := range names {
+			view.Replicas = append(view.Replicas, h.replica(name))
+		}
+	})
+}
+
+func (h *harness) currentTable() *cluster.Table {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table
+}
+
+// PartitionAsk implements Control as the control plane does.
+func (h *harness) PartitionAsk(_ context.Context, ask cluster.PartitionAsk) error {
+	h.mu.Lock()
+	view := h.table.Partitions[ask.Partition]
+	refusing := h.refusing
+	h.mu.Unlock()
+	if refusing || view.Epoch != ask.Epoch || view.Replicas[0].Store != ask.Store {
+		return &rpc.Error{Code: rpc.CodeConflict}
+	}
+	switch {
+	case ask.Drop != "":
+		h.replace(ask.Partition, ask.Drop)
+	case ask.Synced != "":
+		h.update(func(table *cluster.Table) {
+			view := &table.Partitions[ask.Partition]
+			view.Epoch++
+			view.Replicas[view.Find(ask.Synced)].Synced = true
+		})
+	case ask.Handover:
+		h.update(func(table *cluster.Table) {
+			view := &table.Partitions[ask.Partition]
+			view.Epoch++
+			view.Replicas[0], view.Replicas[1] = view.Replicas[1], view.Replicas[0]
+		})
+	}
+	return nil
+}
+
+// replace puts a store that is not in a group into the place of one that is.
+func (h *harness) replace(id int, dropped string) {
+	h.update(func(table *cluster.Table) {
+		view := &table.Partitions[id]
+		for _, name := range h.names {
+			if view.Find(name) >= 0 {
+				continue
+			}
+			added := h.replica(name)
+			added.Synced = false
+			view.Epoch++
+			view.Replicas[view.Find(dropped)] = added
+			return
+		}
+	})
+}
+
+func (h *harness) Report(context.Context, cluster.Report) error { return nil }
+func (h *harness) LeaseValid() bool                             { return h.leases.Load() }
+
+func (h *harness) client() *Client {
+	return NewClient("z0", h.clients, h.currentTable, func(cluster.Report) {})
+}
+
+// put hands a message in and returns its ID.
+func (h *harness) put(requestID, orderKey string, body string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	submission := message.Submission{RetentionMS: 90_000, Message: message.Message{
+		Route: "r", Host: "h", Method: "POST", Target: "/x", RequestID: requestID, OrderKey: orderKey,
+	}}
+	return h.client().Put(ctx, submission, orderKey != "", []byte(body))
+}
+
+func (h *harness) mustPut(requestID, orderKey, body string) string {
+	h.t.Helper()
+	id, err := h.put(requestID, orderKey, body)
+	assert.NilError(h.t, err)
+	return id
+}
+
+func (h *harness) state(id string) (message.Outcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return h.client().State(ctx, id)
+}
+
+func (h *harness) body(id string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	body, err := h.client().Body(ctx, id)
+	return string(body), err
+}
+
+// leader returns the machine that the table names as a message's primary.
+func (h *harness) leader(id string) *machine {
+	partition, err := partitionOf(id)
+	assert.NilError(h.t, err)
+	primary, _ := h.currentTable().Partitions[partition].Primary()
+	return h.machines[primary.Store]
+}
+
+// messageOf returns a message as its primary's engine got it.
+func (h *harness) messageOf(id string) *message.Message {
+	engine := h.leader(id).engine
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	for _, m := range engine.submitted {
+		if m.ID == id {
+			return m
+		}
+	}
+	h.t.Fatalf("message %s was not submitted", id)
+	return nil
+}
--- /dev/null
+++ b/internal/messagestore/index.go
@@ -0,0 +1,131 @@
+package messagestore
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/journal"
+	"ivyfold/internal/message"
+)
+
+// entry is what the index holds of one message.
+type entry struct {
+	message  *message.Message // nil once a completed message's details are not needed any more
+	position journal.Position // of the accepted record, whose bytes hold the body
+	body     []byte           // only while the store leads the partition and the message has not ended
+	failures int
+	outcome  message.Outcome // State is Queued until the message has ended
+	endedAt  time.Time
+	pending  *pendingWrite // the commit under way, nil when committed
+}
+
+// ended tells whether the message has ended.
+func (e *entry) ended() bool { return e.outcome.State != message.Queued }
+
+// needsBody tells whether the body may still be asked for.
+func (e *entry) needsBody() bool { return e.message != nil && e.outcome.State != message.Completed }
+
+// partition is what the store holds of one partition.
+type partition struct {
+	id      int
+	epoch   uint64 // the highest epoch seen; older ones are refused
+	view    cluster.Partition
+	held    bool // the newest view lists this store's disk
+	leading bool
+	paused  bool // deliveries are being handed over
+	entries map[string]*entry
+	last    uint64                  // the highest sequence number seen
+	pending map[*pendingWrite]bool  // writes that wait for replicas
+	resync  map[string]*resyncState // by disk id: backups that may lack records
+}
+
+func newPartition(id int) *partition {
+	return &partition{
+		id:      id,
+		entries: make(map[string]*entry),
+		pending: make(map[*pendingWrite]bool),
+		resync:  make(map[string]*resyncState),
+	}
+}
+
+// backups returns the replicas behind the primary.
+func (p *partition) backups() []cluster.Replica {
+	if len(p.view.Replicas) == 0 {
+		return nil
+	}
+	return p.view.Replicas[1:]
+}
+
+// live returns the entries that have not ended, in their order of acceptance.
+func (p *partition) live() []*entry {
+	var found []*entry
+	for _, each := range p.entries {
+		if !each.ended() {
+			found = append(found, each)
+		}
+	}
+	slices.SortFunc(found, func(a, b *entry) int {
+		return cmp.Compare(a.message.Sequence, b.message.Sequence)
+	})
+	return found
+}
+
+// apply takes a record into the index. The position is where the record stands in this store's log.
+func (p *partition) apply(r *record, position journal.Position) {
+	p.epoch = max(p.epoch, r.Epoch)
+	switch r.Kind {
+	case recordAccepted:
+		p.applyAccepted(r, position)
+	case recordFailed:
+		if found := p.entries[r.ID]; found != nil {
+			found.failures = max(found.failures, r.Failures)
+		}
+	case recordEnded:
+		p.applyEnded(r)
+	case recordForget:
+		clear(p.entries)
+	}
+}
+
+func (p *partition) applyAccepted(r *record, position journal.Position) {
+	p.last = max(p.last, r.Message.Sequence)
+	if found := p.entries[r.Message.ID]; found != nil {
+		found.position = position
+		if found.message == nil && found.outcome.State != message.Completed {
+			found.message = r.Message
+		}
+		return
+	}
+	p.entries[r.Message.ID] = &entry{
+		message:  r.Message,
+		position: position,
+		failures: r.Failures,
+		outcome:  message.Outcome{State: message.Queued},
+	}
+}
+
+func (p *partition) applyEnded(r *record) {
+	if r.Outcome == nil {
+		return
+	}
+	found := p.entries[r.ID]
+	if found == nil {
+		found = &entry{}
+		p.entries[r.ID] = found
+	}
+	found.outcome, found.endedAt = *r.Outcome, r.EndedAt
+	found.body = nil
+	if r.Outcome.State == message.Completed {
+		found.message = nil
+	}
+}
+
+// endedRecord returns the record that tells how an entry ended.
+func (p *partition) endedRecord(id string, e *entry) *record {
+	outcome := e.outcome
+	return &record{
+		Kind: recordEnded, Partition: p.id, Epoch: p.epoch, ID: id, Outcome: &outcome, EndedAt: e.endedAt,
+	}
+}
--- /dev/null
+++ b/internal/messagestore/limits.go
@@ -0,0 +1,43 @@
+package messagestore
+
+import "time"
+
+const (
+	// restartGap is left in the numbering after a restart, for records that were lost with their power.
+	restartGap = 1 << 16
+	// epochShift places the epoch above the counter in a sequence number.
+	epochShift = 32
+
+	backupLease       = time.Second
+	outcomeTimeout    = time.Second
+	replicateTimeout  = 600 * time.Millisecond
+	inventoryTimeout  = time.Second
+	askTimeout        = time.Second
+	resyncTimeout     = 5 * time.Second
+	resyncPause       = 200 * time.Millisecond
+	resyncPatience    = 600 * time.Millisecond
+	maintainInterval  = 200 * time.Millisecond
+	forgetInterval    = 5 * time.Second
+	heartbeatInterval = 300 * time.Millisecond
+	handoverPoll      = 10 * time.Millisecond
+
+	batchBytes = 256 << 10 // records in one call to a backup, about
+
+	defaultCacheBytes = 24 << 20
+
+	leastSegmentBytes = 1 << 20
+	mostSegmentBytes  = 8 << 20
+	segmentsOnDisk    = 24 // of the disk's size, at least
+	compactAbove      = 3  // the log may take one part in so many of the disk before it is compacted
+	compactionPart    = 2  // of all segments, one in so many is emptied at a time
+	fullAbove         = 9  // the log takes no message when it fills so many parts
+	fullOf            = 10 // of so many
+)
+
+// segmentBytes returns the size of a segment for a disk.
+func segmentBytes(disk int64) int64 {
+	if disk <= 0 {
+		return mostSegmentBytes
+	}
+	return min(max(disk/segmentsOnDisk, leastSegmentBytes), mostSegmentBytes)
+}
--- /dev/null
+++ b/internal/messagestore/query.go
@@ -0,0 +1,62 @@
+package messagestore
+
+import (
+	"context"
+
+	"ivyfold/internal/message"
+	"ivyfold/internal/rpc"
+)
+
+func (s *Store) handleState(_ context.Context, call *rpc.Call) (any, []byte, error) {
+	var request queryRequest
+	if err := call.Decode(&request); err != nil {
+		return nil, nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, err := s.find(&request)
+	if err != nil {
+		return nil, nil, err
+	}
+	return found.outcome, nil, nil
+}
+
+func (s *Store) handleBody(_ context.Context, call *rpc.Call) (any, []byte, error) {
+	var request queryRequest
+	if err := call.Decode(&request); err != nil {
+		return nil, nil, err
+	}
+	s.mu.Lock()
+	found, err := s.find(&request)
+	if err != nil {
+		s.mu.Unlock()
+		return nil, nil, err
+	}
+	state, position, body := found.outcome.State, found.position, found.body
+	s.mu.Unlock()
+	if state == message.Completed {
+		return nil, nil, &rpc.Error{Code: rpc.CodeNotFound, Message: "completed"}
+	}
+	if body == nil {
+		if body, err = s.readBody(position); err != nil {
+			return nil, nil, &rpc.Error{Code: rpc.CodeUnavailable, Message: err.Error()}
+		}
+	}
+	return nil, body, nil
+}
+
+// find returns a message's entry. Only the primary's word that there is none counts. The caller holds the lock.
+func (s *Store) find(request *queryRequest) (*entry, error) {
+	p := s.partitions[request.Partition]
+	if p == nil || !p.held {
+		return nil, &rpc.Error{Code: rpc.CodeUnavailable, Message: "not a replica"}
+	}
+	found := p.entries[request.ID]
+	if found == nil && p.leading {
+		return nil, &rpc.Error{Code: rpc.CodeNotFound}
+	}
+	if found == nil || found.message == nil && found.outcome.State == message.Queued {
+		return nil, &rpc.Error{Code: rpc.CodeUnavailable, Message: "not held here"}
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/messagestore/replicate.go
@@ -0,0 +1,262 @@
+package messagestore
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/rpc"
+)
+
+// peer sends records to one backup's disk, in order, one call at a time; what gathers meanwhile goes in the next.
+type peer struct {
+	store    *Store
+	replica  cluster.Replica
+	wake     chan struct{}
+	queue    []outgoing
+	answered atomic.Pointer[time.Time] // when it last answered, counted from the call's start
+}
+
+// outgoing is a record on its way to a backup.
+type outgoing struct {
+	partition int
+	epoch     uint64
+	line      []byte
+	body      []byte
+	write     *pendingWrite   // waits for it; nil for records that nobody waits for
+	done      func(err error) // called without the lock; nil for most
+}
+
+func (o *outgoing) size() int { return len(o.line) + len(o.body) }
+
+// peer returns the sender to a backup's disk. The caller holds the lock.
+func (s *Store) peer(replica cluster.Replica) *peer {
+	found := s.peers[replica.DiskID]
+	if found == nil {
+		found = &peer{store: s, replica: replica, wake: make(chan struct{}, 1)}
+		s.peers[replica.DiskID] = found
+		s.background.Go(found.run)
+	}
+	return found
+}
+
+// sendTo queues a record for a backup. The caller holds the lock.
+func (s *Store) sendTo(p *partition, replica cluster.Replica, line []byte, write *pendingWrite) {
+	out := outgoing{partition: p.id, epoch: p.epoch, line: line, write: write}
+	if write != nil {
+		out.body = write.body
+	}
+	s.peer(replica).enqueue(out)
+}
+
+// enqueue adds a record. The caller holds the store's lock.
+func (d *peer) enqueue(out outgoing) {
+	d.queue = append(d.queue, out)
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends what is queued until the store closes.
+func (d *peer) run() {
+	for {
+		select {
+		case <-d.store.context.Done():
+			return
+		case <-d.wake:
+		}
+		for batch := d.take(); len(batch) > 0; batch = d.take() {
+			d.send(batch)
+		}
+	}
+}
+
+// take removes the next batch from the queue.
+func (d *peer) take() []outgoing {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	size, count := 0, 0
+	for count < len(d.queue) && (count == 0 || size+d.queue[count].size() <= batchBytes) {
+		size += d.queue[count].size()
+		count++
+	}
+	batch := slices.Clone(d.queue[:count])
+	d.queue = slices.Delete(d.queue, 0, count)
+	if len(d.queue) == 0 {
+		d.queue = nil
+	}
+	return batch
+}
+
+// send makes one call of a batch and takes its answer in.
+func (d *peer) send(batch []outgoing) {
+	request := replicateRequest{From: d.store.options.Name}
+	var body []byte
+	for i := range batch {
+		body = append(append(body, batch[i].line...), batch[i].body...)
+		item := replicateItem{Partition: batch[i].partition, Epoch: batch[i].epoch, Length: batch[i].size()}
+		request.Records = append(request.Records, item)
+	}
+	started := time.Now()
+	var response replicateResponse
+	err := d.call(methodReplicate, replicateTimeout, request, body, &response)
+	if err != nil {
+		d.store.logger.Debug("replicating", zap.String("backup", d.replica.Store), zap.Error(err))
+	}
+	d.finish(batch, started, response.Refused, err)
+}
+
+// call calls the backup at the address that the table gives for it now.
+func (d *peer) call(method string, limit time.Duration, request any, body []byte, response any) error {
+	d.store.mu.Lock()
+	entry := d.store.table.Store(d.replica.Store)
+	d.store.mu.Unlock()
+	if entry == nil || entry.DiskID != d.replica.DiskID {
+		return rpc.ErrNotSent
+	}
+	ctx, cancel := context.WithTimeout(d.store.context, limit)
+	defer cancel()
+	_, err := d.store.options.Pool.Get(entry.Address).Call(ctx, method, request, body, response)
+	if errors.Is(err, rpc.ErrNotSent) || errors.Is(err, rpc.ErrLost) {
+		d.store.report(d.replica.Store, entry.Address, ctx.Err() == nil)
+	}
+	return err
+}
+
+// report tells the control plane of a store that can't be reached.
+func (s *Store) report(store, address string, refused bool) {
+	s.background.Go(func() {
+		ctx, cancel := context.WithTimeout(s.context, askTimeout)
+		defer cancel()
+		report := cluster.Report{Node: store, Address: address, Refused: refused}
+		if err := s.options.Control.Report(ctx, report); err != nil {
+			s.logger.Debug("reporting a store", zap.String("store", store), zap.Error(err))
+		}
+	})
+}
+
+// finish takes the answer to a batch in.
+func (d *peer) finish(batch []outgoing, started time.Time, refused []int, err error) {
+	s := d.store
+	s.mu.Lock()
+	if err == nil {
+		d.answered.Store(&started)
+	}
+	for i := range batch {
+		out := &batch[i]
+		p := s.partition(out.partition)
+		switch {
+		case err == nil && !slices.Contains(refused, out.partition):
+			if out.write != nil {
+				out.write.synced[d.replica.DiskID] = true
+				s.commitIfSynced(p, out.write)
+			}
+		case p.leading && p.view.Find(d.replica.Store) > 0:
+			if out.write != nil {
+				delete(out.write.sent, d.replica.DiskID)
+			}
+			s.needResync(p, d.replica)
+		}
+	}
+	s.mu.Unlock()
+	for i := range batch {
+		if batch[i].done != nil {
+			batch[i].done(err)
+		}
+	}
+}
+
+// flush waits until everything queued for a backup so far has been answered.
+func (d *peer) flush(ctx context.Context, p *partition) error {
+	answered := make(chan error, 1)
+	d.store.mu.Lock()
+	line, err := (&record{Kind: recordEpoch, Partition: p.id, Epoch: p.epoch}).encode()
+	if err != nil {
+		d.store.mu.Unlock()
+		return err
+	}
+	d.enqueue(outgoing{
+		partition: p.id, epoch: p.epoch, line: line, done: func(err error) { answered <- err },
+	})
+	d.store.mu.Unlock()
+	select {
+	case err := <-answered:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// handleReplicate takes records from a primary: it refuses those of older epochs, logs and syncs the others, and
+// only then answers.
+func (s *Store) handleReplicate(ctx context.Context, call *rpc.Call) (any, []byte, error) {
+	var request replicateRequest
+	if err := call.Decode(&request); err != nil {
+		return nil, nil, err
+	}
+	response, err := s.takeRecords(&request, call.Body)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := s.log.Sync(ctx); err != nil {
+		return nil, nil, &rpc.Error{Code: rpc.CodeUnavailable, Message: err.Error()}
+	}
+	return response, nil, nil
+}
+
+// takeRecords logs and applies the records of a call, without waiting for the disk.
+func (s *Store) takeRecords(request *replicateRequest, body []byte) (*replicateResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	response := &replicateResponse{}
+	for _, item := range request.Records {
+		if item.Length < 0 || item.Length > len(body) {
+			return nil, &rpc.Error{Code: rpc.CodeInvalid, Message: "records do not fit the body"}
+		}
+		data := body[:item.Length]
+		body = body[item.Length:]
+		if !s.mayFollow(item.Partition, item.Epoch) {
+			response.Refused = append(response.Refused, item.Partition)
+			continue
+		}
+		if err := s.takeRecord(item, data); err != nil {
+			return nil, err
+		}
+	}
+	return response, nil
+}
+
+// mayFollow tells whether records of an epoch may be taken from a primary, and adopts a newer one.
+func (s *Store) mayFollow(id int, epoch uint64) bool {
+	p := s.partition(id)
+	if epoch < p.epoch || p.leading && epoch == p.epoch {
+		return false
+	}
+	if p.leading {
+		s.stepDown(p)
+	}
+	p.epoch = epoch
+	return true
+}
+
+func (s *Store) takeRecord(item replicateItem, data []byte) error {
+	decoded, _, err := decodeRecord(data)
+	if err != nil || decoded.Partition != item.Partition {
+		return &rpc.Error{Code: rpc.CodeInvalid, Message: "unreadable record"}
+	}
+	if decoded.Kind == recordForget {
+		return &rpc.Error{Code: rpc.CodeInvalid, Message: "a record that replicas do not send"}
+	}
+	position, err := s.log.Append(data)
+	if err != nil {
+		return &rpc.Error{Code: rpc.CodeUnavailable, Message: err.Error()}
+	}
+	s.partition(item.Partition).apply(decoded, position)
+	return nil
+}
--- /dev/null
+++ b/internal/messagestore/store_test.go
@@ -0,0 +1,353 @@
+package messagestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/journal"
+	"ivyfold/internal/message"
+)
+
+func TestMessageIsKeptAndDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		id := h.mustPut("r1", "", "payload")
+		synctest.Wait()
+		assert.DeepEqual(t, h.leader(id).engine.ids(), []string{id})
+		outcome, err := h.state(id)
+		assert.NilError(t, err)
+		assert.Equal(t, outcome.State, message.Queued)
+		body, err := h.body(id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "payload")
+
+		leader := h.leader(id)
+		leader.store.Ended(h.messageOf(id), message.Outcome{State: message.Completed, Stamp: "s1"})
+		outcome, err = h.state(id)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, outcome, message.Outcome{State: message.Completed, Stamp: "s1"})
+		_, err = h.body(id)
+		assert.Assert(t, errors.Is(err, message.ErrNoBody))
+	})
+}
+
+func TestMessagesWithOneOrderKeyKeepOnePartitionAndTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		var ids []string
+		for i := range 20 {
+			ids = append(ids, h.mustPut(fmt.Sprint(i), "key", "x"))
+		}
+		synctest.Wait()
+		assert.DeepEqual(t, h.leader(ids[0]).engine.ids(), ids)
+		last := uint64(0)
+		for _, id := range ids {
+			m := h.messageOf(id)
+			assert.Assert(t, m.Sequence > last)
+			last = m.Sequence
+		}
+	})
+}
+
+func TestUnknownMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		for _, id := range []string{"0-12", "ff-12", "nonsense"} {
+			_, err := h.state(id)
+			assert.Assert(t, errors.Is(err, message.ErrUnknown), id)
+		}
+	})
+}
+
+func TestNothingIsAcknowledgedWithTooFewReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		for id := range testPartitions {
+			h.setView(id, "a")
+		}
+		time.Sleep(time.Second)
+		_, err := h.put("r", "", "x")
+		assert.Assert(t, errors.Is(err, message.ErrNotKept))
+	})
+}
+
+func TestLostBackupIsReplacedAndTheNewOneGetsEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		var ids []string
+		for i := range 30 {
+			ids = append(ids, h.mustPut(fmt.Sprint(i), "key", fmt.Sprintf("body %d", i)))
+		}
+		leader := h.leader(ids[0])
+		leader.store.Ended(h.messageOf(ids[0]), message.Outcome{State: message.Completed, Stamp: "s"})
+		partition, err := partitionOf(ids[0])
+		assert.NilError(t, err)
+		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		h.stop(backup)
+		ids = append(ids, h.mustPut("after", "key", "body after"))
+		time.Sleep(3 * time.Second)
+		view := h.currentTable().Partitions[partition]
+		assert.Assert(t, view.Find(backup) < 0)
+		assert.Assert(t, view.Replicas[1].Synced)
+
+		h.stop(leader.name)
+		h.setView(partition, view.Replicas[1].Store)
+		time.Sleep(time.Second)
+		successor := h.machines[view.Replicas[1].Store]
+		assert.DeepEqual(t, successor.engine.ids(), ids[1:])
+		outcome, err := h.state(ids[0])
+		assert.NilError(t, err)
+		assert.Equal(t, outcome.Stamp, "s")
+		for i, id := range ids[1:30] {
+			body, err := h.body(id)
+			assert.NilError(t, err)
+			assert.Equal(t, body, fmt.Sprintf("body %d", i+1))
+		}
+		h.start(backup)
+		h.start(leader.name)
+	})
+}
+
+func TestFormerPrimaryCannotCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		former, successor := h.machines["a"], h.machines["b"]
+		id := h.mustPut("r0", "key", "x")
+		partition, err := partitionOf(id)
+		assert.NilError(t, err)
+		h.setView(partition, "a", "b")
+		synctest.Wait()
+		next := cluster.Partition{
+			ID: partition, Epoch: h.currentTable().Partitions[partition].Epoch + 1,
+			Replicas: []cluster.Replica{h.replica("b"), h.replica("a")},
+		}
+		table := *h.currentTable()
+		table.Revision += 100
+		table.Partitions = slices.Clone(table.Partitions)
+		table.Partitions[partition] = next
+		successor.store.ApplyTable(&table)
+
+		h.mu.Lock()
+		h.refusing = true
+		h.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		submission := message.Submission{Message: message.Message{Partition: partition, ID: "late", RequestID: "late"}}
+		_, err = h.clients.Get(h.address("a")).Call(ctx, methodPut, putRequest{submission}, []byte("x"), nil)
+		assert.Assert(t, err != nil)
+		assert.Assert(t, !slices.Contains(former.engine.ids(), "late"))
+	})
+}
+
+func TestPowerLossOfAllKeepsWhatWasAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		var ids []string
+		for i := range 40 {
+			ids = append(ids, h.mustPut(fmt.Sprint(i), fmt.Sprint(i%5), fmt.Sprintf("body %d", i)))
+		}
+		for _, name := range h.names {
+			h.stop(name)
+			h.machines[name].disk.PowerLoss()
+		}
+		for _, name := range h.names {
+			h.start(name)
+		}
+		time.Sleep(time.Second)
+		for i, id := range ids {
+			body, err := h.body(id)
+			assert.NilError(t, err)
+			assert.Equal(t, body, fmt.Sprintf("body %d", i))
+			assert.Assert(t, slices.Contains(h.leader(id).engine.ids(), id))
+		}
+	})
+}
+
+func TestWipedStoreLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		var ids []string
+		for i := range 20 {
+			ids = append(ids, h.mustPut(fmt.Sprint(i), "", fmt.Sprintf("body %d", i)))
+		}
+		for _, name := range h.names {
+			h.stop(name)
+			h.machines[name].disk.PowerLoss()
+		}
+		h.machines["a"].disk.Wipe()
+		h.start("b")
+		h.start("c")
+		h.setView(0, "b")
+		h.setView(1, "b")
+		time.Sleep(time.Second)
+		for i, id := range ids {
+			body, err := h.body(id)
+			assert.NilError(t, err)
+			assert.Equal(t, body, fmt.Sprintf("body %d", i))
+		}
+		h.start("a")
+	})
+}
+
+func TestDrainHandsOverAfterOutcomesAreReplicated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		id := h.mustPut("r", "key", "x")
+		leader := h.leader(id)
+		moved := h.messageOf(id)
+		leader.engine.inFlight.Store(1)
+		drained := make(chan bool)
+		go func() {
+			leader.store.Drain(t.Context())
+			close(drained)
+		}()
+		time.Sleep(200 * time.Millisecond)
+		assert.Assert(t, !leader.store.MayDeliver(moved.Partition))
+		assert.Equal(t, h.leader(id), leader)
+		leader.store.Ended(moved, message.Outcome{State: message.Completed, Stamp: "s"})
+		leader.engine.inFlight.Store(0)
+		<-drained
+		successor := h.leader(id)
+		assert.Assert(t, successor != leader)
+		synctest.Wait()
+		assert.Assert(t, !slices.Contains(successor.engine.ids(), id))
+		outcome, err := h.state(id)
+		assert.NilError(t, err)
+		assert.Equal(t, outcome.Stamp, "s")
+	})
+}
+
+func TestDeliveriesNeedALeaseOrTheBackupsWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		id := h.mustPut("r", "key", "x")
+		leader, partition := h.leader(id), h.messageOf(id).Partition
+		h.leases.Store(false)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, leader.store.MayDeliver(partition))
+		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		h.mu.Lock()
+		h.refusing = true
+		h.mu.Unlock()
+		h.network.Cut(leader.ip, h.machines[backup].ip)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !leader.store.MayDeliver(partition))
+		h.network.Heal(leader.ip, h.machines[backup].ip)
+	})
+}
+
+func TestRepeatedHandInIsOneMessage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		submission := message.Submission{Message: message.Message{Partition: 0, ID: "0-1", RequestID: "r"}}
+		leader := h.leader("0-1")
+		for range 3 {
+			_, err := h.clients.Get(h.address(leader.name)).Call(t.Context(), methodPut, putRequest{submission}, []byte("x"), nil)
+			assert.NilError(t, err)
+		}
+		assert.DeepEqual(t, leader.engine.ids(), []string{"0-1"})
+	})
+}
+
+func TestCompactionKeepsWhatIsNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		large := strings.Repeat("x", 100<<10)
+		var ids []string
+		for i := range 120 {
+			ids = append(ids, h.mustPut(fmt.Sprint(i), "key", fmt.Sprint(i, large)))
+		}
+		leader := h.leader(ids[0])
+		for _, id := range ids[10:] {
+			leader.store.Ended(h.messageOf(id), message.Outcome{State: message.Completed, Stamp: id})
+		}
+		before := leader.store.log.Size()
+		for range 6 {
+			assert.NilError(t, leader.store.Compact())
+		}
+		assert.Assert(t, leader.store.log.Size() < before/2)
+		h.stop(leader.name)
+		leader.disk.PowerLoss()
+		h.start(leader.name)
+		time.Sleep(time.Second)
+		for i, id := range ids[:10] {
+			body, err := h.body(id)
+			assert.NilError(t, err)
+			assert.Equal(t, body, fmt.Sprint(i, large))
+		}
+		outcome, err := h.state(ids[50])
+		assert.NilError(t, err)
+		assert.Equal(t, outcome.Stamp, ids[50])
+	})
+}
+
+func TestFullDiskRefusesAndKeeps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		id := h.mustPut("r", "", "x")
+		for _, m := range h.machines {
+			m.disk.SetFull(true)
+		}
+		_, err := h.put("r2", "", "y")
+		assert.Assert(t, err != nil)
+		body, err := h.body(id)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "x")
+		for _, m := range h.machines {
+			m.disk.SetFull(false)
+		}
+		time.Sleep(3 * time.Second)
+		h.mustPut("r3", "", "z")
+	})
+}
+
+func TestOldEndedMessagesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		id := h.mustPut("r", "", "x")
+		leader := h.leader(id)
+		leader.store.Ended(h.messageOf(id), message.Outcome{State: message.DeadLetter})
+		time.Sleep(50 * time.Second)
+		outcome, err := h.state(id)
+		assert.NilError(t, err)
+		assert.Equal(t, outcome.State, message.DeadLetter)
+		time.Sleep(30 * time.Second)
+		_, err = h.state(id)
+		assert.Assert(t, errors.Is(err, message.ErrUnknown))
+	})
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	line, err := (&record{Kind: recordAccepted, Message: &message.Message{ID: "1-2"}}).encode()
+	assert.NilError(f, err)
+	f.Add(append(line, "body"...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, _, err := decodeRecord(data)
+		if err == nil {
+			newPartition(0).apply(decoded, journal.Position{})
+		}
+	})
+}
--- /dev/null
+++ b/internal/systemnode/front.go
@@ -0,0 +1,195 @@
+package systemnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/configuration"
+	"ivyfold/internal/controlplane"
+	"ivyfold/internal/ingress"
+	"ivyfold/internal/message"
+	"ivyfold/internal/messagestore"
+)
+
+// Front is a front process: it takes clients' messages, and on machines that have a disk it may be a member of the
+// control group.
+type Front struct {
+	*node
+	plane   *controlplane.Plane
+	stores  *messagestore.Client
+	ingress *ingress.Front
+	table   atomic.Pointer[configuration.Table]
+	kept    atomic.Int64 // when a message was last kept, in nanoseconds since the process's start
+	started time.Time
+}
+
+// NewFront makes a front. Run starts it.
+func NewFront(options Options) (*Front, error) {
+	base, err := newNode(options)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	f := &Front{node: base, started: time.Now()}
+	if err := base.newAgent(f.announce); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	plane, err := controlplane.New(controlplane.Options{
+		Info:         base.info,
+		Network:      options.Network,
+		Pool:         base.pool,
+		Server:       base.server,
+		FS:           options.FS,
+		Bootstrap:    base.settings.Bootstrap,
+		Tolerated:    base.settings.FaultTolerance.Machines,
+		Seeds:        base.settings.Seeds,
+		InternalPort: base.settings.InternalPorts.First,
+		CloudAddress: base.settings.Cloud.Address,
+		Agent:        base.agent,
+		Logger:       base.logger,
+		Seed:         options.Seed,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err, "opening the control plane")
+	}
+	f.plane = plane
+	return f, nil
+}
+
+func (f *Front) announce() cluster.NodeInfo {
+	info := f.info
+	info.Leaving = f.leaving.Load()
+	return info
+}
+
+// Run serves until the context ends, then drains and returns.
+func (f *Front) Run(ctx context.Context) error {
+	alive, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer f.close()
+	defer stop()
+	f.stores = messagestore.NewClient(f.settings.Zone, f.pool, f.agent.Table, func(report cluster.Report) {
+		f.report(alive, report)
+	})
+	f.agent.Subscribe(f.changed)
+	f.ingress = ingress.NewFront(f.ingressOptions())
+	if err := f.serveInternal(alive); err != nil {
+		return trace.Wrap(err)
+	}
+	f.running.Go(func() { f.plane.Run(alive) })
+	if err := f.listen(alive); err != nil {
+		return trace.Wrap(err)
+	}
+	<-ctx.Done()
+	f.drain(alive)
+	return nil
+}
+
+// changed takes new snapshots of the agent in.
+func (f *Front) changed() {
+	document := f.agent.Config()
+	if document == nil {
+		return
+	}
+	if table := f.table.Load(); table == nil || table.Version < document.Version() {
+		f.table.Store(document.Table())
+	}
+}
+
+func (f *Front) ingressOptions() ingress.Options {
+	return ingress.Options{
+		Messages:         keepingTime{Messages: f.stores, kept: f.noteKept},
+		Control:          f.agent,
+		Configuration:    f.table.Load,
+		Ready:            f.ready,
+		Logger:           f.logger,
+		MaxBufferedBytes: int64(f.settings.Limits.MemoryMB) * bytesPerMegabyte / ingressPart,
+	}
+}
+
+func (f *Front) noteKept() { f.kept.Store(int64(time.Since(f.started))) }
+
+// ready tells whether a message could be kept now: there is a configuration and a group of stores, and the control
+// plane or the stores have lately answered.
+func (f *Front) ready() bool {
+	if f.leaving.Load() || f.table.Load() == nil || !f.stores.Ready() {
+		return false
+	}
+	kept := time.Duration(f.kept.Load())
+	return f.agent.Fresh() || kept > 0 && time.Since(f.started)-kept < readyMemory
+}
+
+// listen opens the listeners for clients, the platform's probe and the operator.
+func (f *Front) listen(ctx context.Context) error {
+	addresses := f.settings.ListenAddresses
+	if addresses.Front != "" {
+		listener, err := f.options.Network.Listen(addresses.Front)
+		if err != nil {
+			return trace.Wrap(err, "listening for clients")
+		}
+		f.running.Go(func() { f.logEnd("clients", f.ingress.Serve(ctx, listener)) })
+	}
+	options := f.ingressOptions()
+	if err := f.serveHTTP(ctx, addresses.Ready, ingress.NewReadyHandler(options)); err != nil {
+		return err
+	}
+	return f.serveHTTP(ctx, addresses.Control, ingress.NewControlHandler(options))
+}
+
+func (f *Front) logEnd(listener string, err error) {
+	if err != nil {
+		f.logger.Error("listener ended", zap.String("listener", listener), zap.Error(err))
+	}
+}
+
+// serveHTTP serves one of the smaller listeners until the context ends.
+func (f *Front) serveHTTP(ctx context.Context, address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	var listener net.Listener
+	listener, err := f.options.Network.Listen(address)
+	if err != nil {
+		return trace.Wrap(err, "listening at "+address)
+	}
+	server := ingress.NewServer(handler, f.logger)
+	context.AfterFunc(ctx, func() { server.Close() })
+	f.running.Go(func() {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			f.logEnd(address, err)
+		}
+	})
+	return nil
+}
+
+// drain answers what was read and leaves.
+func (f *Front) drain(ctx context.Context) {
+	f.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, f.settings.Bounds.Grace-exitReserve)
+	defer cancel()
+	if err := f.ingress.Drain(ctx); err != nil {
+		f.logger.Warn("draining", zap.Error(err))
+	}
+}
+
+// keepingTime notes when messages are kept.
+type keepingTime struct {
+	ingress.Messages
+	kept func()
+}
+
+// Put implements ingress.Messages.
+func (k keepingTime) Put(
+	ctx context.Context, submission message.Submission, ordered bool, body []byte,
+) (string, error) {
+	id, err := k.Messages.Put(ctx, submission, ordered, body)
+	if err == nil {
+		k.kept()
+	}
+	return id, err
+}
--- /dev/null
+++ b/internal/systemnode/node.go
@@ -0,0 +1,137 @@
+// Package systemnode assembles the processes of the system, a front or a store, from the libraries of each plane, and
+// sees to their signals and their end.
+package systemnode
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/controlplane"
+	"ivyfold/internal/journal"
+	"ivyfold/internal/network"
+	"ivyfold/internal/rpc"
+	"ivyfold/internal/settings"
+)
+
+// Options configure a process.
+type Options struct {
+	Settings *settings.Settings
+	Network  network.Network
+	FS       journal.FS // the data directory, nil without a disk
+	Logger   *zap.Logger
+	Seed     uint64
+}
+
+// node is what fronts and stores have in common.
+type node struct {
+	options  Options
+	settings *settings.Settings
+	logger   *zap.Logger
+	server   *rpc.Server
+	pool     *rpc.Pool
+	agent    *cluster.Agent
+	info     cluster.NodeInfo // without what changes
+	leaving  atomic.Bool
+
+	running sync.WaitGroup
+}
+
+// newNode makes the parts that every process has.
+func newNode(options Options) (*node, error) {
+	n := &node{
+		options:  options,
+		settings: options.Settings,
+		logger:   options.Logger,
+		server:   rpc.NewServer(options.Logger),
+		pool:     rpc.NewPool(options.Network),
+	}
+	info, err := n.identity()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n.info = info
+	return n, nil
+}
+
+// identity returns what the process announces of itself.
+func (n *node) identity() (cluster.NodeInfo, error) {
+	info := cluster.NodeInfo{
+		Name:        n.settings.Node,
+		Class:       n.settings.Class,
+		Zone:        n.settings.Zone,
+		Region:      n.settings.Region,
+		Address:     net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InternalPorts.First)),
+		Incarnation: rand.Text(),
+	}
+	if n.options.FS == nil {
+		return info, nil
+	}
+	disk, err := controlplane.DiskID(n.options.FS)
+	if err != nil {
+		return info, trace.Wrap(err, "reading the disk's identity")
+	}
+	info.DiskID = disk
+	info.Core = n.settings.ServesParty(settings.ServesControl) && n.settings.CountsForQuorum
+	info.Store = n.settings.ServesParty(settings.ServesStore)
+	return info, nil
+}
+
+// newAgent makes the agent; info is asked for with every renewal of the lease.
+func (n *node) newAgent(info func() cluster.NodeInfo) error {
+	agent, err := cluster.NewAgent(cluster.AgentOptions{
+		Info:         info,
+		Pool:         n.pool,
+		Server:       n.server,
+		Seeds:        n.settings.Seeds,
+		InternalPort: n.settings.InternalPorts.First,
+		Register:     n.settings.Bootstrap,
+		Logger:       n.logger,
+	})
+	if err != nil {
+		return trace.Wrap(err, "settings of the seeds")
+	}
+	n.agent = agent
+	return nil
+}
+
+// report passes on that a process can't be reached.
+func (n *node) report(ctx context.Context, report cluster.Report) {
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		if err := n.agent.Report(ctx, report); err != nil {
+			n.logger.Debug("reporting a process", zap.String("node", report.Node), zap.Error(err))
+		}
+	}()
+}
+
+// serveInternal opens the internal listener and runs the agent.
+func (n *node) serveInternal(ctx context.Context) error {
+	listener, err := n.options.Network.Listen(n.info.Address)
+	if err != nil {
+		return trace.Wrap(err, fmt.Sprintf("listening at %s", n.info.Address))
+	}
+	n.running.Go(func() {
+		if err := n.server.Serve(listener); err != nil && ctx.Err() == nil {
+			n.logger.Error("serving internal calls", zap.Error(err))
+		}
+	})
+	n.running.Go(func() { n.agent.Run(ctx) })
+	return nil
+}
+
+// close ends what newNode made.
+func (n *node) close() {
+	n.server.Close()
+	n.pool.Close()
+	n.running.Wait()
+}
--- /dev/null
+++ b/internal/systemnode/store.go
@@ -0,0 +1,165 @@
+package systemnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/controlplane"
+	"ivyfold/internal/delivery"
+	"ivyfold/internal/messagestore"
+)
+
+// Store is a store process: it keeps messages and delivers those of the partitions that it leads.
+type Store struct {
+	*node
+	messages *messagestore.Store
+	engine   *delivery.Engine
+	platform *http.Client
+	version  uint64 // of the configuration that the engine has
+}
+
+// NewStore makes a store. Run starts it.
+func NewStore(options Options) (*Store, error) {
+	base, err := newNode(options)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if options.FS == nil {
+		return nil, trace.BadParameter("settings: data-dir: a store needs one")
+	}
+	s := &Store{node: base, platform: newPlatformClient(options)}
+	if err := base.newAgent(s.announce); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	limits := base.settings.Limits
+	s.messages, err = messagestore.Open(messagestore.Options{
+		Name:       base.info.Name,
+		DiskID:     base.info.DiskID,
+		FS:         options.FS,
+		Pool:       base.pool,
+		Server:     base.server,
+		Control:    base.agent,
+		Logger:     base.logger,
+		Copies:     base.settings.FaultTolerance.Machines + 1,
+		StatusFor:  base.settings.Bounds.Status + statusReserve,
+		DiskBytes:  int64(limits.DiskMB) * bytesPerMegabyte,
+		CacheBytes: int64(limits.MemoryMB) * bytesPerMegabyte / cachePart,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s.engine = delivery.New(delivery.Options{
+		Name:            base.info.Name,
+		Zone:            base.info.Zone,
+		Network:         options.Network,
+		Owner:           s.messages,
+		Logger:          base.logger,
+		Seed:            options.Seed,
+		Drain:           base.settings.Bounds.Drain,
+		ConnectionShare: s.deliverers,
+	})
+	return s, nil
+}
+
+func newPlatformClient(options Options) *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return options.Network.Dial(ctx, address)
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
+}
+
+func (s *Store) announce() cluster.NodeInfo {
+	info := s.info
+	info.Leaving = s.leaving.Load()
+	info.DiskFailing = s.messages.DiskFailing()
+	return info
+}
+
+// deliverers is by how many stores the limits of services are divided.
+func (s *Store) deliverers() int {
+	table := s.agent.Table()
+	if table == nil {
+		return 1
+	}
+	return max(table.Deliverers, 1)
+}
+
+// Run serves until the context ends, then hands its partitions over and returns.
+func (s *Store) Run(ctx context.Context) error {
+	alive, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer s.close()
+	defer s.closeMessages()
+	defer stop()
+	s.running.Go(func() { s.engine.Run(alive) })
+	s.messages.Start(s.engine)
+	s.agent.Subscribe(s.changed)
+	if err := s.serveInternal(alive); err != nil {
+		return trace.Wrap(err)
+	}
+	s.running.Go(func() { s.watchWorkers(alive) })
+	<-ctx.Done()
+	s.leaving.Store(true)
+	draining, cancel := context.WithTimeout(alive, s.settings.Bounds.Grace-exitReserve)
+	defer cancel()
+	s.messages.Drain(draining)
+	return nil
+}
+
+func (s *Store) closeMessages() {
+	if err := s.messages.Close(); err != nil {
+		s.logger.Warn("closing the message log", zap.Error(err))
+	}
+}
+
+// changed passes new snapshots of the agent on. The agent calls it from one goroutine at a time.
+func (s *Store) changed() {
+	if document := s.agent.Config(); document != nil && document.Version() > s.version {
+		s.version = document.Version()
+		s.engine.SetConfiguration(document.Table())
+	}
+	if workers := s.agent.Workers(); workers != nil {
+		s.engine.SetWorkers(workers.Workers)
+	}
+	if table := s.agent.Table(); table != nil {
+		s.engine.SetDeliverers(table.Deliverers)
+		s.messages.ApplyTable(table)
+	}
+}
+
+// watchWorkers reads the platform's list while the control plane does not bring it.
+func (s *Store) watchWorkers(ctx context.Context) {
+	ticker := time.NewTicker(workersReadInterval)
+	defer ticker.Stop()
+	started := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		last := s.agent.WorkersReadAt()
+		if last.IsZero() {
+			last = started
+		}
+		if time.Since(last) > workersStaleAfter {
+			s.readWorkers(ctx)
+		}
+	}
+}
+
+func (s *Store) readWorkers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, workersReadTimeout)
+	defer cancel()
+	workers, err := controlplane.ReadWorkers(ctx, s.platform, s.settings.Cloud.Address)
+	if err != nil {
+		s.logger.Info("reading the list of workers", zap.Error(err))
+		return
+	}
+	s.engine.SetWorkers(workers)
+}
