--- a/dispatcher.go
+++ b/dispatcher.go
@@ -47,6 +47,8 @@
 
 	leastRun, mostRun = 1e-4, 3600 // seconds that any job runs: both its lines may come in one write
 
+	longAgo = math.MinInt64 / 2 // before any event
+
 	tickToken, closeToken = 0, 1 // for looks, late closings; calls to discovery count on from there
 )
 
@@ -139,20 +141,15 @@
 		d.labels = append(d.labels, taken[b])
 		d.shares[taken[b]] += t.Share
 	}
-	for range d.shares {
-		d.pools = append(d.pools, make([][]*worker, d.set.Kinds))
-	}
 }
 
 // rebuild fills the pools: in label order and by kind, the highest ranking ready workers; leftovers last.
 func (d *Dispatcher) rebuild() {
+	d.pools = make([][][]*worker, len(d.shares))
 	for kind := range d.set.Kinds {
-		var free []*worker
-		for _, w := range d.order {
-			if w.Kind == kind && w.State == Ready {
-				free = append(free, w)
-			}
-		}
+		free := slices.DeleteFunc(slices.Clone(d.order), func(w *worker) bool {
+			return w.Kind != kind || w.State != Ready
+		})
 		d.ready[kind] = float64(len(free))
 		for step := range d.shares {
 			l, n := (step+1)%len(d.shares), len(free)
@@ -162,8 +159,8 @@
 				})
 				n = max(min(int(math.Round(d.ready[kind]*min(labelled, d.shares[l]))), n-1), 0)
 			}
-			d.pools[l][kind], free = free[:n], free[n:]
-			slices.SortStableFunc(d.pools[l][kind], func(a, b *worker) int { return d.place(b) - d.place(a) })
+			slices.SortStableFunc(free[:n], func(a, b *worker) int { return d.place(b) - d.place(a) })
+			d.pools[l], free = append(d.pools[l], free[:n]), free[n:]
 		}
 	}
 }
@@ -236,7 +233,7 @@
 		if w == nil && e.State == Gone {
 			continue
 		} else if w == nil {
-			w = &worker{pace: 1, broke: math.MinInt64 / 2, told: -time.Hour}
+			w = &worker{pace: 1, broke: longAgo, told: longAgo}
 			d.workers[e.Worker] = w
 		} else if e.State == Gone { // its last line may leave out where it stood
 			e.Zone, e.Cell, e.Kind, e.Started = w.Zone, w.Cell, w.Kind, w.Started
@@ -309,8 +306,6 @@
 
 func (d *Dispatcher) class(j *job) *ClassSettings { return &d.set.Classes[j.Class] }
 
-func (d *Dispatcher) cost(j *job, kind int) float64 { return j.Slots * d.run[j.Class] * d.slow[kind] }
-
 func (d *Dispatcher) try(j *job) {
 	w, ready := d.pick(j)
 	switch {
@@ -518,8 +513,7 @@
 		d.late(w, took-t.due)
 		return
 	}
-	w.others, w.told = max(min(d.others(w), d.slots(w.Kind)-w.out), 0), d.now
-	d.learn(w, min(d.usual[d.place(w)], d.slots(w.Kind)-1))
+	d.learn(w, max(min(d.others(w), d.slots(w.Kind)-w.out), 0), min(d.usual[d.place(w)], d.slots(w.Kind)-1))
 }
 
 // report learns from a load report what others hold.
@@ -533,34 +527,30 @@
 		d.room[w.Kind] = x
 	}
 	held := max(d.slots(w.Kind)+r.Waiting(l)-w.past, 0)
-	w.others, w.told = d.others(w)+learn*(held-d.others(w)), d.now
-	d.learn(w, held)
+	d.learn(w, d.others(w)+learn*(held-d.others(w)), held)
 }
 
 // late learns from a job that waits at a worker.
 func (d *Dispatcher) late(w *worker, wait float64) {
-	w.others, w.told = max(d.others(w), d.slots(w.Kind)-w.out, 0), d.now
-	d.learn(w, d.slots(w.Kind)*(1+wait/(d.mean*d.slow[w.Kind])))
+	held := d.slots(w.Kind) * (1 + wait/(d.mean*d.slow[w.Kind]))
+	d.learn(w, max(d.others(w), d.slots(w.Kind)-w.out, 0), held)
 }
 
-// learn takes what others hold at one worker into the mean of its kind there.
-func (d *Dispatcher) learn(w *worker, held float64) {
+// learn notes what others hold at a worker, and takes what they seem to hold there into the mean of its kind.
+func (d *Dispatcher) learn(w *worker, others, held float64) {
+	w.others, w.told = others, d.now
 	k := d.place(w)
 	held = min(held, jammed*d.slots(w.Kind)) - d.usual[k]
 	d.usual[k], d.news[k] = d.usual[k]+(1-d.fade(d.news[k], blend))*held, d.now
 }
 
 // nearest loads the dice by the key, alike at all dispatchers: the few members that rank highest for it.
-func nearest(members []*worker, key uint64) (top []*worker) {
-	for _, w := range members {
-		if !w.suspect {
-			i := len(top)
-			for ; i > 0 && hash(key, uint64(w.Worker)) > hash(key, uint64(top[i-1].Worker)); i-- {
-			}
-			top = slices.Insert(top, i, w)[:min(len(top)+1, keyWorkers)]
-		}
-	}
-	return top
+func nearest(members []*worker, key uint64) []*worker {
+	top := slices.DeleteFunc(slices.Clone(members), func(w *worker) bool { return w.suspect })
+	slices.SortStableFunc(top, func(a, b *worker) int {
+		return cmp.Compare(hash(key, uint64(b.Worker)), hash(key, uint64(a.Worker)))
+	})
+	return top[:min(len(top), keyWorkers)]
 }
 
 func (d *Dispatcher) fit(w *worker, j *job) bool {
@@ -585,7 +575,7 @@
 		return true
 	}
 	n, span, multiple := float64(d.set.Dispatchers), d.set.FallSpan.Seconds(), d.set.FallMultiple
-	cost := max(d.cost(j, w.Kind), 1e-3)
+	cost := max(j.Slots*d.run[j.Class]*d.slow[w.Kind], 1e-3)
 	known := memory.Seconds() * (1 - d.fade(d.born, memory.Seconds()))
 	rate := max(d.served[w.Kind]/max(known, 1)/max(d.ready[w.Kind], 1), leastWork/n,
 		max(min(d.usual[d.place(w)], d.room[w.Kind]), slotWork*d.room[w.Kind])*float64(count(d.sees))/n)
