--- a/dispatcher.go
+++ b/dispatcher.go
@@ -75,34 +75,35 @@
 
 type job struct {
 	Event
+	class               *ClassSettings
 	aim, holdTo         time.Duration // started later it will be late; no use in holding it longer
-	tries               []attempt
+	tries               []*attempt
 	ended, held, excess bool // excess: beyond its tenant's share
 }
 
 // Dispatcher decides for one submitter. It is not safe for concurrent use.
 type Dispatcher struct {
-	set                               Settings
-	rng                               *rand.Rand
-	now, tick                         time.Duration
-	acts                              []Action
-	workers                           map[WorkerID]*worker
-	order                             []*worker     // by id: no decision may hang on list order
-	pools                             [][][]*worker // by label and kind
-	labels                            []int         // by tenant
-	shares                            []float64     // by label
-	jobs                              map[JobID]*job
-	open                              []*job          // by arrival; ended ones leave at the next look
-	took, run                         []float64       // by class: usual seconds to an answer, and of running
-	ready, room, slow, served, tried  []float64       // by kind: workers, slots, relative time, use, OKs
-	usual                             []float64       // by place: what others hold at a worker
-	news                              []time.Duration // by place: when usual was learned
-	way                               [2][2]float64   // seconds to a start without waiting: own zone, linked
-	rate, good                        []float64       // by tenant: arrivals and answers, fading
-	born, arrived, looked, awake      time.Duration   // first list, last job and look; since when it runs
-	let, spare, mean, unit            float64         // parts of all and excess let in; run; middle slow
-	sees, wide, sized, ticking, asked bool            // workers tell, are shared, sized; looks set; watching
-	call                              uint32          // number of the timer for the next call to discovery
+	set                              Settings
+	rng                              *rand.Rand
+	now, tick                        time.Duration
+	acts                             []Action
+	workers                          map[WorkerID]*worker
+	order                            []*worker     // by id: no decision may hang on list order
+	pools                            [][][]*worker // by label and kind
+	labels                           []int         // by tenant
+	shares                           []float64     // by label
+	jobs                             map[JobID]*job
+	open                             []*job          // by arrival; ended ones leave at the next look
+	took, run                        []float64       // by class: usual seconds to an answer, and of running
+	ready, room, slow, served, tried []float64       // by kind: workers, slots, relative time, use, OKs
+	usual                            []float64       // by place: what others hold at a worker
+	news                             []time.Duration // by place: when usual was learned
+	way                              [2][2]float64   // seconds to a start without waiting: own zone, linked
+	rate, good                       []float64       // by tenant: arrivals and answers, fading
+	born, arrived, looked, awake     time.Duration   // first list, last job and look; since when it runs
+	let, spare, mean, unit           float64         // parts of all and excess let in; run; middle slow
+	sees, wide, sized, asked         bool            // workers tell, are shared, sized; watching
+	call                             uint32          // number of the timer for the next call to discovery
 }
 
 // New makes a dispatcher. Its error names the setting that cannot work.
@@ -171,7 +172,7 @@
 	j := d.jobs[ev.Job]
 	var t *attempt // the one that the event is about, if it is still out
 	if j != nil && ev.Attempt >= 0 && ev.Attempt < len(j.tries) && !j.tries[ev.Attempt].done {
-		t = &j.tries[ev.Attempt]
+		t = j.tries[ev.Attempt]
 	}
 	switch {
 	case ev.Kind == EventList:
@@ -182,17 +183,17 @@
 		if t.w.heard, t.w.suspect = d.now, false; ev.Note == NoteStarted && t.started == 0 {
 			t.started, t.w.prompt = d.now, d.now-t.sent <= d.tick
 			d.start(t)
-			if d.let = min(d.let+backUp/4, 1); !d.sees && d.now-t.sent > d.class(j).Aim/2 { // as good as full
+			if d.let = min(d.let+backUp/4, 1); !d.sees && d.now-t.sent > j.class.Aim/2 { // as good as full
 				d.busy(j, t.w, true)
-				d.let *= 1 - backUp*float64(min((d.now-t.sent)/max(d.class(j).Aim, 1), 1)) // if the aim is gone
+				d.let *= 1 - backUp*float64(min((d.now-t.sent)/max(j.class.Aim, 1), 1)) // if the aim is gone
 			}
 		}
 	case ev.Kind == EventOutcome && t != nil:
 		d.outcome(ev, j, t)
-	case ev.Kind == EventGone && j != nil && d.sees && j.inFlight(): // it works on there and holds its slot
-		j.held, j.ended = false, true
 	case ev.Kind == EventGone && j != nil:
-		d.finish(j)
+		if j.held, j.ended = false, true; !d.sees || !j.inFlight() { // else it works on there and holds its slot
+			d.finish(j)
+		}
 	case ev.Kind == EventTimer && ev.Token == tickToken:
 		d.look()
 	case ev.Kind == EventTimer && ev.Token == closeToken:
@@ -230,9 +231,7 @@
 	for _, e := range ev.Entries {
 		stray := e.clean(&d.set)
 		w := d.workers[e.Worker]
-		if w == nil && e.State == Gone {
-			continue
-		} else if w == nil {
+		if w == nil {
 			w = &worker{pace: 1, broke: longAgo, told: longAgo}
 			d.workers[e.Worker] = w
 		} else if e.State == Gone { // its last line may leave out where it stood
@@ -267,18 +266,18 @@
 
 func (d *Dispatcher) arrive(ev *Event) {
 	j := &job{Event: ev.clean(&d.set)}
-	c := d.class(j)
-	d.jobs[ev.Job], j.aim = j, d.now+c.Aim
-	hold := (c.Aim + seconds(max(c.Stretch-1, 0)*d.run[j.Class])) / 2 // shorter where others take what is freed
-	j.holdTo = min(d.now+hold/time.Duration(1+count(d.sees)), j.Deadline-2*d.tick)
+	c := &d.set.Classes[j.Class]
+	d.jobs[ev.Job], j.class, j.aim = j, c, d.now+c.Aim
+	hold := c.Aim + seconds(max(c.Stretch-1, 0)*d.run[j.Class])
+	hold >>= 1 + count(d.sees) // half of it, or a quarter where others take what is freed
+	j.holdTo = min(d.now+hold, j.Deadline-2*d.tick)
 	if j.excess = d.over(j); j.excess && d.rng.Float64() > d.spare || d.rng.Float64() > max(d.let, leastSpare) {
 		d.end(j)
 		return
 	}
 	d.try(j)
-	d.open = append(d.open, j)
-	if !d.ticking {
-		d.ticking, d.looked = true, d.now
+	if d.open = append(d.open, j); len(d.open) == 1 { // else the next look is set
+		d.looked = d.now
 		d.acts = append(d.acts, Action{Kind: SetTimer, Token: tickToken, Delay: d.tick})
 	}
 }
@@ -304,8 +303,6 @@
 	return rate > due+sigmas*math.Sqrt(due+1) && d.rng.Float64()*rate > due
 }
 
-func (d *Dispatcher) class(j *job) *ClassSettings { return &d.set.Classes[j.Class] }
-
 func (d *Dispatcher) try(j *job) {
 	w, ready := d.pick(j)
 	switch {
@@ -319,9 +316,9 @@
 	}
 }
 
-func (j *job) inFlight() bool {
-	return slices.ContainsFunc(j.tries, func(t attempt) bool { return !t.done })
-}
+func (t *attempt) inFlight() bool { return !t.done }
+
+func (j *job) inFlight() bool { return slices.ContainsFunc(j.tries, (*attempt).inFlight) }
 
 // pick finds a worker that can take j now, and tells whether one could later. Keys keep to one kind.
 func (d *Dispatcher) pick(j *job) (best *worker, ready bool) {
@@ -361,7 +358,7 @@
 			best = nil
 		}
 	}
-	if best != nil && !d.wide && d.wait(best, j.Slots) > longest*d.class(j).Aim.Seconds()*d.dense(j) {
+	if best != nil && !d.wide && d.wait(best, j.Slots) > longest*j.class.Aim.Seconds()*d.dense(j) {
 		best = nil
 	}
 	return best, ready
@@ -371,7 +368,7 @@
 func (d *Dispatcher) kinds(p [][]*worker, j *job) (order []int, reach [][]*worker) {
 	loads := make([]float64, len(p))
 	for k, members := range p {
-		if c := d.class(j); c.bound() || len(j.tries) > 0 {
+		if c := j.class; c.bound() || len(j.tries) > 0 {
 			members = slices.DeleteFunc(slices.Clone(members), func(w *worker) bool {
 				return !d.permitted(j, w) || !d.again(j, w)
 			})
@@ -448,7 +445,7 @@
 
 // expect is the time to an answer; where many share workers, the chance to be late, and by waiting alone.
 func (d *Dispatcher) expect(w *worker, j *job) [2]float64 {
-	c, room, slow := d.class(j), max(d.room[w.Kind]*d.coldShare(w), 1), d.slow[w.Kind]*w.pace
+	c, room, slow := j.class, max(d.room[w.Kind]*d.coldShare(w), 1), d.slow[w.Kind]*w.pace
 	if !d.wide {
 		return [2]float64{d.wait(w, j.Slots) + d.run[j.Class]*slow}
 	}
@@ -464,7 +461,7 @@
 
 // bears is the chance of being late by waiting at which a job is refused, by what it may still earn.
 func (d *Dispatcher) bears(w *worker, j *job) float64 {
-	c, left := d.class(j), (j.Deadline - d.now).Seconds()
+	c, left := j.class, (j.Deadline - d.now).Seconds()
 	v := d.dense(j) * (1 - math.Exp(-max(left-*d.wayTo(w), 0)/(d.run[j.Class]*d.slow[w.Kind])))
 	if j.Repeat && c.Deadline > 0 && left+c.Aim.Seconds() < c.Deadline.Seconds() {
 		v *= c.Late // its first try came too long ago
@@ -481,9 +478,10 @@
 // place is a worker's kind in the own zone or elsewhere; it counts only where many share workers.
 func (d *Dispatcher) place(w *worker) int { return 2*w.Kind + count(d.wide && d.near(w)) }
 
-// mix keeps what own slots were a while ago, when the reports of now were made.
-func (d *Dispatcher) mix(w *worker) {
+// hold takes slots at a worker, and keeps what own slots were a while ago, when the reports of now were made.
+func (d *Dispatcher) hold(w *worker, slots float64) {
 	w.past, w.mixed = w.past+(w.out-w.past)*(1-d.fade(w.mixed, ago)), d.now
+	w.out += slots
 }
 
 // dense is how much more a job is worth for its running time than those of the least such class.
@@ -492,7 +490,7 @@
 	for i, c := range d.set.Classes {
 		least = min(least, c.Worth/math.Pow(d.run[i], fixed))
 	}
-	return max(min(d.class(j).Worth/math.Pow(d.run[j.Class], fixed)/least, denser), 1)
+	return max(min(j.class.Worth/math.Pow(d.run[j.Class], fixed)/least, denser), 1)
 }
 
 // others is how many slots others hold at a worker; the longer nothing was learned there, what its kind says.
@@ -516,15 +514,18 @@
 	d.learn(w, max(min(d.others(w), d.slots(w.Kind)-w.out), 0), min(d.usual[d.place(w)], d.slots(w.Kind)-1))
 }
 
-// report learns from a load report what others hold.
+// report learns from a load report how many slots a worker has, and what others hold.
 func (d *Dispatcher) report(w *worker, l *Load) {
-	r, n := d.set.Report, min(l.N, len(l.Values))
+	r, n, room := d.set.Report, min(l.N, len(l.Values)), &d.room[w.Kind]
+	if slots := r.Slots(l); slots > 0 && slots < math.MaxInt32 {
+		*room += max(smooth, 1-*room) * (slots - *room)
+	}
 	if !d.sees || r.FreeSlots >= n || r.Queue >= n || *l == w.last {
 		return
 	}
 	w.last = *l
-	if x := math.Round(l.Values[r.FreeSlots]); x > d.room[w.Kind] && x < math.MaxInt32 {
-		d.room[w.Kind] = x
+	if free := math.Round(l.Values[r.FreeSlots]); free > *room && free < math.MaxInt32 {
+		*room = free
 	}
 	held := max(d.slots(w.Kind)+r.Waiting(l)-w.past, 0)
 	d.learn(w, d.others(w)+learn*(held-d.others(w)), held)
@@ -555,9 +556,9 @@
 
 func (d *Dispatcher) fit(w *worker, j *job) bool {
 	return w.State == Ready && d.now >= w.fullTill &&
-		(!w.suspect || d.now >= w.retryAt && d.class(j).Effect == Safe) &&
+		(!w.suspect || d.now >= w.retryAt && j.class.Effect == Safe) &&
 		(w.pace <= slowFrom || d.rng.Float64()*w.pace <= 1) && d.allowed(j, w) &&
-		(w.fails == 0 || d.class(j).harmless() || d.rng.Float64() > shy*w.fails*d.fade(w.failed, memory.Seconds()))
+		(w.fails == 0 || j.class.harmless() || d.rng.Float64() > shy*w.fails*d.fade(w.failed, memory.Seconds()))
 }
 
 // coldShare is the part of its capacity that a worker surely has; 1 when warm.
@@ -591,8 +592,8 @@
 // mayTry tells whether the rules leave j another attempt at all.
 func (d *Dispatcher) mayTry(j *job) bool {
 	return !j.ended && (d.set.MaxAttempts == 0 || len(j.tries) < d.set.MaxAttempts) &&
-		d.now < j.Deadline && !slices.ContainsFunc(j.tries, func(t attempt) bool {
-		return !t.done && !d.set.ParallelTries || !t.never && d.class(j).Effect == Unsafe
+		d.now < j.Deadline && !slices.ContainsFunc(j.tries, func(t *attempt) bool {
+		return !t.done && !d.set.ParallelTries || !t.never && j.class.Effect == Unsafe
 	})
 }
 
@@ -603,7 +604,7 @@
 
 // permitted keeps placement: a bound class goes to no other worker, and to none of unknown kind or zone.
 func (d *Dispatcher) permitted(j *job, w *worker) bool {
-	c := d.class(j)
+	c := j.class
 	return !c.bound() || !w.stray && (c.Kind < 0 || c.Kind == w.Kind) &&
 		(len(c.BoundTo) == 0 || slices.Contains(c.BoundTo, w.Kind)) &&
 		(len(c.Zones) == 0 || slices.Contains(c.Zones, w.Zone))
@@ -611,8 +612,8 @@
 
 // again tells whether the attempts so far leave this worker to j.
 func (d *Dispatcher) again(j *job, w *worker) bool {
-	c := d.class(j)
-	return !slices.ContainsFunc(j.tries, func(t attempt) bool {
+	c := j.class
+	return !slices.ContainsFunc(j.tries, func(t *attempt) bool {
 		return t.w == w || // it has had its chance, or still has it
 			!t.never && c.Effect == Keyed && (float64(d.now-t.sent) > windowPart*float64(c.Window) ||
 				c.Group == GroupZone && t.w.Zone != w.Zone || c.Group == GroupCell && t.w.Cell != w.Cell)
@@ -624,17 +625,17 @@
 		return
 	}
 	w.turn, w.retryAt = false, d.now+trial
-	t := attempt{w: w, sent: d.now, way: d.wayTo(w), due: 1.5**d.wayTo(w) + 2*d.tick.Seconds()}
+	t := &attempt{w: w, sent: d.now, way: d.wayTo(w), due: 1.5**d.wayTo(w) + 2*d.tick.Seconds()}
 	j.tries = append(j.tries, t)
-	d.mix(w)
-	w.out, w.shut, j.held = w.out+j.Slots, false, false
+	d.hold(w, j.Slots)
+	w.shut, j.held = false, false
 	d.acts = append(d.acts, Action{Kind: Send, Job: j.Job, Worker: w.Worker})
 }
 
 // end is the gate for final answers: a refusal only where a further try is harmless, else a failure.
 func (d *Dispatcher) end(j *job) {
-	kind, c, back := Refuse, d.class(j), d.tick.Seconds()*(0.5+d.rng.Float64())/max(d.let, leastSpare)
-	if !c.harmless() && slices.ContainsFunc(j.tries, func(t attempt) bool { return !t.never }) {
+	kind, c, back := Refuse, j.class, d.tick.Seconds()*(0.5+d.rng.Float64())/max(d.let, leastSpare)
+	if !c.harmless() && slices.ContainsFunc(j.tries, func(t *attempt) bool { return !t.never }) {
 		kind, back = Fail, 0
 	}
 	for k := range d.usual { // less is learned now: in doubt less is held, or refusals keep themselves up
@@ -657,8 +658,8 @@
 
 // drop cancels the open attempts, or only those that wait at their worker.
 func (d *Dispatcher) drop(j *job, waiting bool) {
-	for i := range j.tries {
-		if t := &j.tries[i]; d.set.Cancel && !t.done && !t.dropped && !(waiting && t.started > 0) {
+	for i, t := range j.tries {
+		if d.set.Cancel && !t.done && !t.dropped && !(waiting && t.started > 0) {
 			t.dropped = true
 			d.acts = append(d.acts, Action{Kind: Cancel, Job: j.Job, Attempt: i})
 		}
@@ -666,15 +667,11 @@
 }
 
 func (d *Dispatcher) outcome(ev *Event, j *job, t *attempt) {
-	if slots := d.set.Report.Slots(&ev.Load); slots > 0 && slots < math.MaxInt32 {
-		k := t.w.Kind
-		d.room[k] += max(smooth, 1-d.room[k]) * (slots - d.room[k])
-	}
 	o := ev.Outcome // some prove that it never ran
 	t.done, t.never = true, o == Full && !d.set.FullUnproven || o == ConnectFailed || o == Moot
-	d.mix(t.w)
+	d.hold(t.w, -j.Slots)
 	d.report(t.w, &ev.Load)
-	t.w.out, t.w.runs = t.w.out-j.Slots, t.w.runs-float64(min(t.started, 1)) // if it had begun
+	t.w.runs -= float64(min(t.started, 1)) // if it had begun
 	if t.w.shut = false; o != OK {
 		t.w.broke = d.now
 	}
@@ -692,7 +689,7 @@
 func (d *Dispatcher) judge(j *job, t *attempt, o Outcome) {
 	switch w := t.w; o {
 	case OK:
-		ran := min(max((d.now-cmp.Or(t.started, t.sent)).Seconds(), leastRun), mostRun)
+		ran := min(max((d.now-max(t.started, t.sent)).Seconds(), leastRun), mostRun)
 		d.took[j.Class] += smooth * ((d.now - t.sent).Seconds() - d.took[j.Class])
 		if d.coldShare(w) >= 1 {
 			x := min(ran/max(d.run[j.Class]*d.slow[w.Kind], leastRun), 10)
@@ -746,13 +743,12 @@
 	}
 	d.looked, d.open = d.now, slices.DeleteFunc(d.open, func(j *job) bool { return d.jobs[j.Job] != j })
 	for _, j := range d.open {
-		for i := range j.tries {
-			t := &j.tries[i]
+		for _, t := range j.tries {
 			usual := max(seconds(silences*d.took[j.Class]), 2*d.tick, d.set.Progress)
 			if t.done {
 				continue
-			} else if slack := max(d.class(j).Stretch-1, 0)*d.run[j.Class] - d.wait(t.w, j.Slots); d.set.TellsStart &&
-				d.class(j).Late == 0 && d.now > j.aim+seconds(max(slack, 0)) {
+			} else if slack := max(j.class.Stretch-1, 0)*d.run[j.Class] - d.wait(t.w, j.Slots); d.set.TellsStart &&
+				j.class.Late == 0 && d.now > j.aim+seconds(max(slack, 0)) {
 				d.drop(j, true) // it is worth nothing any more, or less than its place in the queue
 			} else if d.now-max(t.sent, t.w.heard, d.awake) > usual && !t.w.suspect {
 				t.w.suspect, t.w.retryAt = true, d.now+trial
@@ -766,7 +762,7 @@
 			d.try(j)
 		}
 	}
-	if d.ticking = len(d.open) > 0; d.ticking {
+	if len(d.open) > 0 {
 		d.acts = append(d.acts, Action{Kind: SetTimer, Token: tickToken, Delay: d.tick})
 	}
 }
