Take in lists, starts and answers in fewer steps

- a job that ended is never ended again: end is called for open jobs only, its second look at that goes
- placement is asked of the class; warm is asked of cold workers only

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -8,7 +8,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -75,7 +74,6 @@
 
 type job struct {
 	Event
-	class               *ClassSettings
 	aim, holdTo         time.Duration // started later it will be late; no use in holding it longer
 	tries               []*attempt
 	ended, held, excess bool // excess: beyond its tenant's share
@@ -181,12 +179,7 @@
 		d.arrive(ev)
 	case (ev.Kind == EventNote || ev.Kind == EventStarted) && t != nil:
 		if t.w.heard, t.w.suspect = d.now, false; ev.Note == NoteStarted && t.started == 0 {
-			t.started, t.w.prompt = d.now, d.now-t.sent <= d.tick
-			d.start(t)
-			if d.let = min(d.let+backUp/4, 1); !d.sees && d.now-t.sent > j.class.Aim/2 { // as good as full
-				d.busy(j, t.w, true)
-				d.let *= 1 - backUp*float64(min((d.now-t.sent)/max(j.class.Aim, 1), 1)) // if the aim is gone
-			}
+			d.start(j, t)
 		}
 	case ev.Kind == EventOutcome && t != nil:
 		d.outcome(ev, j, t)
@@ -216,13 +209,12 @@
 }
 
 func (d *Dispatcher) list(ev *Event) {
-	if ask := d.set.Discovery == Ask; ev.List == ListFailed {
-		if d.asked = false; ask { // a failed call allows four times the silence: half of that is used
-			d.callAgain(2 * d.set.AskWithin)
-		}
+	ask, failed := d.set.Discovery == Ask, ev.List == ListFailed
+	if d.asked = ask && !failed && ev.List != ListCached; ask && !d.asked {
+		d.callAgain(d.set.AskWithin << count(failed)) // four times the silence is allowed then
+	}
+	if failed {
 		return
-	} else if d.asked = ask && ev.List != ListCached; ask && !d.asked {
-		d.callAgain(d.set.AskWithin)
 	}
 	for i := 0; ev.List != ListDelta && i < len(d.order); i++ { // who is missing has left
 		d.order[i].State = Gone
@@ -230,11 +222,8 @@
 	d.born = cmp.Or(d.born, d.now)
 	for _, e := range ev.Entries {
 		stray := e.clean(&d.set)
-		w := d.workers[e.Worker]
-		if w == nil {
-			w = &worker{pace: 1, broke: longAgo, told: longAgo}
-			d.workers[e.Worker] = w
-		} else if e.State == Gone { // its last line may leave out where it stood
+		w := cmp.Or(d.workers[e.Worker], &worker{Entry: e, pace: 1, broke: longAgo, told: longAgo})
+		if d.workers[e.Worker] = w; e.State == Gone { // its last line may leave out where it stood
 			e.Zone, e.Cell, e.Kind, e.Started = w.Zone, w.Cell, w.Kind, w.Started
 		} else if e.Started > w.Started { // a new process: nothing of the old one's ways holds
 			w.suspect, w.pace, w.fullTill, w.turn, w.filled, w.others, w.told = false, 1, 0, false, 0, 0, d.now
@@ -245,19 +234,18 @@
 	order := func(a, b *worker) int { return cmp.Compare(a.Worker, b.Worker) }
 	d.order = slices.SortedFunc(maps.Values(d.workers), order)
 	d.rebuild()
-	for _, w := range d.order { // a drain that is told anew counts anew
+	for _, w := range d.order {
 		d.sized = d.sized || w.Weight != 1
-		w.shut = w.shut && w.State == Draining
 		d.shut(w)
 	}
 }
 
 // shut closes idle connections to a draining worker: at the notice and after outcomes, late ones once more.
 func (d *Dispatcher) shut(w *worker) {
-	if d.set.DrainClose <= 0 || w.State != Draining || w.shut {
+	was := w.shut
+	if w.shut = d.set.DrainClose > 0 && w.State == Draining; was || !w.shut { // a later drain counts anew
 		return
 	}
-	w.shut = true
 	d.acts = append(d.acts, Action{Kind: Close, Worker: w.Worker})
 	if d.now-w.broke < d.set.DrainClose/2 {
 		d.acts = append(d.acts, Action{Kind: SetTimer, Token: closeToken, Delay: d.set.DrainClose / 2})
@@ -266,10 +254,9 @@
 
 func (d *Dispatcher) arrive(ev *Event) {
 	j := &job{Event: ev.clean(&d.set)}
-	c := &d.set.Classes[j.Class]
-	d.jobs[ev.Job], j.class, j.aim = j, c, d.now+c.Aim
-	hold := c.Aim + seconds(max(c.Stretch-1, 0)*d.run[j.Class])
-	hold >>= 1 + count(d.sees) // half of it, or a quarter where others take what is freed
+	c := d.class(j)
+	d.jobs[ev.Job], j.aim = j, d.now+c.Aim
+	hold := (c.Aim + seconds(max(c.Stretch-1, 0)*d.run[j.Class])) >> (1 + count(d.sees)) // others take some
 	j.holdTo = min(d.now+hold, j.Deadline-2*d.tick)
 	if j.excess = d.over(j); j.excess && d.rng.Float64() > d.spare || d.rng.Float64() > max(d.let, leastSpare) {
 		d.end(j)
@@ -303,9 +290,10 @@
 	return rate > due+sigmas*math.Sqrt(due+1) && d.rng.Float64()*rate > due
 }
 
+func (d *Dispatcher) class(j *job) *ClassSettings { return &d.set.Classes[j.Class] }
+
 func (d *Dispatcher) try(j *job) {
-	w, ready := d.pick(j)
-	switch {
+	switch w, ready := d.pick(j); {
 	case w != nil:
 		d.send(j, w)
 	case j.inFlight():
@@ -340,7 +328,8 @@
 			if best != nil && !d.sees || j.Key != 0 && n > 0 && len(j.tries) == 0 {
 				break // a key leaves its kind only once turned away there
 			} else if j.Key == 0 { // one of each kind where it can be told how soon they answer, else the first
-				near := sort.Search(len(reach[k]), func(i int) bool { return !d.wide || !d.near(reach[k][i]) })
+				far := func(w *worker, far int) int { return far - d.place(w) }
+				near, _ := slices.BinarySearchFunc(reach[k], 2*k, far)
 				for _, members := range [][]*worker{reach[k][:near], reach[k][near:]} { // the own zone's by themselves
 					w := d.pickOfTwo(members, j, late || d.wide)
 					if best == nil || w != nil && d.expect(w, j)[0] < d.expect(best, j)[0] {
@@ -358,7 +347,7 @@
 			best = nil
 		}
 	}
-	if best != nil && !d.wide && d.wait(best, j.Slots) > longest*j.class.Aim.Seconds()*d.dense(j) {
+	if best != nil && !d.wide && d.wait(best, j.Slots) > longest*d.class(j).Aim.Seconds()*d.dense(j) {
 		best = nil
 	}
 	return best, ready
@@ -368,25 +357,24 @@
 func (d *Dispatcher) kinds(p [][]*worker, j *job) (order []int, reach [][]*worker) {
 	loads := make([]float64, len(p))
 	for k, members := range p {
-		if c := j.class; c.bound() || len(j.tries) > 0 {
+		if c := d.class(j); c.bound() || len(j.tries) > 0 {
 			members = slices.DeleteFunc(slices.Clone(members), func(w *worker) bool {
-				return !d.permitted(j, w) || !d.again(j, w)
+				return !c.permitted(w) || !d.again(j, w)
 			})
 		}
 		if reach = append(reach, members); len(members) == 0 {
 			continue
 		}
 		order = append(order, k)
-		loads[k] = d.rng.ExpFloat64() // by chance and size, lest all go to the one that seems best
-		size := 0.0
+		load, size := d.rng.ExpFloat64(), 0.0 // by chance and size, lest all go to the one that seems best
 		for _, w := range members {
-			loads[k] += w.out
+			load += w.out
 			size += w.Weight
 		}
 		if j.Key != 0 {
-			loads[k], reach[k] = expHash(j.Key, uint64(k)), nearest(members, j.Key)
+			load, reach[k] = expHash(j.Key, uint64(k)), nearest(members, j.Key)
 		}
-		if loads[k] /= size; !d.sized { // known by speed and slots, then
+		if loads[k] = load / size; !d.sized { // known by speed and slots, then
 			loads[k] *= d.slow[k] / d.slots(k)
 		}
 	}
@@ -445,7 +433,7 @@
 
 // expect is the time to an answer; where many share workers, the chance to be late, and by waiting alone.
 func (d *Dispatcher) expect(w *worker, j *job) [2]float64 {
-	c, room, slow := j.class, max(d.room[w.Kind]*d.coldShare(w), 1), d.slow[w.Kind]*w.pace
+	c, room, slow := d.class(j), max(d.room[w.Kind]*d.coldShare(w), 1), d.slow[w.Kind]*w.pace
 	if !d.wide {
 		return [2]float64{d.wait(w, j.Slots) + d.run[j.Class]*slow}
 	}
@@ -461,7 +449,7 @@
 
 // bears is the chance of being late by waiting at which a job is refused, by what it may still earn.
 func (d *Dispatcher) bears(w *worker, j *job) float64 {
-	c, left := j.class, (j.Deadline - d.now).Seconds()
+	c, left := d.class(j), (j.Deadline - d.now).Seconds()
 	v := d.dense(j) * (1 - math.Exp(-max(left-*d.wayTo(w), 0)/(d.run[j.Class]*d.slow[w.Kind])))
 	if j.Repeat && c.Deadline > 0 && left+c.Aim.Seconds() < c.Deadline.Seconds() {
 		v *= c.Late // its first try came too long ago
@@ -490,7 +478,7 @@
 	for i, c := range d.set.Classes {
 		least = min(least, c.Worth/math.Pow(d.run[i], fixed))
 	}
-	return max(min(j.class.Worth/math.Pow(d.run[j.Class], fixed)/least, denser), 1)
+	return max(min(d.class(j).Worth/math.Pow(d.run[j.Class], fixed)/least, denser), 1)
 }
 
 // others is how many slots others hold at a worker; the longer nothing was learned there, what its kind says.
@@ -500,9 +488,13 @@
 }
 
 // start learns from when a job began: a worker that begins it at once had room, one that is late had none.
-func (d *Dispatcher) start(t *attempt) {
-	w, took := t.w, (d.now - t.sent).Seconds()
-	w.runs++
+func (d *Dispatcher) start(j *job, t *attempt) {
+	w, aim, took := t.w, d.class(j).Aim, (d.now - t.sent).Seconds()
+	t.started, w.prompt, w.runs = d.now, d.now-t.sent <= d.tick, w.runs+1
+	if d.let = min(d.let+backUp/4, 1); !d.sees && d.now-t.sent > aim/2 { // as good as full
+		d.busy(j, w, true)
+		d.let *= 1 - backUp*float64(min((d.now-t.sent)/max(aim, 1), 1)) // if the aim is gone
+	}
 	if *t.way = 1.1 * cmp.Or(*t.way, took); took < *t.way { // a low quarter of the starts: few of those waited
 		*t.way = max(*t.way*0.68, leastRun)
 	}
@@ -556,9 +548,9 @@
 
 func (d *Dispatcher) fit(w *worker, j *job) bool {
 	return w.State == Ready && d.now >= w.fullTill &&
-		(!w.suspect || d.now >= w.retryAt && j.class.Effect == Safe) &&
+		(!w.suspect || d.now >= w.retryAt && d.class(j).Effect == Safe) &&
 		(w.pace <= slowFrom || d.rng.Float64()*w.pace <= 1) && d.allowed(j, w) &&
-		(w.fails == 0 || j.class.harmless() || d.rng.Float64() > shy*w.fails*d.fade(w.failed, memory.Seconds()))
+		(w.fails == 0 || d.class(j).harmless() || d.rng.Float64() > shy*w.fails*d.fade(w.failed, memory.Seconds()))
 }
 
 // coldShare is the part of its capacity that a worker surely has; 1 when warm.
@@ -571,11 +563,8 @@
 
 // warm tells whether j may go to a cold worker: by chance, all together what a warm one bears x cold share.
 func (d *Dispatcher) warm(w *worker, j *job) bool {
-	share := d.coldShare(w)
-	if share >= 1 {
-		return true
-	}
 	n, span, multiple := float64(d.set.Dispatchers), d.set.FallSpan.Seconds(), d.set.FallMultiple
+	share := d.coldShare(w)
 	cost := max(j.Slots*d.run[j.Class]*d.slow[w.Kind], 1e-3)
 	known := memory.Seconds() * (1 - d.fade(d.born, memory.Seconds()))
 	rate := max(d.served[w.Kind]/max(known, 1)/max(d.ready[w.Kind], 1), leastWork/n,
@@ -593,18 +582,18 @@
 func (d *Dispatcher) mayTry(j *job) bool {
 	return !j.ended && (d.set.MaxAttempts == 0 || len(j.tries) < d.set.MaxAttempts) &&
 		d.now < j.Deadline && !slices.ContainsFunc(j.tries, func(t *attempt) bool {
-		return !t.done && !d.set.ParallelTries || !t.never && j.class.Effect == Unsafe
+		return !t.done && !d.set.ParallelTries || !t.never && d.class(j).Effect == Unsafe
 	})
 }
 
 // allowed is the gate for sends: no attempt goes out that it does not let through.
 func (d *Dispatcher) allowed(j *job, w *worker) bool {
-	return w.State == Ready && d.mayTry(j) && d.permitted(j, w) && d.again(j, w) && d.warm(w, j)
+	return w.State == Ready && d.mayTry(j) && d.class(j).permitted(w) && d.again(j, w) &&
+		(d.coldShare(w) >= 1 || d.warm(w, j))
 }
 
 // permitted keeps placement: a bound class goes to no other worker, and to none of unknown kind or zone.
-func (d *Dispatcher) permitted(j *job, w *worker) bool {
-	c := j.class
+func (c *ClassSettings) permitted(w *worker) bool {
 	return !c.bound() || !w.stray && (c.Kind < 0 || c.Kind == w.Kind) &&
 		(len(c.BoundTo) == 0 || slices.Contains(c.BoundTo, w.Kind)) &&
 		(len(c.Zones) == 0 || slices.Contains(c.Zones, w.Zone))
@@ -612,7 +601,7 @@
 
 // again tells whether the attempts so far leave this worker to j.
 func (d *Dispatcher) again(j *job, w *worker) bool {
-	c := j.class
+	c := d.class(j)
 	return !slices.ContainsFunc(j.tries, func(t *attempt) bool {
 		return t.w == w || // it has had its chance, or still has it
 			!t.never && c.Effect == Keyed && (float64(d.now-t.sent) > windowPart*float64(c.Window) ||
@@ -634,17 +623,16 @@
 
 // end is the gate for final answers: a refusal only where a further try is harmless, else a failure.
 func (d *Dispatcher) end(j *job) {
-	kind, c, back := Refuse, j.class, d.tick.Seconds()*(0.5+d.rng.Float64())/max(d.let, leastSpare)
+	kind, c, back := Refuse, d.class(j), d.tick.Seconds()*(0.5+d.rng.Float64())/max(d.let, leastSpare)
 	if !c.harmless() && slices.ContainsFunc(j.tries, func(t *attempt) bool { return !t.never }) {
 		kind, back = Fail, 0
 	}
 	for k := range d.usual { // less is learned now: in doubt less is held, or refusals keep themselves up
 		d.usual[k] *= 1 - smooth
 	}
-	if !j.ended { // to come back in a look or so, later the less is let in, at random lest all do together
-		d.acts = append(d.acts, Action{Kind: kind, Job: j.Job, RetryAfter: min(seconds(back), d.set.MaxRetryAfter)})
-		d.finish(j)
-	}
+	// To come back in a look or so, later the less is let in, at random lest all do together.
+	d.acts = append(d.acts, Action{Kind: kind, Job: j.Job, RetryAfter: min(seconds(back), d.set.MaxRetryAfter)})
+	d.finish(j)
 }
 
 // finish forgets a job but for its open attempts, which are cancelled.
@@ -747,8 +735,8 @@
 			usual := max(seconds(silences*d.took[j.Class]), 2*d.tick, d.set.Progress)
 			if t.done {
 				continue
-			} else if slack := max(j.class.Stretch-1, 0)*d.run[j.Class] - d.wait(t.w, j.Slots); d.set.TellsStart &&
-				j.class.Late == 0 && d.now > j.aim+seconds(max(slack, 0)) {
+			} else if slack := max(d.class(j).Stretch-1, 0)*d.run[j.Class] - d.wait(t.w, j.Slots); d.set.TellsStart &&
+				d.class(j).Late == 0 && d.now > j.aim+seconds(max(slack, 0)) {
 				d.drop(j, true) // it is worth nothing any more, or less than its place in the queue
 			} else if d.now-max(t.sent, t.w.heard, d.awake) > usual && !t.w.suspect {
 				t.w.suspect, t.w.retryAt = true, d.now+trial
