Split dispatcher.go by concern

Moves only, and one line for each constant's file: state and events, listed workers with pools and cold ones, admission, picking, forecasts, learning, attempts. All are listed as policy; the test of their size counts them together, and another one sees that no file of the package is left out of the list.

--- a/api.go
+++ b/api.go
@@ -5,7 +5,7 @@
 // one Event after the other through Dispatcher.Handle and carries out the
 // Actions that come back. It owns no goroutine, clock or connection, and the
 // same events always produce the same actions. This file holds the interface;
-// every decision is in dispatcher.go.
+// every decision is in the files listed as policy in deploy/balancer.toml.
 package ivyfold
 
 import (
--- a/pools_test.go
+++ b/pools_test.go
@@ -1,13 +1,15 @@
 package ivyfold
 
 import (
-	"bufio"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 	"unicode/utf8"
+
+	"github.com/BurntSushi/toml"
 )
 
 func labelsOf(d *Dispatcher) map[WorkerID]int {
@@ -85,19 +87,45 @@
 	}
 }
 
-func TestDecisionFileKeepsItsSize(t *testing.T) {
-	f, err := os.Open("dispatcher.go")
+// policyFiles are the files that deploy/balancer.toml lists as the policy.
+func policyFiles(t *testing.T) []string {
+	var settings struct{ Policy []string }
+	if _, err := toml.DecodeFile("deploy/balancer.toml", &settings); err != nil {
+		t.Fatal(err)
+	}
+	return settings.Policy
+}
+
+// Every file of the package is listed as policy, but for the interface and the hash.
+func TestAllDecisionFilesAreListed(t *testing.T) {
+	files, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
-	lines, n := 0, 0
-	for in := bufio.NewScanner(f); in.Scan(); {
-		if n++; strings.TrimSpace(in.Text()) != "" {
-			lines++
+	files = slices.DeleteFunc(files, func(name string) bool {
+		return strings.HasSuffix(name, "_test.go") || name == "api.go" || name == "hash.go"
+	})
+	if listed := slices.Sorted(slices.Values(policyFiles(t))); !slices.Equal(files, listed) {
+		t.Errorf("files that decide are %v, listed are %v", files, listed)
+	}
+}
+
+func TestDecisionFilesKeepTheirSize(t *testing.T) {
+	lines := 0
+	for _, name := range policyFiles(t) {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if w := utf8.RuneCountInString(in.Text()); w > 110 {
-			t.Errorf("line %d is %d characters wide", n, w)
+		n := 0
+		for line := range strings.Lines(string(text)) {
+			line = strings.TrimSuffix(line, "\n")
+			if n++; strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if w := utf8.RuneCountInString(line); w > 110 {
+				t.Errorf("%s: line %d is %d characters wide", name, n, w)
+			}
 		}
 	}
 	if lines > 710 || lines == 0 {
