--- a/attempts.go
+++ b/attempts.go
@@ -4,48 +4,48 @@
 
 import "slices"
 
-const silences, windowPart = 3, 0.7 // usual answer times until suspect; of a Keyed window is used
+const suspectAfter, usableWindow = 3, 0.7 // usual answer times until suspect; of a Keyed window is used
 
-const slowFrom, shy = 2, 4 // times slower than its kind, gets less; times its errors, unsafe jobs shy
+const slowFactor, errorAversion = 2, 4 // times its kind's, gets less; times errors, for unsafe jobs
 
-func (j *job) inFlight() bool { return slices.ContainsFunc(j.tries, (*attempt).inFlight) }
+func (j *job) inFlight() bool { return slices.ContainsFunc(j.attempts, (*attempt).inFlight) }
 
 func (t *attempt) inFlight() bool { return !t.done }
 
 func (d *Dispatcher) fit(w *worker, j *job) bool {
 	return w.State == Ready && d.now >= w.fullTill &&
 		(!w.suspect || d.now >= w.retryAt && d.class(j).Effect == Safe) &&
-		(w.pace <= slowFrom || d.rng.Float64()*w.pace <= 1) && d.allowed(j, w) &&
-		(w.fails == 0 || d.class(j).harmless() || d.rng.Float64() > shy*w.fails*d.fade(w.failed, memory.Seconds()))
+		(w.pace <= slowFactor || d.rng.Float64()*w.pace <= 1) && d.allowed(j, w) &&
+		(w.fails == 0 || d.class(j).harmless() || d.rng.Float64() > errorAversion*w.fails*d.decay(w.failed, memory))
 }
 
 // mayTry tells whether the rules leave j another attempt at all.
 func (d *Dispatcher) mayTry(j *job) bool {
-	return !j.ended && (d.set.MaxAttempts == 0 || len(j.tries) < d.set.MaxAttempts) &&
-		d.now < j.Deadline && !slices.ContainsFunc(j.tries, func(t *attempt) bool {
-		return !t.done && !d.set.ParallelTries || !t.never && d.class(j).Effect == Unsafe
+	return !j.ended && (d.set.MaxAttempts == 0 || len(j.attempts) < d.set.MaxAttempts) &&
+		d.now < j.Deadline && !slices.ContainsFunc(j.attempts, func(t *attempt) bool {
+		return !t.done && !d.set.ParallelTries || !t.neverRan && d.class(j).Effect == Unsafe
 	})
 }
 
 // allowed is the gate for sends: no attempt goes out that it does not let through.
 func (d *Dispatcher) allowed(j *job, w *worker) bool {
-	return w.State == Ready && d.mayTry(j) && d.class(j).permitted(w) && d.again(j, w) &&
+	return w.State == Ready && d.mayTry(j) && d.class(j).permitted(w) && d.mayRetryAt(j, w) &&
 		(d.coldShare(w) >= 1 || d.warm(w, j))
 }
 
 // permitted keeps placement: a bound class goes to no other worker, and to none of unknown kind or zone.
 func (c *ClassSettings) permitted(w *worker) bool {
-	return !c.bound() || !w.stray && (c.Kind < 0 || c.Kind == w.Kind) &&
+	return !c.bound() || !w.misplaced && (c.Kind < 0 || c.Kind == w.Kind) &&
 		(len(c.BoundTo) == 0 || slices.Contains(c.BoundTo, w.Kind)) &&
 		(len(c.Zones) == 0 || slices.Contains(c.Zones, w.Zone))
 }
 
-// again tells whether the attempts so far leave this worker to j.
-func (d *Dispatcher) again(j *job, w *worker) bool {
+// mayRetryAt tells whether the attempts so far leave this worker to j.
+func (d *Dispatcher) mayRetryAt(j *job, w *worker) bool {
 	c := d.class(j)
-	return !slices.ContainsFunc(j.tries, func(t *attempt) bool {
+	return !slices.ContainsFunc(j.attempts, func(t *attempt) bool {
 		return t.w == w || // it has had its chance, or still has it
-			!t.never && c.Effect == Keyed && (float64(d.now-t.sent) > windowPart*float64(c.Window) ||
+			!t.neverRan && c.Effect == Keyed && (float64(d.now-t.sent) > usableWindow*float64(c.Window) ||
 				c.Group == GroupZone && t.w.Zone != w.Zone || c.Group == GroupCell && t.w.Cell != w.Cell)
 	})
 }
@@ -54,9 +54,9 @@
 	if j == nil || !d.allowed(j, w) {
 		return
 	}
-	w.turn, w.retryAt = false, d.now+trial
-	t := &attempt{w: w, sent: d.now, way: d.wayTo(w), due: 1.5**d.wayTo(w) + 2*d.tick.Seconds()}
-	j.tries = append(j.tries, t)
+	w.hasTurn, w.retryAt = false, d.now+suspectRetry
+	t := &attempt{w: w, sent: d.now, way: d.wayTo(w), lateAfter: 1.5**d.wayTo(w) + 2*d.tick.Seconds()}
+	j.attempts = append(j.attempts, t)
 	d.hold(w, j.Slots)
 	w.shut, j.held = false, false
 	d.acts = append(d.acts, Action{Kind: Send, Job: j.Job, Worker: w.Worker})
@@ -67,15 +67,15 @@
 	if !j.inFlight() {
 		delete(d.jobs, j.Job)
 	}
-	d.drop(j, false)
+	d.cancelOpen(j, false)
 	j.held, j.ended = false, true
 }
 
-// drop cancels the open attempts, or only those that wait at their worker.
-func (d *Dispatcher) drop(j *job, waiting bool) {
-	for i, t := range j.tries {
-		if d.set.Cancel && !t.done && !t.dropped && !(waiting && t.started > 0) {
-			t.dropped = true
+// cancelOpen cancels the open attempts, or only those that wait at their worker.
+func (d *Dispatcher) cancelOpen(j *job, waiting bool) {
+	for i, t := range j.attempts {
+		if d.set.Cancel && !t.done && !t.cancelled && !(waiting && t.started > 0) {
+			t.cancelled = true
 			d.acts = append(d.acts, Action{Kind: Cancel, Job: j.Job, Attempt: i})
 		}
 	}
@@ -83,87 +83,87 @@
 
 func (d *Dispatcher) outcome(ev *Event, j *job, t *attempt) {
 	o := ev.Outcome // some prove that it never ran
-	t.done, t.never = true, o == Full && !d.set.FullUnproven || o == ConnectFailed || o == Moot
+	t.done, t.neverRan = true, o == Full && !d.set.FullUnproven || o == ConnectFailed || o == Moot
 	d.hold(t.w, -j.Slots)
-	d.report(t.w, &ev.Load)
-	t.w.runs -= float64(min(t.started, 1)) // if it had begun
+	d.learnReport(t.w, &ev.Load)
+	t.w.running -= float64(min(t.started, 1)) // if it had begun
 	if t.w.shut = false; o != OK {
 		t.w.broke = d.now
 	}
 	d.shut(t.w)
-	d.judge(j, t, o)
+	d.applyOutcome(j, t, o)
 	if j.ended || ev.Closed || o == OK {
 		d.finish(j)
-	} else if !j.inFlight() && d.mayTry(j) && !j.excess && !t.dropped {
+	} else if !j.inFlight() && d.mayTry(j) && !j.excess && !t.cancelled {
 		d.try(j)
 	} else if !j.inFlight() {
-		d.end(j)
+		d.reject(j)
 	}
 }
 
-func (d *Dispatcher) judge(j *job, t *attempt, o Outcome) {
+func (d *Dispatcher) applyOutcome(j *job, t *attempt, o Outcome) {
 	switch w := t.w; o {
 	case OK:
-		ran := min(max((d.now-max(t.started, t.sent)).Seconds(), leastRun), mostRun)
-		d.took[j.Class] += smooth * ((d.now - t.sent).Seconds() - d.took[j.Class])
+		ran := min(max((d.now-max(t.started, t.sent)).Seconds(), minRun), maxRun)
+		d.answerTime[j.Class] += sampleWeight * ((d.now - t.sent).Seconds() - d.answerTime[j.Class])
 		if d.coldShare(w) >= 1 {
-			x := min(ran/max(d.run[j.Class]*d.slow[w.Kind], leastRun), 10)
+			x := min(ran/max(d.run[j.Class]*d.slow[w.Kind], minRun), 10)
 			d.served[w.Kind], d.tried[w.Kind] = d.served[w.Kind]+j.Slots*ran, d.tried[w.Kind]+1
 			measure := slices.IndexFunc(d.tried, func(n float64) bool { return n > 0 }) // the first kind at work
-			if first := max(smooth/4, 1/(d.tried[w.Kind]+4)); w.Kind != measure {       // at first most is guessed
-				d.slow[w.Kind] = min(max(d.slow[w.Kind]*(1+first*(x-1)), 1./mostSlow), mostSlow)
+			if first := max(sampleWeight/4, 1/(d.tried[w.Kind]+4)); w.Kind != measure { // at first most is guessed
+				d.slow[w.Kind] = min(max(d.slow[w.Kind]*(1+first*(x-1)), 1./maxSlowness), maxSlowness)
 				d.unit = slices.Sorted(slices.Values(d.slow))[len(d.slow)/2] // a job's own time is the middle kind's
 			}
-			d.mean += smooth * (ran/d.slow[w.Kind] - d.mean)
-			d.run[j.Class] += smooth * (ran/d.slow[w.Kind] - d.run[j.Class])
-			w.pace += 2 * smooth * (x - w.pace)
+			d.meanRun += sampleWeight * (ran/d.slow[w.Kind] - d.meanRun)
+			d.run[j.Class] += sampleWeight * (ran/d.slow[w.Kind] - d.run[j.Class])
+			w.pace += 2 * sampleWeight * (x - w.pace)
 		}
-		w.heard, w.served, w.suspect, w.fullFor, w.fails = d.now, d.now, false, 0, w.fails*(1-latest)
-		d.spare = min(d.spare+relief, 1)
-		d.good[j.Tenant]++
-		d.refill(w)
+		w.lastHeard, w.lastOK, w.suspect, w.pause, w.fails = d.now, d.now, false, 0, w.fails*(1-errorWeight)
+		d.spare = min(d.spare+excessRecovery, 1)
+		d.answerRate[j.Tenant]++
+		d.sendHeld(w)
 	case Full:
-		w.heard = d.now
-		d.busy(j, w, len(j.tries) > 1 || j.excess && j.Key == 0) // a key's full worker says little of the pool
+		w.lastHeard = d.now
+		d.busy(j, w, len(j.attempts) > 1 || j.excess && j.Key == 0) // a key's full worker says little of the pool
 	case Error:
-		w.fails, w.failed = min(w.fails+latest, 1), d.now
+		w.fails, w.failed = min(w.fails+errorWeight, 1), d.now
 	case ConnectFailed:
-		w.suspect, w.retryAt = true, d.now+trial
+		w.suspect, w.retryAt = true, d.now+suspectRetry
 	}
 }
 
-// refill gives a slot just freed to a held job that may go there: worth most for its time, or the oldest.
-func (d *Dispatcher) refill(w *worker) {
+// sendHeld gives a slot just freed to a held job that may go there: worth most for its time, or the oldest.
+func (d *Dispatcher) sendHeld(w *worker) {
 	var next *job
 	for _, j := range d.open {
 		if j.held && d.fit(w, j) && d.wait(w, j.Slots) == 0 &&
-			(next == nil || d.sees && d.dense(j) > d.dense(next)) {
+			(next == nil || d.sees && d.density(j) > d.density(next)) {
 			next = j
 		}
 	}
 	d.send(next, w)
 }
 
-// look comes round every tick while jobs are open: held jobs, silent workers, overdue attempts.
-func (d *Dispatcher) look() {
+// checkOpenJobs comes round every tick while jobs are open: held jobs, silent workers, overdue attempts.
+func (d *Dispatcher) checkOpenJobs() {
 	if d.now-d.looked > 4*d.tick { // it stood still itself: nobody else was silent
 		d.awake = d.now
 	}
 	d.looked, d.open = d.now, slices.DeleteFunc(d.open, func(j *job) bool { return d.jobs[j.Job] != j })
 	for _, j := range d.open {
-		for _, t := range j.tries {
-			usual := max(seconds(silences*d.took[j.Class]), 2*d.tick, d.set.Progress)
+		for _, t := range j.attempts {
+			usual := max(seconds(suspectAfter*d.answerTime[j.Class]), 2*d.tick, d.set.Progress)
 			if t.done {
 				continue
 			} else if slack := max(d.class(j).Stretch-1, 0)*d.run[j.Class] - d.wait(t.w, j.Slots); d.set.TellsStart &&
-				d.class(j).Late == 0 && d.now > j.aim+seconds(max(slack, 0)) {
-				d.drop(j, true) // it is worth nothing any more, or less than its place in the queue
-			} else if d.now-max(t.sent, t.w.heard, d.awake) > usual && !t.w.suspect {
-				t.w.suspect, t.w.retryAt = true, d.now+trial
+				d.class(j).Late == 0 && d.now > j.dueAt+seconds(max(slack, 0)) {
+				d.cancelOpen(j, true) // it is worth nothing any more, or less than its place in the queue
+			} else if d.now-max(t.sent, t.w.lastHeard, d.awake) > usual && !t.w.suspect {
+				t.w.suspect, t.w.retryAt = true, d.now+suspectRetry
 			}
-			if age := (d.now - t.sent).Seconds(); d.wide && t.started == 0 && age > max(t.due, 2*t.known) {
-				d.late(t.w, age-t.due)
-				t.known = age // it waits: no need for its start to know
+			if age := (d.now - t.sent).Seconds(); d.wide && t.started == 0 && age > max(t.lateAfter, 2*t.lateSeen) {
+				d.learnLate(t.w, age-t.lateAfter)
+				t.lateSeen = age // it waits: no need for its start to know
 			}
 		}
 		if j.held {
@@ -171,6 +171,6 @@
 		}
 	}
 	if len(d.open) > 0 {
-		d.acts = append(d.acts, Action{Kind: SetTimer, Token: tickToken, Delay: d.tick})
+		d.acts = append(d.acts, Action{Kind: SetTimer, Token: lookToken, Delay: d.tick})
 	}
 }
--- a/failures_test.go
+++ b/failures_test.go
@@ -522,13 +522,13 @@
 func TestARepeatedReportCountsOnce(t *testing.T) {
 	c := ready(t, 4, func(s *Settings) { s.ReportByWord, s.Report = true, Report{0, -1, 1, -1, -1, -1} })
 	w, l := c.d.order[0], Load{N: 2, Values: [4]float64{0, 5}}
-	c.d.report(w, &l)
+	c.d.learnReport(w, &l)
 	if once := w.others; once <= 0 {
 		t.Errorf("a full worker's report says that others hold %v", once)
-	} else if c.d.report(w, &l); w.others != once {
+	} else if c.d.learnReport(w, &l); w.others != once {
 		t.Errorf("the same report once more: %v after %v", w.others, once)
 	} else if l.Values[1] = 6; true {
-		if c.d.report(w, &l); w.others <= once {
+		if c.d.learnReport(w, &l); w.others <= once {
 			t.Errorf("a new one: %v after %v", w.others, once)
 		}
 	}
@@ -553,7 +553,7 @@
 		return 0
 	}
 	plain, worthy := held(0), held(4)
-	if c.d.dense(c.d.jobs[worthy]) <= c.d.dense(c.d.jobs[plain]) {
+	if c.d.density(c.d.jobs[worthy]) <= c.d.density(c.d.jobs[plain]) {
 		t.Error("the worthier job does not count as denser")
 	}
 	c.outcome(1, 0, OK)
@@ -578,7 +578,7 @@
 			if class == 1 {
 				c.outcome(id, 0, Error)
 			} else {
-				c.d.end(&job{Event: Event{Job: id}})
+				c.d.reject(&job{Event: Event{Job: id}})
 			}
 			out[c.d.acts[len(c.d.acts)-1].RetryAfter] = true
 		}
@@ -620,7 +620,7 @@
 			limit += s.FallMultiple * d.coldShare(w) * d.served[0] / memory.Seconds() / d.ready[0]
 			for range 10 { // within one span everybody wants to send there
 				for d.warm(w, short) {
-					w.turn = false
+					w.hasTurn = false
 					work += 0.15
 				}
 				d.now += 100 * time.Millisecond
@@ -647,7 +647,7 @@
 		d.Handle(now, &Event{Kind: EventList, List: ListFull, Entries: list}, nil)
 		for id := JobID(1); id <= 100_000; id++ {
 			if now += 250 * time.Microsecond; id%64 == 0 {
-				d.Handle(now, &Event{Kind: EventTimer, Token: tickToken}, nil)
+				d.Handle(now, &Event{Kind: EventTimer, Token: lookToken}, nil)
 			}
 			var sent *Action
 			for _, a := range d.Handle(now, &Event{Kind: EventJob, Job: id, Slots: 1, Deadline: now + 4*time.Second}, nil) {
@@ -675,15 +675,15 @@
 	}
 	const most = 1e6
 	for k := range d.slow {
-		within("slow", d.slow[k], 1./mostSlow, mostSlow)
+		within("slow", d.slow[k], 1./maxSlowness, maxSlowness)
 		within("served", d.served[k], 0, math.MaxFloat32)
-		within("room", d.room[k], 0, math.MaxInt32)
+		within("room", d.slotCount[k], 0, math.MaxInt32)
 	}
 	for i := range d.run {
-		within("run", d.run[i], leastRun/mostSlow, most)
-		within("took", d.took[i], 0, most)
+		within("run", d.run[i], minRun/maxSlowness, most)
+		within("took", d.answerTime[i], 0, most)
 	}
-	within("mean", d.mean, leastRun/mostSlow, most)
+	within("mean", d.meanRun, minRun/maxSlowness, most)
 	within("spare", d.spare, leastSpare, 1)
 	for _, w := range d.order {
 		within("pace", w.pace, 1e-9, most)
@@ -712,7 +712,7 @@
 		figures := rapid.SliceOfN(rapid.SampledFrom([]float64{0, 1, -5, 1e300, math.Inf(1), math.Inf(-1), math.NaN()}), 1, 8).Draw(rt, "figures")
 		for id := JobID(1); id < 2000; id++ {
 			if now += time.Millisecond; id%64 == 0 {
-				d.Handle(now, &Event{Kind: EventTimer, Token: tickToken}, nil)
+				d.Handle(now, &Event{Kind: EventTimer, Token: lookToken}, nil)
 			}
 			span, figure := spans[int(id)%len(spans)], figures[int(id)%len(figures)]
 			acts := d.Handle(now, &Event{Kind: EventJob, Job: id, Class: int(id) % len(s.Classes), Slots: figure}, nil)
@@ -847,8 +847,8 @@
 func TestJobsThatLieTellOfAJam(t *testing.T) {
 	c := ready(t, 60, shared)
 	c.serve(80, func(JobID, Entry) work { return work{run: 200 * time.Millisecond, free: 4} })
-	if c.d.room[0] != 4 || c.d.usual[0] > 2 || c.d.usual[1] > 2 {
-		t.Fatalf("idle workers: %v slots, others hold %v", c.d.room, c.d.usual)
+	if c.d.slotCount[0] != 4 || c.d.usual[0] > 2 || c.d.usual[1] > 2 {
+		t.Fatalf("idle workers: %v slots, others hold %v", c.d.slotCount, c.d.usual)
 	}
 	lying := [2]int{}
 	for id := JobID(101); id <= 108; id++ {
@@ -860,8 +860,8 @@
 		}
 	}
 	for k, n := range lying {
-		if full := c.d.usual[k] >= c.d.room[k]; full != (n > 0) {
-			t.Errorf("%d jobs lie at kind %d, and others hold %v of %v slots", n, k, c.d.usual[k], c.d.room[k])
+		if full := c.d.usual[k] >= c.d.slotCount[k]; full != (n > 0) {
+			t.Errorf("%d jobs lie at kind %d, and others hold %v of %v slots", n, k, c.d.usual[k], c.d.slotCount[k])
 		}
 	}
 }
@@ -879,13 +879,13 @@
 		near += count(id > 100)
 		return work{way: time.Millisecond + some, run: 50 * time.Millisecond, free: 1}
 	})
-	if own, far := c.d.way[1][0], c.d.way[0][0]; own > 0.05 || far < 0.08 || far > 0.2 {
+	if own, far := c.d.delay[1][0], c.d.delay[0][0]; own > 0.05 || far < 0.08 || far > 0.2 {
 		t.Errorf("ways learned: %.3f s in its zone, %.3f s beyond", own, far)
 	}
 	if near < 285 { // a third of all are near; picked from all of a kind, half the jobs paid for a far handshake
 		t.Errorf("%d of 300 jobs stay near, with room there", near)
 	}
-	for k := range c.d.room { // what is learned of the own zone's says nothing of those beyond, and the other way round
+	for k := range c.d.slotCount { // what is learned of the own zone's says nothing of those beyond, and the other way round
 		c.d.usual[2*k], c.d.usual[2*k+1] = 0, 16
 	}
 	clear(c.d.workers) // what was learned of each goes, and the list that follows brings all anew
@@ -914,7 +914,7 @@
 	}{{4, 4 * time.Second, false, true}, {4, run / 10, false, false}, {4, time.Second, true, false},
 		{0, run / 10, false, true}, {0, time.Second, true, true}} { // where nobody waits there is nothing to lose
 		for k := range c.d.usual {
-			c.d.usual[k], c.d.room[k/2] = tc.held, 4
+			c.d.usual[k], c.d.slotCount[k/2] = tc.held, 4
 		}
 		job := JobID(id + 1)
 		c.event(Event{Kind: EventJob, Job: job, Tenant: id, Slots: 1, Repeat: tc.repeat, Deadline: c.now + tc.patience})
@@ -934,7 +934,7 @@
 		sent  bool
 	}{{2, 0, true}, {6, 0, false}, {6, 4, true}, {16, 4, false}} {
 		for k := range c.d.usual {
-			c.d.usual[k], c.d.room[k/2] = tc.held, 4
+			c.d.usual[k], c.d.slotCount[k/2] = tc.held, 4
 		}
 		job := JobID(id + 1)
 		c.event(Event{Kind: EventJob, Job: job, Class: tc.class, Tenant: id, Slots: 1, Deadline: c.now + 4*time.Second})
@@ -958,9 +958,9 @@
 	tenant := slices.Index(c.d.labels, 1)
 	full := c.d.pools[1]
 	for k := range full {
-		c.d.room[k] = 4
+		c.d.slotCount[k] = 4
 		for _, w := range full[k] {
-			w.others, w.told = 16, c.now
+			w.others, w.othersAt = 16, c.now
 		}
 	}
 	if !c.arrive(1, tenant) {
@@ -1007,9 +1007,9 @@
 		slack := seconds(2 * c.d.run[1])
 		c.event(Event{Kind: EventJob, Job: 900, Class: 1, Slots: 1, Deadline: c.now + 4*time.Second})
 		came, w := c.now, c.d.workers[c.jobs[900].sends[0].to.Worker]
-		for !c.d.jobs[900].tries[0].dropped && c.now < came+3*time.Second {
+		for !c.d.jobs[900].attempts[0].cancelled && c.now < came+3*time.Second {
 			c.advance(10 * time.Millisecond)
-			w.others, w.told = queue, c.now
+			w.others, w.othersAt = queue, c.now
 		}
 		waited := c.now - came - c.s.Classes[1].Aim
 		if late := waited - slack; queue == 0 && late.Abs() > 60*time.Millisecond || queue > 0 && waited > 60*time.Millisecond {
@@ -1027,7 +1027,7 @@
 		s.Classes[2], s.Classes[3], s.Classes[4] = s.Classes[1], s.Classes[1], s.Classes[1]
 		d := must(t, s, 1)
 		d.run = []float64{0.4, 0.8, 0.8, 0.8, 0.8}
-		if got := d.dense(&job{}); math.Abs(got-want) > 1e-9 {
+		if got := d.density(&job{}); math.Abs(got-want) > 1e-9 {
 			t.Errorf("by work %v: the short class is %v times as dense, not %v", byWork, got, want)
 		}
 	}
--- a/picking.go
+++ b/picking.go
@@ -7,7 +7,7 @@
 	"slices"
 )
 
-const fetchSlots, keyWorkers = 2, 3 // own slots more at a key's first worker for its next; of a kind hold it
+const keySlotLead, keyWorkers = 2, 3 // own slots more at a key's first worker for its next; of a kind hold it
 
 // pick finds a worker that can take j now, and tells whether one could later. Keys keep to one kind.
 func (d *Dispatcher) pick(j *job) (best *worker, ready bool) {
@@ -15,7 +15,7 @@
 	for n := range 2 * near { // its own pool, and only if nobody there can take it the next one
 		i, late := n%near, n >= near // again at its last look: then those where it has to wait count too
 		if i > 0 && j.excess || best != nil ||
-			late && (d.wide || !d.sees || j.Key != 0 || d.now+2*d.tick < j.holdTo) {
+			late && (d.wide || !d.sees || j.Key != 0 || d.now+2*d.tick < j.heldUntil) {
 			break
 		}
 		kinds, reach := d.kinds(d.pools[(d.labels[j.Tenant]+i)%len(d.pools)], j)
@@ -26,29 +26,29 @@
 			}
 		}
 		for n, k := range kinds {
-			if best != nil && !d.sees || j.Key != 0 && n > 0 && len(j.tries) == 0 {
+			if best != nil && !d.sees || j.Key != 0 && n > 0 && len(j.attempts) == 0 {
 				break // a key leaves its kind only once turned away there
 			} else if j.Key == 0 { // one of each kind where it can be told how soon they answer, else the first
 				far := func(w *worker, far int) int { return far - d.place(w) }
 				near, _ := slices.BinarySearchFunc(reach[k], 2*k, far)
 				for _, members := range [][]*worker{reach[k][:near], reach[k][near:]} { // the own zone's by themselves
 					w := d.pickOfTwo(members, j, late || d.wide)
-					if best == nil || w != nil && d.expect(w, j)[0] < d.expect(best, j)[0] {
+					if best == nil || w != nil && d.forecast(w, j)[0] < d.forecast(best, j)[0] {
 						best = w
 					}
 				}
 			}
 			for i, w := range reach[k] { // the nearest to the key leads until it has more own slots
-				if j.Key != 0 && d.fit(w, j) && (best == nil || best.out >= w.out+fetchSlots*float64(i)) {
+				if j.Key != 0 && d.fit(w, j) && (best == nil || best.out >= w.out+keySlotLead*float64(i)) {
 					best = w
 				}
 			}
 		}
-		if best != nil && d.wide && d.expect(best, j)[1] > d.bears(best, j) {
+		if best != nil && d.wide && d.forecast(best, j)[1] > d.acceptableRisk(best, j) {
 			best = nil
 		}
 	}
-	if best != nil && !d.wide && d.wait(best, j.Slots) > longest*d.class(j).Aim.Seconds()*d.dense(j) {
+	if best != nil && !d.wide && d.wait(best, j.Slots) > maxWaitOfAim*d.class(j).Aim.Seconds()*d.density(j) {
 		best = nil
 	}
 	return best, ready
@@ -58,9 +58,9 @@
 func (d *Dispatcher) kinds(p [][]*worker, j *job) (order []int, reach [][]*worker) {
 	loads := make([]float64, len(p))
 	for k, members := range p {
-		if c := d.class(j); c.bound() || len(j.tries) > 0 {
+		if c := d.class(j); c.bound() || len(j.attempts) > 0 {
 			members = slices.DeleteFunc(slices.Clone(members), func(w *worker) bool {
-				return !c.permitted(w) || !d.again(j, w)
+				return !c.permitted(w) || !d.mayRetryAt(j, w)
 			})
 		}
 		if reach = append(reach, members); len(members) == 0 {
@@ -75,7 +75,7 @@
 		if j.Key != 0 {
 			load, reach[k] = expHash(j.Key, uint64(k)), nearest(members, j.Key)
 		}
-		if loads[k] = load / size; !d.sized { // known by speed and slots, then
+		if loads[k] = load / size; !d.weighted { // known by speed and slots, then
 			loads[k] *= d.slow[k] / d.slots(k)
 		}
 	}
@@ -94,7 +94,7 @@
 	}
 	two := [2]*worker{members[first], members[second]}
 	for _, w := range members {
-		if w.prompt && d.linked(w) {
+		if w.startedAtOnce && d.linked(w) {
 			if links++; d.rng.IntN(links) == 0 {
 				two[0] = w
 			}
@@ -105,8 +105,8 @@
 		if n < 2 {
 			w = two[n]
 		}
-		near := best != nil && (d.wide && d.expect(w, j)[0] < d.expect(best, j)[0] || // between equals
-			!d.wide && !(best.prompt && d.linked(best)) && w.Zone == d.set.Zone && best.Zone != w.Zone)
+		near := best != nil && (d.wide && d.forecast(w, j)[0] < d.forecast(best, j)[0] || // between equals
+			!d.wide && !(best.startedAtOnce && d.linked(best)) && w.Zone == d.set.Zone && best.Zone != w.Zone)
 		if (best == nil || w.out*best.Weight < best.out*w.Weight || w.out == best.out && near) && d.fit(w, j) &&
 			(late || d.wait(w, j.Slots) == 0) {
 			best = w
--- a/workers.go
+++ b/workers.go
@@ -9,16 +9,16 @@
 	"slices"
 )
 
-const buckets, unlabelled, labelled = 2, 0, 0.9 // few, large; the leftovers'; of a kind to a label at most
+const buckets, unlabelled, maxLabelled = 2, 0, 0.9 // of tenants; the rest's; part of a kind that one gets
 
-const slotWork, leastWork = 0.5, 0.1 // of its slots, and slots, that any worker keeps at work
+const minSlotUse, minWork = 0.5, 0.1 // of its slots, and slots, that any worker keeps at work
 
 const longAgo = math.MinInt64 / 2 // before any event
 
-func (d *Dispatcher) list(ev *Event) {
+func (d *Dispatcher) updateList(ev *Event) {
 	ask, failed := d.set.Discovery == Ask, ev.List == ListFailed
-	if d.asked = ask && !failed && ev.List != ListCached; ask && !d.asked {
-		d.callAgain(d.set.AskWithin << count(failed)) // four times the silence is allowed then
+	if d.watching = ask && !failed && ev.List != ListCached; ask && !d.watching {
+		d.scheduleCall(d.set.AskWithin << count(failed)) // four times the silence is allowed then
 	}
 	if failed {
 		return
@@ -26,23 +26,23 @@
 	for i := 0; ev.List != ListDelta && i < len(d.order); i++ { // who is missing has left
 		d.order[i].State = Gone
 	}
-	d.born = cmp.Or(d.born, d.now)
+	d.firstList = cmp.Or(d.firstList, d.now)
 	for _, e := range ev.Entries {
 		stray := e.clean(&d.set)
-		w := cmp.Or(d.workers[e.Worker], &worker{Entry: e, pace: 1, broke: longAgo, told: longAgo})
+		w := cmp.Or(d.workers[e.Worker], &worker{Entry: e, pace: 1, broke: longAgo, othersAt: longAgo})
 		if d.workers[e.Worker] = w; e.State == Gone { // its last line may leave out where it stood
 			e.Zone, e.Cell, e.Kind, e.Started = w.Zone, w.Cell, w.Kind, w.Started
 		} else if e.Started > w.Started { // a new process: nothing of the old one's ways holds
-			w.suspect, w.pace, w.fullTill, w.turn, w.filled, w.others, w.told = false, 1, 0, false, 0, 0, d.now
+			w.suspect, w.pace, w.fullTill, w.hasTurn, w.filled, w.others, w.othersAt = false, 1, 0, false, 0, 0, d.now
 		}
-		w.Entry, w.stray = e, stray
+		w.Entry, w.misplaced = e, stray
 	}
 	maps.DeleteFunc(d.workers, func(_ WorkerID, w *worker) bool { return w.State == Gone && w.out < 1e-9 })
 	order := func(a, b *worker) int { return cmp.Compare(a.Worker, b.Worker) }
 	d.order = slices.SortedFunc(maps.Values(d.workers), order)
 	d.rebuild()
 	for _, w := range d.order {
-		d.sized = d.sized || w.Weight != 1
+		d.weighted = d.weighted || w.Weight != 1
 		d.shut(w)
 	}
 }
@@ -59,8 +59,8 @@
 	}
 }
 
-// bucket hashes tenants to buckets, which but for one name labels.
-func (d *Dispatcher) bucket() {
+// labelTenants hashes tenants to buckets, which but for one name labels.
+func (d *Dispatcher) labelTenants() {
 	var taken [buckets]int
 	for i, t := range d.set.Tenants {
 		b := hash(uint64(i), 1) % buckets
@@ -86,7 +86,7 @@
 				slices.SortStableFunc(free, func(a, b *worker) int {
 					return cmp.Compare(hash(uint64(b.Worker), uint64(l)), hash(uint64(a.Worker), uint64(l)))
 				})
-				n = max(min(int(math.Round(d.ready[kind]*min(labelled, d.shares[l]))), n-1), 0)
+				n = max(min(int(math.Round(d.ready[kind]*min(maxLabelled, d.shares[l]))), n-1), 0)
 			}
 			slices.SortStableFunc(free[:n], func(a, b *worker) int { return d.place(b) - d.place(a) })
 			d.pools[l], free = append(d.pools[l], free[:n]), free[n:]
@@ -112,14 +112,14 @@
 	n, span, multiple := float64(d.set.Dispatchers), d.set.FallSpan.Seconds(), d.set.FallMultiple
 	share := d.coldShare(w)
 	cost := max(j.Slots*d.run[j.Class]*d.slow[w.Kind], 1e-3)
-	known := memory.Seconds() * (1 - d.fade(d.born, memory.Seconds()))
-	rate := max(d.served[w.Kind]/max(known, 1)/max(d.ready[w.Kind], 1), leastWork/n,
-		max(min(d.usual[d.place(w)], d.room[w.Kind]), slotWork*d.room[w.Kind])*float64(count(d.sees))/n)
+	known := memory.Seconds() * (1 - d.decay(d.firstList, memory))
+	rate := max(d.served[w.Kind]/max(known, 1)/max(d.ready[w.Kind], 1), minWork/n,
+		max(min(d.usual[d.place(w)], d.slotCount[w.Kind]), minSlotUse*d.slotCount[w.Kind])*float64(count(d.sees))/n)
 	limit := multiple * share * rate * n * span / cost // jobs that all may send in a span
 	root := max(math.Sqrt(limit+sigmas*sigmas/4)-sigmas/2, 0)
 	mean := min(root*root/max(limit, 1e-9)*multiple, 1) * share * rate
 	if since := (d.now - cmp.Or(w.filled, d.now)).Seconds(); since > 0 || w.filled == 0 { // nothing is saved up
-		w.turn, w.filled = d.rng.Float64() < mean*min(since, span)/cost, d.now
+		w.hasTurn, w.filled = d.rng.Float64() < mean*min(since, span)/cost, d.now
 	}
-	return w.turn
+	return w.hasTurn
 }
