--- /dev/null
+++ b/internal/model/arrivals.go
@@ -0,0 +1,199 @@
+// The clients of a day: arrivals, retries and ends of requests.
+
+package model
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"ivyfold"
+)
+
+// request is what one client wants, over all its tries.
+type request struct {
+	class, tenant int
+	work          float64 // seconds on a core of speed 1
+	came          time.Duration
+	until         time.Duration // when the client gives up
+	key           uint64
+	left          int  // tries that may still follow
+	within        bool // its university's share
+	node          *node
+	over          bool
+}
+
+// rateAt is the rate of all universities without bursts.
+func (s *site) rateAt(at float64) float64 {
+	r := s.load.Rate
+	i := sort.Search(len(r), func(i int) bool { return r[i].AtS > at })
+	switch {
+	case i == 0:
+		return r[0].PerSec * s.load.Times
+	case i == len(r):
+		return r[i-1].PerSec * s.load.Times
+	}
+	part := (at - r[i-1].AtS) / (r[i].AtS - r[i-1].AtS)
+	return (r[i-1].PerSec + part*(r[i].PerSec-r[i-1].PerSec)) * s.load.Times
+}
+
+// Arrival is a request as its client makes it.
+type Arrival struct {
+	At                      time.Duration
+	Class, University, Node int     // places in the descriptions; dispatchers are counted through their groups
+	Work                    float64 // seconds on a core of speed 1
+}
+
+// Arrivals draws a day's requests one after the other, until the day is over: a Poisson process whose rate moves,
+// thinned from its peak.
+func Arrivals(f *Fleet, l *Load, seed uint64) (next func() (Arrival, bool), err error) {
+	s, err := together(f, l)
+	if err != nil {
+		return nil, err
+	}
+	return s.arrivals(seed), nil
+}
+
+func (s *site) arrivals(seed uint64) func() (Arrival, bool) {
+	rng, work := stream(seed, forArrivals), stream(seed, forWork)
+	peak, sum, most, classes, weight, at := 0.0, 0.0, 1.0, 0.0, 0.0, 0.0
+	for _, p := range s.load.Rate {
+		peak = max(peak, p.PerSec*s.load.Times)
+	}
+	var shares, weights []float64 // cumulative
+	for _, p := range s.portion {
+		sum += p
+		shares = append(shares, sum)
+	}
+	for _, g := range s.Dispatchers {
+		for range g.Count {
+			weight += g.Share
+			weights = append(weights, weight)
+		}
+	}
+	for _, b := range s.load.Bursts {
+		most += max(b.Times-1, 0) * s.portion[s.tenant[b.University]] / sum
+	}
+	peak *= most
+	sizes := make([]func() float64, len(s.work))
+	for i, w := range s.work {
+		classes += w.Share
+		sizes[i] = func() float64 { return w.Ms / 1000 }
+		if w.CV > 0 {
+			v := math.Log(1 + w.CV*w.CV)
+			sizes[i] = distuv.LogNormal{Mu: math.Log(w.Ms/1000) - v/2, Sigma: math.Sqrt(v), Src: work}.Rand
+		}
+	}
+	return func() (Arrival, bool) {
+		for peak > 0 {
+			if at += rng.ExpFloat64() / peak; at >= s.load.Seconds {
+				break
+			}
+			// Who sends: the usual mix, or a university's burst on top of it.
+			base := s.rateAt(at)
+			x, who := rng.Float64()*peak, -1
+			if x < base {
+				who = min(sort.SearchFloat64s(shares, x/base*sum), len(shares)-1)
+			} else {
+				x -= base
+				for _, b := range s.load.Bursts {
+					if at >= b.AtS && at < b.AtS+b.ForS && who < 0 {
+						t := s.tenant[b.University]
+						if x -= base * s.portion[t] / sum * max(b.Times-1, 0); x < 0 {
+							who = t
+						}
+					}
+				}
+			}
+			if who < 0 {
+				continue
+			}
+			a := Arrival{At: sec(at), University: who, Node: min(sort.SearchFloat64s(weights, rng.Float64()*weight), len(weights)-1)}
+			for u := rng.Float64() * classes; a.Class < len(s.work)-1 && u >= s.work[a.Class].Share; a.Class++ {
+				u -= s.work[a.Class].Share
+			}
+			a.Work = sizes[a.Class]()
+			return a, true
+		}
+		return Arrival{}, false
+	}
+}
+
+// request makes a client's request of an arrival and books it.
+func (b *Book) request(a Arrival) *request {
+	c := &b.s.Classes[a.Class]
+	q := &request{class: a.Class, tenant: a.University, work: a.Work, came: a.At, until: a.At + sec(c.DeadlineS), left: b.s.load.Retries.Most}
+	if b.number++; effects[c.Effect] == ivyfold.Keyed {
+		q.key = b.number
+	}
+	q.within = b.buckets[q.tenant].take(a.At, b.s.Universities[q.tenant].PerSecS)
+	b.res.asked(b.s, q)
+	return q
+}
+
+// clients lets all requests come, one after the other.
+func (d *day) clients(seed uint64) {
+	arrivals := d.arrivals(seed)
+	var next func()
+	next = func() {
+		a, ok := arrivals()
+		if d.came = !ok; !ok {
+			return
+		}
+		d.at(a.At-d.now, func() {
+			q := d.book.request(a)
+			q.came, q.node = d.now, d.nodes[a.Node]
+			d.pending++
+			next()
+			q.node.take(q, false)
+		})
+	}
+	next()
+}
+
+// bucket counts what a university may send within its share: two seconds of it at a time.
+type bucket struct {
+	used float64
+	at   time.Duration
+}
+
+func (b *bucket) take(now time.Duration, perSec float64) bool {
+	if perSec <= 0 {
+		return true
+	}
+	b.used = max(b.used-perSec*(now-b.at).Seconds(), 0)
+	b.at = now
+	if b.used+1 > 2*perSec+1 {
+		return false
+	}
+	b.used++
+	return true
+}
+
+// end is a request's one final end, seen by its client.
+func (d *day) end(q *request, verdict verdict) {
+	if q.over {
+		d.res.Broken["two answers"]++
+		return
+	}
+	q.over = true
+	d.pending--
+	d.res.ended(d.site, q, verdict, d.now-q.came)
+}
+
+// again lets a client try once more, if it does; it tells whether.
+func (d *day) again(q *request, after time.Duration) bool {
+	wait := ms(d.load.Retries.WaitMs)
+	if d.load.Retries.Honours {
+		wait = max(wait, after)
+	}
+	if q.left <= 0 || d.now+wait >= q.until {
+		return false
+	}
+	q.left--
+	d.res.Repeats++
+	d.at(wait, func() { q.node.take(q, true) })
+	return true
+}
