--- /dev/null
+++ b/internal/dispatch/workers.go
@@ -0,0 +1,137 @@
+// The listed workers: their places and numbers.
+
+package dispatch
+
+import (
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"ivyfold"
+	"ivyfold/internal/config"
+)
+
+// seat is what the core knows of one listed worker. leaving is read by the floor just before a send.
+type seat struct {
+	config.Worker
+	number  ivyfold.WorkerID
+	started time.Duration
+	state   ivyfold.State
+	leaving atomic.Bool
+}
+
+// list turns lines of the roster into the module's entries.
+func (c *Core) list(kind ivyfold.ListKind, workers []config.Worker) {
+	ev := ivyfold.Event{Kind: ivyfold.EventList, List: kind}
+	switch kind {
+	case ivyfold.ListFailed:
+		c.Counters.RosterFailed.Add(1)
+	case ivyfold.ListDelta:
+		c.Counters.RosterChanges.Add(1)
+	default:
+		c.Counters.RosterChanges.Add(1)
+		workers = append(workers[:len(workers):len(workers)], c.fixed...)
+		there := map[string]bool{}
+		for _, w := range workers {
+			there[w.ID] = true
+		}
+		for _, s := range c.seats { // who is missing has left
+			if !there[s.ID] {
+				s.state = ivyfold.Gone
+				s.leaving.Store(true)
+			}
+		}
+	}
+	for _, w := range workers {
+		if s := c.sit(w); s != nil {
+			ev.Entries = append(ev.Entries, ivyfold.Entry{Worker: s.number, Started: s.started, Cell: w.Cell,
+				Zone: s.zone(c.node), Kind: s.kind(c.node), Weight: w.Weight, State: s.state})
+		}
+	}
+	held := map[ivyfold.WorkerID]bool{}
+	for _, j := range c.jobs {
+		for _, a := range j.tries {
+			held[a.seat.number] = held[a.seat.number] || !a.ended
+		}
+	}
+	var count [3]int
+	for id, s := range c.seats {
+		if s.state == ivyfold.Gone && !held[id] {
+			delete(c.seats, id)
+			delete(c.byName, s.ID)
+			continue
+		}
+		count[s.state]++
+	}
+	c.workers.Store(&count)
+	c.handle(&ev)
+}
+
+// sit brings one line of the roster into the table; nil where it cannot be used.
+func (c *Core) sit(w config.Worker) *seat {
+	state, ok := map[string]ivyfold.State{"ready": ivyfold.Ready, "draining": ivyfold.Draining, "gone": ivyfold.Gone}[w.State]
+	if !ok {
+		state = ivyfold.Draining // an unknown state is none to send to
+	}
+	id, known := c.byName[w.ID]
+	if !known {
+		if state == ivyfold.Gone || len(c.seats) >= c.lim.Workers {
+			return nil
+		}
+		for id = number(w.ID); c.seats[id] != nil; id++ {
+		}
+		c.byName[w.ID] = id
+	}
+	s := c.seats[id]
+	if s == nil || state == ivyfold.Ready && s.leaving.Load() {
+		// An attempt under way to the process that left must go on seeing that it left.
+		fresh := &seat{number: id}
+		if s != nil {
+			fresh.Worker, fresh.started = s.Worker, s.started
+		}
+		s = fresh
+		c.seats[id] = s
+	}
+	if w.StartedAtMs <= 0 {
+		s.started = 0
+	} else if w.StartedAtMs != s.StartedAtMs {
+		// Converted once for each start, lest steps of the calendar look like restarts. A start in the future
+		// counts as one now.
+		ago := max(time.Since(time.UnixMilli(w.StartedAtMs)), 0)
+		s.started = max(c.now()-ago, 0)
+	}
+	if s.Address != "" && w.State == "gone" { // its last line may leave out where it stood
+		w.Address, w.Zone, w.Kind, w.Queue = s.Address, s.Zone, s.Kind, s.Queue
+	}
+	s.Worker, s.state = w, state
+	s.leaving.Store(state != ivyfold.Ready)
+	return s
+}
+
+func (s *seat) zone(n *config.Node) int { return config.Index(n.Zones, s.Zone) }
+func (s *seat) kind(n *config.Node) int { return config.Index(n.Kinds, s.Kind) }
+
+// number makes the module's id from a worker's name, alike at all dispatchers and after restarts: the pools hang
+// on it. Names end in eight hexadecimal digits; others are hashed.
+func number(name string) ivyfold.WorkerID {
+	if at := strings.LastIndexByte(name, '-'); at >= 0 && len(name)-at == 9 {
+		if v, err := strconv.ParseUint(name[at+1:], 16, 32); err == nil {
+			return ivyfold.WorkerID(v)
+		}
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return ivyfold.WorkerID(h.Sum32())
+}
+
+// Subject makes the module's key from the words that say what a job is about.
+func Subject(words string) uint64 {
+	if v, err := strconv.ParseUint(words, 16, 64); err == nil && len(words) == 16 && v != 0 {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(words))
+	return max(h.Sum64(), 1)
+}
