--- /dev/null
+++ b/internal/plan/breaks.go
@@ -0,0 +1,181 @@
+// Where a fleet breaks, and what would relieve it.
+
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"ivyfold/internal/model"
+)
+
+// Relief is what lifting one limit does where the goal breaks.
+type Relief struct {
+	Resource string  `json:"resource"`
+	Slack    float64 `json:"slack"` // of the worst test once it is lifted
+	Gain     float64 `json:"gain"`  // over what it was
+}
+
+// Breaks answers what breaks first.
+type Breaks struct {
+	Now      []Finding `json:"now"`
+	HoldsAt  float64   `json:"holds_at"`  // times the load
+	BreaksAt float64   `json:"breaks_at"` // times the load; 0 if it does not break within what was tried
+	First    string    `json:"first"`     // the resource that does it
+	Failing  []Finding `json:"failing"`   // there
+	Reliefs  []Relief  `json:"reliefs"`   // most first
+	Busy     []string  `json:"busy"`      // how busy each kind is there
+}
+
+// Breaks raises the load until the goal breaks, and then lifts one limit after the other on the same days: what gives
+// most relief is what broke.
+func (p *Planner) Breaks() (*Breaks, error) {
+	out := &Breaks{}
+	f := p.usual(false)
+	now, err := p.evaluate(f, p.times(1))
+	if err != nil {
+		return out, err
+	}
+	out.Now = now.findings
+	low, high := 0.0, 1.0
+	if now.holds {
+		for low = 1; ; low = high {
+			if high = low * 1.5; high > p.Most {
+				out.HoldsAt = low
+				return out, nil
+			}
+			p.note("what breaks first: %.2f times the load", high)
+			e, err := p.evaluate(f, p.times(high))
+			if err != nil {
+				out.HoldsAt = low
+				return out, err
+			}
+			if !e.holds {
+				break
+			}
+		}
+	}
+	for steps := 0; high-low > 0.02*high && steps < 12; steps++ {
+		middle := (low + high) / 2
+		p.note("what breaks first: %.2f times the load", middle)
+		e, err := p.evaluate(f, p.times(middle))
+		if err != nil {
+			out.HoldsAt, out.BreaksAt = low, high
+			return out, err
+		}
+		if e.holds {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	out.HoldsAt, out.BreaksAt = low, high
+	// A little beyond, lest chance decide; where the goal breaks already, right here.
+	at := p.times(max(high*1.1, 1))
+	e, err := p.evaluate(f, at)
+	if err != nil {
+		return out, err
+	}
+	out.Failing = slices.DeleteFunc(slices.Clone(e.findings), func(f Finding) bool { return f.Holds })
+	out.Busy = e.busy
+	if out.Reliefs, err = p.reliefs(f, at, e.slack); err != nil {
+		return out, err
+	}
+	out.First = out.Reliefs[0].Resource
+	if out.Reliefs[0].Gain <= 0 {
+		out.First = "nothing that can be lifted alone"
+	}
+	return out, nil
+}
+
+func busy(f *model.Fleet, days []*model.Result) (out []string) {
+	for i, k := range f.Kinds {
+		sum, full := 0.0, 0
+		for _, r := range days {
+			sum += r.Kinds[i].Busy / float64(len(days))
+			full += r.Kinds[i].Full
+		}
+		if days[0].Kinds[i].Count > 0 {
+			out = append(out, fmt.Sprintf("%s: slots %.0f%% at work, %d jobs a day met a full waiting room", k.Name, 100*sum, full/len(days)))
+		}
+	}
+	return out
+}
+
+// lifts are the limits that can be lifted one at a time.
+func lifts(f *model.Fleet) map[string]func(*model.Fleet, *model.Load) {
+	kinds := func(change func(*model.Kind)) func(*model.Fleet, *model.Load) {
+		return func(f *model.Fleet, _ *model.Load) {
+			f.Kinds = slices.Clone(f.Kinds)
+			for i := range f.Kinds {
+				change(&f.Kinds[i])
+			}
+		}
+	}
+	dispatchers := func(change func(*model.Dispatchers)) func(*model.Fleet, *model.Load) {
+		return func(f *model.Fleet, _ *model.Load) {
+			f.Dispatchers = slices.Clone(f.Dispatchers)
+			for i := range f.Dispatchers {
+				change(&f.Dispatchers[i])
+			}
+		}
+	}
+	return map[string]func(*model.Fleet, *model.Load){
+		"slots of the workers": func(f *model.Fleet, _ *model.Load) {
+			f.Workers = slices.Clone(f.Workers)
+			for i := range f.Workers {
+				f.Workers[i].Count = int(math.Ceil(1.5 * float64(f.Workers[i].Count)))
+			}
+		},
+		"the running time itself":         kinds(func(k *model.Kind) { k.Speed[0] *= 2; k.Speed[1] *= 2; k.Cores /= 2 }),
+		"waiting rooms of the workers":    kinds(func(k *model.Kind) { k.Queue = max(10*k.Queue, 10) }),
+		"connections that workers accept": kinds(func(k *model.Kind) { k.Connections = 1 << 30 }),
+		"the cost of new connections":     kinds(func(k *model.Kind) { k.ConnectionMs = 0 }),
+		"the cold budget after a start": func(f *model.Fleet, l *model.Load) {
+			kinds(func(k *model.Kind) { k.ColdShare = 1 })(f, l)
+			f.Cold.Share = 1
+		},
+		"open jobs of the dispatchers":      dispatchers(func(d *model.Dispatchers) { d.OpenJobs = 1 << 30 }),
+		"worker connections of dispatchers": dispatchers(func(d *model.Dispatchers) { d.Connections = 1 << 30 }),
+		"clients' repeats":                  func(_ *model.Fleet, l *model.Load) { l.Retries.Most = 0 },
+		"the roster's delay": func(f *model.Fleet, _ *model.Load) {
+			f.RosterS, f.SilentS = model.Range{1e-3, 1e-3}, model.Range{1e-3, 1e-3}
+		},
+		"the age of load reports": func(f *model.Fleet, _ *model.Load) {
+			f.ReportEveryS, f.ReportDelayS = model.Range{0.02, 0.02}, model.Range{1e-3, 1e-3}
+		},
+		"the pools of universities by label": onePool,
+	}
+}
+
+// onePool takes the labels away: without a share no university gets a pool of its own. The load keeps its mix.
+func onePool(f *model.Fleet, l *model.Load) {
+	mixed := len(l.Universities) > 0
+	f.Universities = slices.Clone(f.Universities)
+	for i := range f.Universities {
+		u := &f.Universities[i]
+		if !mixed {
+			l.Universities = append(l.Universities, model.Source{Name: u.Name, Share: u.Share})
+		}
+		u.Share = 0
+	}
+}
+
+func (p *Planner) reliefs(f *model.Fleet, l *model.Load, slack float64) (out []Relief, err error) {
+	all := lifts(f)
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		p.note("what gives relief: %s", name)
+		lf, ll := *f, *l
+		all[name](&lf, &ll)
+		e, err := p.evaluate(&lf, &ll)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, Relief{name, e.slack, e.slack - slack})
+	}
+	slices.SortStableFunc(out, func(a, b Relief) int { return cmp.Compare(b.Gain, a.Gain) })
+	return out, nil
+}
--- /dev/null
+++ b/internal/plan/needs.go
@@ -0,0 +1,216 @@
+// What a fleet needs: the cheapest that meets the goal.
+
+package plan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"ivyfold/internal/model"
+)
+
+// Needs answers how many workers the goal needs.
+type Needs struct {
+	Reached  bool           `json:"reached"`
+	Workers  []model.Group  `json:"workers"`
+	Count    int            `json:"count"`
+	Cost     float64        `json:"cost"`
+	CostNow  float64        `json:"cost_now"`
+	Findings []Finding      `json:"findings"`
+	Why      []Relief       `json:"why,omitempty"` // what would give relief where no number of workers does
+	Limits   map[string]int `json:"limits"`        // the least that the goal needs with these workers
+	Curve    []Sample       `json:"curve"`         // service against workers
+	Fleets   int            `json:"fleets"`        // that were looked at
+}
+
+// Sample is a fleet that was looked at.
+type Sample struct {
+	Workers int      `json:"workers"`
+	Cost    float64  `json:"cost"`
+	Service Estimate `json:"service"`
+	Holds   bool     `json:"holds"`
+}
+
+// prices are what a machine of each kind costs.
+func prices(f *model.Fleet) map[string]float64 {
+	of := map[string]float64{}
+	for _, k := range f.Kinds {
+		of[k.Name] = cmp.Or(k.Cost, 1)
+	}
+	return of
+}
+
+func cost(f *model.Fleet) (workers int, cost float64) {
+	of := prices(f)
+	for _, g := range f.Workers {
+		workers += g.Count
+		cost += float64(g.Count) * of[g.Kind]
+	}
+	return workers, cost
+}
+
+// scaled is a fleet of some times the workers, each group rounded up.
+func scaled(f *model.Fleet, x float64) *model.Fleet {
+	out := *f
+	out.Workers = slices.Clone(f.Workers)
+	for i := range out.Workers {
+		out.Workers[i].Count = max(int(math.Ceil(x*float64(out.Workers[i].Count)-1e-9)), 0)
+	}
+	return &out
+}
+
+// Needs searches the cheapest mix that holds the goal: first the least multiple of the fleet that does, then machine by
+// machine downwards, the dearest first, and exchanges of one kind for another in a zone.
+func (p *Planner) Needs() (*Needs, error) {
+	out := &Needs{Limits: map[string]int{}}
+	base := p.usual(true)
+	_, out.CostNow = cost(p.usual(false))
+	try := func(f *model.Fleet) (*evaluation, error) {
+		n, c := cost(f)
+		p.note("how many: %d workers at a cost of %.4g", n, c)
+		before := len(p.cache)
+		e, err := p.evaluate(f, p.times(1))
+		if err == nil && len(p.cache) > before {
+			out.Fleets++
+			out.Curve = append(out.Curve, Sample{n, c, e.score, e.holds})
+		}
+		return e, err
+	}
+	keep := func(f *model.Fleet, e *evaluation) {
+		out.Reached, out.Findings = true, e.findings
+		out.Workers = nil
+		for _, g := range f.Workers {
+			at := slices.IndexFunc(out.Workers, func(o model.Group) bool { return o.Kind == g.Kind && o.Zone == g.Zone })
+			if at >= 0 {
+				out.Workers[at].Count += g.Count
+			} else if g.Count > 0 {
+				out.Workers = append(out.Workers, model.Group{Kind: g.Kind, Zone: g.Zone, Count: g.Count})
+			}
+		}
+		out.Count, out.Cost = cost(f)
+	}
+	low, high := 0.0, 1.0
+	var best *model.Fleet
+	for {
+		f := scaled(base, high)
+		e, err := try(f)
+		if err != nil {
+			return out, err
+		}
+		if e.holds {
+			best = f
+			keep(f, e)
+			break
+		}
+		if low, high = high, high*1.6; high > p.Most {
+			out.Findings = e.findings
+			if out.Why, err = p.reliefs(f, p.times(1), e.slack); err != nil {
+				return out, err
+			}
+			return out, nil
+		}
+	}
+	for steps := 0; high-low > 0.04*high && steps < 8; steps++ {
+		middle := (low + high) / 2
+		f := scaled(base, middle)
+		e, err := try(f)
+		if err != nil {
+			return out, err
+		}
+		if e.holds {
+			high, best = middle, f
+			keep(f, e)
+		} else {
+			low = middle
+		}
+	}
+	price := prices(base)
+	for better := true; better; {
+		better = false
+		_, now := cost(best)
+		for _, f := range neighbours(best, price) {
+			if _, c := cost(f); c >= now-1e-9 {
+				continue
+			}
+			e, err := try(f)
+			if err != nil {
+				return out, err
+			}
+			if e.holds {
+				best, better = f, true
+				keep(f, e)
+				break
+			}
+		}
+	}
+	return out, p.limits(best, out)
+}
+
+// neighbours are fleets a step cheaper, the cheapest first: a machine less, or one kind for another in a zone.
+func neighbours(f *model.Fleet, price map[string]float64) (out []*model.Fleet) {
+	with := func(change func([]model.Group)) {
+		n := *f
+		n.Workers = slices.Clone(f.Workers)
+		change(n.Workers)
+		out = append(out, &n)
+	}
+	for i, g := range f.Workers {
+		if g.Count == 0 {
+			continue
+		}
+		with(func(w []model.Group) { w[i].Count-- })
+		for k, other := range f.Workers {
+			if other.Zone == g.Zone && price[other.Kind] < price[g.Kind] {
+				with(func(w []model.Group) { w[i].Count--; w[k].Count++ })
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *model.Fleet) int {
+		_, x := cost(a)
+		_, y := cost(b)
+		return cmp.Compare(x, y)
+	})
+	return out
+}
+
+// limits finds the least open jobs, worker connections and attempts with which the goal still holds.
+func (p *Planner) limits(f *model.Fleet, out *Needs) error {
+	for _, limit := range []struct {
+		name string
+		most int
+		set  func(*model.Fleet, int)
+	}{
+		{"open_jobs", 4096, func(f *model.Fleet, v int) {
+			for i := range f.Dispatchers {
+				f.Dispatchers[i].OpenJobs = v
+			}
+		}},
+		{"worker_connections", 4096, func(f *model.Fleet, v int) {
+			for i := range f.Dispatchers {
+				f.Dispatchers[i].Connections = v
+			}
+		}},
+		{"attempts", 8, func(f *model.Fleet, v int) { f.Attempts = v }},
+	} {
+		low, high := 0, limit.most
+		for high-low > max(high/16, 1) {
+			middle := (low + high) / 2
+			lf := *f
+			lf.Dispatchers = slices.Clone(f.Dispatchers)
+			limit.set(&lf, middle)
+			p.note("which limits: %s %d", limit.name, middle)
+			e, err := p.evaluate(&lf, p.times(1))
+			if err != nil {
+				return err
+			}
+			if e.holds {
+				high = middle
+			} else {
+				low = middle
+			}
+		}
+		out.Limits[limit.name] = high
+	}
+	return nil
+}
