--- a/internal/plan/losses.go
+++ b/internal/plan/losses.go
@@ -1,4 +1,4 @@
-// What a fleet loses when parts of it fail.
+// What losing a zone costs.
 
 package plan
 
