Notice silent stores sooner

Change: a store that has not answered for 150 ms gets nothing new that can go elsewhere; a primary refuses at once while a backup owes an answer for 150 ms; a lease runs for 1.2 s, and an agent leaves a silent member after 0.75 s.

--- a/internal/cluster/agent.go
+++ b/internal/cluster/agent.go
@@ -15,7 +15,7 @@
 )
 
 // LeaseDuration is how long a lease runs after the request that renewed it was sent.
-const LeaseDuration = 1500 * time.Millisecond
+const LeaseDuration = 1200 * time.Millisecond
 
 // AgentOptions holds what an Agent needs.
 type AgentOptions struct {
--- a/internal/cluster/agent_sync.go
+++ b/internal/cluster/agent_sync.go
@@ -13,7 +13,7 @@
 
 const (
 	syncWait    = 400 * time.Millisecond // how long a member may hold back its answer
-	syncTimeout = 450 * time.Millisecond // how long an answer may take beyond that
+	syncTimeout = 350 * time.Millisecond // how long an answer may take beyond that
 	roundPause  = 100 * time.Millisecond // after every known member has failed
 	// A large configuration takes a while to pass: while no member serves, answers get more and more time.
 	longestSyncTimeout = 4 * time.Second
--- a/internal/messagestore/client.go
+++ b/internal/messagestore/client.go
@@ -23,6 +23,7 @@
 	queryTimeout   = 600 * time.Millisecond
 	retryPause     = 25 * time.Millisecond
 	suspectFor     = 300 * time.Millisecond
+	silenceLimit   = 150 * time.Millisecond // a store that takes longer gets nothing new for a while
 	refusePatience = 300 * time.Millisecond // how long a message that could go anywhere is offered round
 	answerReserve  = 60 * time.Millisecond  // kept of the caller's time for the answer
 )
@@ -125,6 +126,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
+	silent := time.AfterFunc(silenceLimit, func() { c.suspect(entry, false) })
+	defer silent.Stop()
 	_, err := c.pool.Get(entry.Address).Call(ctx, methodPut, putRequest{submission}, body, nil)
 	switch {
 	case err == nil:
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -9,6 +9,7 @@
 	epochShift = 32
 
 	backupLease       = time.Second
+	backupSilence     = 150 * time.Millisecond
 	outcomeTimeout    = time.Second
 	replicateTimeout  = 600 * time.Millisecond
 	inventoryTimeout  = time.Second
--- a/internal/messagestore/put.go
+++ b/internal/messagestore/put.go
@@ -61,7 +61,7 @@
 	if found := p.entries[submission.Message.ID]; found != nil {
 		return found.pending, false, nil
 	}
-	if len(p.view.Replicas) < s.options.Copies || s.log.Failing() || s.diskFull() {
+	if len(p.view.Replicas) < s.options.Copies || s.log.Failing() || s.diskFull() || s.backupSilent(p) {
 		return nil, false, &rpc.Error{Code: rpc.CodeUnavailable, Message: "too few disks for another message"}
 	}
 	accepted := s.number(p, submission)
@@ -79,6 +79,17 @@
 	return write, true, nil
 }
 
+// backupSilent tells whether a backup does not answer: a message that can go elsewhere should not wait for it. The
+// caller holds the lock.
+func (s *Store) backupSilent(p *partition) bool {
+	for _, replica := range p.backups() {
+		if s.peer(replica).silent() {
+			return true
+		}
+	}
+	return false
+}
+
 // number gives a message its place in the partition's order and its absolute times.
 func (s *Store) number(p *partition, submission *message.Submission) *message.Message {
 	accepted := submission.Message
--- a/internal/messagestore/replicate.go
+++ b/internal/messagestore/replicate.go
@@ -20,6 +20,7 @@
 	wake     chan struct{}
 	queue    []outgoing
 	answered atomic.Pointer[time.Time] // when it last answered, counted from the call's start
+	calling  time.Time                 // when the call that is out began; zero while none is
 }
 
 // outgoing is a record on its way to a backup.
@@ -104,6 +105,7 @@
 		request.Records = append(request.Records, item)
 	}
 	started := time.Now()
+	d.noteCall(started)
 	var response replicateResponse
 	err := d.call(methodReplicate, replicateTimeout, request, body, &response)
 	if err != nil {
@@ -112,6 +114,17 @@
 	d.finish(batch, started, response.Refused, err)
 }
 
+// noteCall notes when a call began.
+func (d *peer) noteCall(started time.Time) {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	d.calling = started
+}
+
+// silent tells whether the backup has owed an answer for so long that nothing new should wait for it. The caller holds
+// the lock.
+func (d *peer) silent() bool { return !d.calling.IsZero() && time.Since(d.calling) > backupSilence }
+
 // call calls the backup at the address that the table gives for it now.
 func (d *peer) call(method string, limit time.Duration, request any, body []byte, response any) error {
 	d.store.mu.Lock()
@@ -145,6 +158,7 @@
 func (d *peer) finish(batch []outgoing, started time.Time, refused []int, err error) {
 	s := d.store
 	s.mu.Lock()
+	d.calling = time.Time{}
 	if err == nil {
 		d.answered.Store(&started)
 	}
