--- a/internal/controlplane/capacity_bench_test.go
+++ b/internal/controlplane/capacity_bench_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// BenchmarkLostZone plans the replacement of a seventh of all stores.
+func BenchmarkLostZone(b *testing.B) {
+	for _, size := range []struct{ stores, partitions int }{{100, 500}, {300, 1500}, {1000, 5000}} {
+		b.Run(fmt.Sprintf("stores=%d/partitions=%d", size.stores, size.partitions), func(b *testing.B) {
+			infos := benchStores(size.stores)
+			leases := filledLeases(infos)
+			current := benchContent(infos, size.partitions)
+			for number := 0; number < size.stores; number += 7 {
+				leases.refuse(infos[number].Name, time.Now())
+			}
+			b.ResetTimer()
+			for range b.N {
+				benchStep(current, leases)
+			}
+		})
+	}
+}
+
 // benchStep does what the manager does in a step, up to the proposal.
 func benchStep(current *content, leases *leaseTable) *tableChange {
 	draft := newDraft(current, leases.statuses(time.Now()), 2)
--- a/internal/controlplane/replication/membership.go
+++ b/internal/controlplane/replication/membership.go
@@ -156,6 +156,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.view = made.view
+	l.lapsed = false
 	for diskID, known := range l.peers {
 		if _, member := made.view.Member(diskID); !member {
 			known.cancel()
@@ -186,6 +187,7 @@
 	}
 	if at, accepted := made.accepted[member.DiskID]; accepted {
 		known.markHeard(at)
+		known.markRenewed(at)
 	}
 	if made.view.HasInSync(member.DiskID) {
 		known.markAligned(made.aligned)
@@ -202,6 +204,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.lapsed {
+		return true
+	}
 	now := time.Now()
 	for _, diskID := range l.view.InSync {
 		if known := l.peers[diskID]; known != nil && known.dead(now, l.group.timing) {
--- a/internal/controlplane/replication/peer.go
+++ b/internal/controlplane/replication/peer.go
@@ -21,6 +21,7 @@
 
 	mu           sync.Mutex
 	heard        time.Time // when the last heartbeat was sent that it answered
+	renewed      time.Time // when the last sign was sent by which it has renewed the primary's lease
 	alignedAt    time.Time // when it was last asked, in the making of a view, to follow the log and did
 	refusedSince time.Time // since when its address refuses connections; zero while it does not
 	aligned      bool      // it follows the primary's log
@@ -63,10 +64,19 @@
 	return p.aligned && now.Sub(p.heard) < 2*timing.suspectAfter()
 }
 
-func (p *peer) lastHeard() time.Time {
+func (p *peer) lastRenewed() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.heard
+	return p.renewed
+}
+
+// markRenewed records that the peer, as a witness, stands by the primary for the lease.
+func (p *peer) markRenewed(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at.After(p.renewed) {
+		p.renewed = at
+	}
 }
 
 // lastFollowed returns when the peer was last asked anything that showed that it follows this primary.
@@ -164,7 +174,13 @@
 	if err != nil {
 		return l.noteSilence(view, to, err)
 	}
-	l.noteAnswer(ctx, view, to, sent, answer)
+	if answer.Heard {
+		to.markHeard(sent)
+	}
+	if answer.Heard && request.Leading && answer.Accepted >= view.Epoch {
+		to.markRenewed(sent)
+	}
+	l.noteAnswer(ctx, view, to, answer)
 	if len(body) > 0 && g.options.OnAnswer != nil {
 		g.options.OnAnswer(to.member, body)
 	}
@@ -194,7 +210,7 @@
 }
 
 // noteAnswer records a peer's answer and helps it to what it lacks: the view, or the log.
-func (l *leadership) noteAnswer(ctx context.Context, view View, from *peer, sent time.Time, answer heartbeatAnswer) {
+func (l *leadership) noteAnswer(ctx context.Context, view View, from *peer, answer heartbeatAnswer) {
 	l.group.noteEpoch(answer.Promised)
 	if !answer.Heard {
 		if answer.Promised >= view.Epoch {
@@ -203,7 +219,6 @@
 		}
 		return
 	}
-	from.markHeard(sent)
 	if answer.Accepted < view.Epoch && answer.Promised <= view.Epoch {
 		_, _ = l.group.sendAccept(ctx, from.member, view, false)
 	}
@@ -245,16 +260,26 @@
 }
 
 // leaseRuns tells whether this process surely is the primary: a majority and all of the in-sync set have answered a
-// heartbeat that was sent within the lease.
+// heartbeat that was sent within the lease. A lease that has run out is not taken up again in the same view: a witness
+// that has seen it run out may have turned to another candidate.
 func (l *leadership) leaseRuns(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.lapsed && !l.isSupported(now) {
+		l.lapsed = true
+		l.signal()
+	}
+	return !l.lapsed
+}
+
+// isSupported tells whether the answers of the other members carry the lease. The caller holds the lock.
+func (l *leadership) isSupported(now time.Time) bool {
 	for _, diskID := range l.view.InSync {
 		if !l.answered(diskID, now, (*peer).lastFollowed) {
 			return false
 		}
 	}
-	return l.view.quorum(func(diskID string) bool { return l.answered(diskID, now, (*peer).lastHeard) })
+	return l.view.quorum(func(diskID string) bool { return l.answered(diskID, now, (*peer).lastRenewed) })
 }
 
 // answered tells whether the last sign of a member, of some kind, is younger than the lease. The caller holds the lock.
--- a/internal/controlplane/replication/primary.go
+++ b/internal/controlplane/replication/primary.go
@@ -31,6 +31,7 @@
 	queue      []*request
 	parked     []parkedBatch // only used by the leadership's goroutine
 	closed     bool
+	lapsed     bool // the lease has run out in this view
 	nextGrowth time.Time
 }
 
--- a/internal/controlplane/workerlist.go
+++ b/internal/controlplane/workerlist.go
@@ -116,6 +116,9 @@
 func NewPlatformClient(network network.Network) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			// A dial outlives the call for which it was begun.
+			ctx, cancel := context.WithTimeout(ctx, workerReadTimeout)
+			defer cancel()
 			return network.Dial(ctx, address)
 		},
 		DisableCompression: true,
--- a/internal/systemnode/demo/demo_test.go
+++ b/internal/systemnode/demo/demo_test.go
@@ -20,6 +20,7 @@
 const (
 	testPort       = 18080
 	deliveryTime   = 5 * time.Second
+	repairTime     = 10 * time.Second // after the loss of a store
 	connectionsEnd = time.Minute
 )
 
@@ -41,7 +42,21 @@
 	return request
 }
 
-// TestDemonstration starts a whole system, sends a message and asks how it ended and what the system looks like.
+// assertDelivered checks that a message is taken by one front, and that another one soon knows it as completed.
+func assertDelivered(t *testing.T, client *http.Client, addresses Addresses, id string) {
+	t.Helper()
+	message := newRequest(t, http.MethodPost, addresses.Clients[0], RoutePath, "hello")
+	message.Host = RouteHost
+	message.Header.Set(headerRequestID, id)
+	status, header, _ := call(t, client, message)
+	assert.Equal(t, status, http.StatusAccepted)
+	time.Sleep(deliveryTime)
+	question := newRequest(t, http.MethodGet, addresses.Clients[1], "/api/message/"+header.Get("X-Message-Id"), "")
+	_, _, state := call(t, client, question)
+	assert.Assert(t, strings.Contains(state, `"completed"`), state)
+}
+
+// TestDemonstration starts a whole system, sends messages, looks at it, and goes on after the loss of a store.
 func TestDemonstration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		world := simulated.New(1)
@@ -61,15 +76,7 @@
 		}
 
 		client := controlplane.NewPlatformClient(world.Host(hostIP))
-		message := newRequest(t, http.MethodPost, addresses.Clients[0], RoutePath, "hello")
-		message.Host = RouteHost
-		message.Header.Set(headerRequestID, "first")
-		status, header, _ := call(t, client, message)
-		assert.Equal(t, status, http.StatusAccepted)
-		time.Sleep(deliveryTime)
-		question := newRequest(t, http.MethodGet, addresses.Clients[1], "/api/message/"+header.Get("X-Message-Id"), "")
-		_, _, state := call(t, client, question)
-		assert.Assert(t, strings.Contains(state, `"completed"`), state)
+		assertDelivered(t, client, addresses, "first")
 
 		_, _, text := call(t, client, newRequest(t, http.MethodGet, addresses.Control[2], inspection.PathStatus, ""))
 		assert.Assert(t, strings.Contains(text, `"stores":{"active":3}`), text)
@@ -84,6 +91,12 @@
 		_, _, text = call(t, client, newRequest(t, http.MethodGet, addresses.Control[0], inspection.PathMetrics, ""))
 		assert.Assert(t, strings.Contains(text, `gladepick_ingress_messages_total{result="accepted"} 1`), text)
 
+		world.PowerOff("127.0.0.42") // the second store
+		time.Sleep(repairTime)
+		for _, id := range []string{"second", "third", "fourth"} {
+			assertDelivered(t, client, addresses, id)
+		}
+
 		client.CloseIdleConnections()
 		cancel()
 		assert.NilError(t, <-ended)
--- a/internal/systemnode/inspection/types.go
+++ b/internal/systemnode/inspection/types.go
@@ -22,9 +22,9 @@
 // Coverage counts partitions by how well they are kept.
 type Coverage struct {
 	Total      int `json:"total"`
-	Whole      int `json:"whole"`      // as many synced copies as wanted
-	Degraded   int `json:"degraded"`   // led, but with fewer synced copies
-	Leaderless int `json:"leaderless"` // without a primary
+	Whole      int `json:"whole"`      // as many synced copies as wanted, at stores that are not down
+	Degraded   int `json:"degraded"`   // led, but with fewer such copies
+	Leaderless int `json:"leaderless"` // without a primary, or its store is down
 }
 
 // Roles of a member.
--- a/internal/systemnode/inspection/view.go
+++ b/internal/systemnode/inspection/view.go
@@ -49,21 +49,33 @@
 	for _, store := range table.Stores {
 		s.Stores[string(store.State)]++
 	}
+	up := disksUp(table)
 	for _, partition := range table.Partitions {
-		s.Partitions.add(partition, table.Copies)
+		s.Partitions.add(partition, table.Copies, up)
 	}
 }
 
-func (c *Coverage) add(partition cluster.Partition, copies int) {
+// disksUp returns the disks of the stores that are not down.
+func disksUp(table *cluster.Table) map[string]bool {
+	up := make(map[string]bool, len(table.Stores))
+	for _, store := range table.Stores {
+		up[store.DiskID] = store.State != cluster.StoreDown
+	}
+	return up
+}
+
+// add counts a partition. Only copies on disks that are up count.
+func (c *Coverage) add(partition cluster.Partition, copies int, up map[string]bool) {
 	c.Total++
 	synced := 0
 	for _, replica := range partition.Replicas {
-		if replica.Synced {
+		if replica.Synced && up[replica.DiskID] {
 			synced++
 		}
 	}
+	primary, found := partition.Primary()
 	switch {
-	case len(partition.Replicas) == 0:
+	case !found || !up[primary.DiskID]:
 		c.Leaderless++
 	case synced < copies:
 		c.Degraded++
--- a/internal/systemnode/inspection/view_test.go
+++ b/internal/systemnode/inspection/view_test.go
@@ -28,7 +28,17 @@
 
 var self = cluster.NodeInfo{Name: "front-1", Class: "front", Zone: "a"}
 
-// sampleTable has two control members, three stores, and a partition of each kind.
+// replicaOf returns a synced replica at a store of sampleTable.
+func replicaOf(number string) cluster.Replica {
+	return cluster.Replica{Store: "store-" + number, DiskID: "disk-" + number, Synced: true}
+}
+
+// copyingOf returns a replica at a store of sampleTable that is not synced yet.
+func copyingOf(number string) cluster.Replica {
+	return cluster.Replica{Store: "store-" + number, DiskID: "disk-" + number}
+}
+
+// sampleTable has two control members, three stores of which one is down, and partitions of each kind.
 func sampleTable() *cluster.Table {
 	return &cluster.Table{
 		Revision: 9,
@@ -39,14 +49,16 @@
 			{Name: "front-2", Address: "10.0.0.2:7000", DiskID: "d2", Zone: "b"},
 		},
 		Stores: []cluster.StoreEntry{
-			{Name: "store-1", Zone: "a", Address: "10.0.0.3:7000", DiskID: "d3", State: cluster.StoreActive},
-			{Name: "store-2", Zone: "b", Address: "10.0.0.4:7000", DiskID: "d4", State: cluster.StoreActive},
-			{Name: "store-3", Zone: "c", Address: "10.0.0.5:7000", DiskID: "d5", State: cluster.StoreDown},
+			{Name: "store-1", Zone: "a", Address: "10.0.0.3:7000", DiskID: "disk-1", State: cluster.StoreActive},
+			{Name: "store-2", Zone: "b", Address: "10.0.0.4:7000", DiskID: "disk-2", State: cluster.StoreActive},
+			{Name: "store-3", Zone: "c", Address: "10.0.0.5:7000", DiskID: "disk-3", State: cluster.StoreDown},
 		},
 		Partitions: []cluster.Partition{
-			{ID: 0, Epoch: 1, Replicas: []cluster.Replica{{Store: "store-1", Synced: true}, {Store: "store-2", Synced: true}}},
-			{ID: 1, Epoch: 2, Replicas: []cluster.Replica{{Store: "store-2", Synced: true}, {Store: "store-1"}}, Wanted: "store-1"},
+			{ID: 0, Epoch: 1, Replicas: []cluster.Replica{replicaOf("1"), replicaOf("2")}},
+			{ID: 1, Epoch: 2, Replicas: []cluster.Replica{replicaOf("2"), copyingOf("1")}, Wanted: "store-1"},
 			{ID: 2, Epoch: 3},
+			{ID: 3, Epoch: 4, Replicas: []cluster.Replica{replicaOf("1"), replicaOf("3")}},
+			{ID: 4, Epoch: 5, Replicas: []cluster.Replica{replicaOf("3"), replicaOf("1")}},
 		},
 	}
 }
@@ -70,7 +82,7 @@
 			Copies:        2,
 			Control:       2,
 			Stores:        map[string]int{"active": 2, "down": 1},
-			Partitions:    Coverage{Total: 3, Whole: 1, Degraded: 1, Leaderless: 1},
+			Partitions:    Coverage{Total: 5, Whole: 1, Degraded: 2, Leaderless: 2},
 			Workers:       3,
 			WorkersAgeMS:  250,
 		})
@@ -87,9 +99,9 @@
 	assert.DeepEqual(t, NewMembers(sampleTable()), []Member{
 		{Name: "front-1", Role: RoleControl, Zone: "a", Address: "10.0.0.1:7000", State: ControlBackup, DiskID: "d1"},
 		{Name: "front-2", Role: RoleControl, Zone: "b", Address: "10.0.0.2:7000", State: ControlPrimary, DiskID: "d2"},
-		{Name: "store-1", Role: RoleStore, Zone: "a", Address: "10.0.0.3:7000", State: "active", DiskID: "d3", Leads: 1, Holds: 2},
-		{Name: "store-2", Role: RoleStore, Zone: "b", Address: "10.0.0.4:7000", State: "active", DiskID: "d4", Leads: 1, Holds: 2},
-		{Name: "store-3", Role: RoleStore, Zone: "c", Address: "10.0.0.5:7000", State: "down", DiskID: "d5"},
+		{Name: "store-1", Role: RoleStore, Zone: "a", Address: "10.0.0.3:7000", State: "active", DiskID: "disk-1", Leads: 2, Holds: 4},
+		{Name: "store-2", Role: RoleStore, Zone: "b", Address: "10.0.0.4:7000", State: "active", DiskID: "disk-2", Leads: 1, Holds: 2},
+		{Name: "store-3", Role: RoleStore, Zone: "c", Address: "10.0.0.5:7000", State: "down", DiskID: "disk-3", Leads: 1, Holds: 2},
 	})
 	assert.DeepEqual(t, NewMembers(nil), []Member{})
 }
@@ -99,6 +111,8 @@
 		{ID: 0, Epoch: 1, Primary: "store-1", Synced: []string{"store-2"}, Copying: []string{}},
 		{ID: 1, Epoch: 2, Primary: "store-2", Synced: []string{}, Copying: []string{"store-1"}, Wanted: "store-1"},
 		{ID: 2, Epoch: 3, Synced: []string{}, Copying: []string{}},
+		{ID: 3, Epoch: 4, Primary: "store-1", Synced: []string{"store-3"}, Copying: []string{}},
+		{ID: 4, Epoch: 5, Primary: "store-3", Synced: []string{"store-1"}, Copying: []string{}},
 	})
 	assert.DeepEqual(t, NewPartitions(nil), []Partition{})
 }
--- a/internal/systemnode/store.go
+++ b/internal/systemnode/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -36,7 +35,7 @@
 	if options.FS == nil {
 		return nil, trace.BadParameter("settings: data-dir: a store needs one")
 	}
-	s := &Store{node: base, platform: newPlatformClient(options)}
+	s := &Store{node: base, platform: controlplane.NewPlatformClient(options.Network)}
 	if err := base.newAgent(s.announce); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -75,13 +74,6 @@
 // SetCloudAddress changes where the platform's list of workers is read from while the control plane does not bring it.
 func (s *Store) SetCloudAddress(address string) { s.cloud.Store(&address) }
 
-func newPlatformClient(options Options) *http.Client {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		return options.Network.Dial(ctx, address)
-	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
-}
-
 func (s *Store) announce() cluster.NodeInfo {
 	info := s.info
 	info.Leaving = s.leaving.Load()
