--- a/cmd/gladepick-scale/arguments.go
+++ b/cmd/gladepick-scale/arguments.go
@@ -16,5 +16,6 @@
 	workerInterval time.Duration
 	limit          time.Duration
 	plots          string
+	directory      string
 	options        scale.Options
 }
--- a/cmd/gladepick-scale/main.go
+++ b/cmd/gladepick-scale/main.go
@@ -30,11 +30,11 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, given.limit)
 	defer cancel()
-	directory, err := os.MkdirTemp("", "gladepick-scale-")
+	directory, remove, err := makeDirectory(given.directory)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return err
 	}
-	defer os.RemoveAll(directory)
+	defer remove()
 	cloud, stopCloud, err := startPlatform(given)
 	if err != nil {
 		return err
@@ -61,6 +61,15 @@
 	return trace.NewAggregate(err, report(given, results))
 }
 
+// makeDirectory makes the directory of the control group. One that the command line does not name is removed at the end.
+func makeDirectory(named string) (path string, remove func(), err error) {
+	if named != "" {
+		return named, func() {}, trace.ConvertSystemError(os.MkdirAll(named, 0o755))
+	}
+	path, err = os.MkdirTemp("", "gladepick-scale-")
+	return path, func() { _ = os.RemoveAll(path) }, trace.ConvertSystemError(err)
+}
+
 func startPlatform(given arguments) (address string, stop func(), err error) {
 	if given.workers == 0 {
 		return "", func() {}, nil
@@ -122,6 +131,7 @@
 	application.Flag("worker-interval", "Time between changes of that list; 0 for none.").Default("0s").DurationVar(&given.workerInterval)
 	application.Flag("seed", "Seed of random choices.").Default("1").Uint64Var(&given.options.Seed)
 	application.Flag("limit", "Time after which the run ends.").Default("10m").DurationVar(&given.limit)
+	application.Flag("directory", "Directory for the members' settings, disks and logs; removed at the end without it.").StringVar(&given.directory)
 	application.Flag("plots", "Directory for plots; none without it.").StringVar(&given.plots)
 	kingpin.MustParse(application.Parse(line))
 	given.options.Zones, given.options.Regions = given.zones, given.regions
--- a/internal/capacity/control_bench_test.go
+++ b/internal/capacity/control_bench_test.go
@@ -23,7 +23,10 @@
 				encode(b, table)
 			}
 			b.ReportMetric(float64(len(encoded))/float64(partitions), "bytes/partition")
-			b.ReportMetric(heapOf(b, func() any { return decode[cluster.Table](b, encoded) })/float64(partitions), "heap-bytes/partition")
+			held := heapOf(b, func() any { return decode[cluster.Table](b, encoded) })
+			b.ReportMetric(held/float64(partitions), "heap-bytes/partition")
+			runtime.KeepAlive(table)
+			runtime.KeepAlive(encoded)
 		})
 	}
 }
@@ -40,7 +43,10 @@
 			}
 			b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(b.N)/float64(count), "cpu-ns/worker")
 			b.ReportMetric(float64(len(encoded))/float64(count), "bytes/worker")
-			b.ReportMetric(heapOf(b, func() any { return decode[cluster.WorkerList](b, encoded) })/float64(count), "heap-bytes/worker")
+			held := heapOf(b, func() any { return decode[cluster.WorkerList](b, encoded) })
+			b.ReportMetric(held/float64(count), "heap-bytes/worker")
+			runtime.KeepAlive(list)
+			runtime.KeepAlive(encoded)
 		})
 	}
 }
@@ -81,10 +87,29 @@
 				return parsed
 			})
 			b.ReportMetric(held/float64(routes), "heap-bytes/route")
+			runtime.KeepAlive(document)
 		})
 	}
 }
 
+// BenchmarkInventory encodes and reads the ids of a partition's messages, as a primary asks its backup for them.
+func BenchmarkInventory(b *testing.B) {
+	const count = 100_000
+	ids := make([]string, count)
+	for number := range ids {
+		ids[number] = fmt.Sprintf("%d-%020d", number%64, number)
+	}
+	before := processorTime()
+	size := 0
+	for range b.N {
+		encoded := encode(b, ids)
+		decode[[]string](b, encoded)
+		size = len(encoded)
+	}
+	b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(b.N)/count, "cpu-ns/id")
+	b.ReportMetric(float64(size)/count, "bytes/id")
+}
+
 func routeOf(number int) string {
 	return fmt.Sprintf(`{"name":"r-%d","host":"host-%d.example","path-prefix":"/orders/","route-type":"async",`+
 		`"timeout-ms":600,"target-latency-ms":80.0,"priority":1,"service":"service-%d","max-attempts":6,"ordered":true,`+
--- /dev/null
+++ b/internal/capacity/formulas.go
@@ -0,0 +1,143 @@
+package capacity
+
+const (
+	eventsEach  = eventsPerSecond / dispatchers
+	backlogEach = backlog / dispatchers
+	heldEach    = backlogEach * copies // a dispatcher's own messages and those it backs up
+	wanted      = partitionsEach * dispatchers
+	toPercent   = 100.0
+	micro       = 1e-6
+	nano        = 1e-9
+)
+
+func (c *calculation) keeping() {
+	const part = "Keeping a message"
+	c.add(Row{Part: part, Quantity: "processor, two copies, of a dispatcher", Unit: percentOfCore, Limit: storeCore,
+		Need: eventsEach * c.of("keep.processor") * micro * toPercent, Mechanism: "`messagestore/put.go`, `replicate.go`"})
+	c.add(Row{Part: part, Quantity: "processor, all its life, of a dispatcher", Unit: percentOfCore, Limit: storeCore,
+		Need: eventsEach * c.of("system.processor") * micro * toPercent, Mechanism: "`ingress`, `messagestore`, `delivery`"})
+	c.add(Row{Part: part, Quantity: "written to disk", Unit: bytesPerSecond, Limit: storeDiskRate,
+		Need: eventsEach * copies * c.of("keep.disk"), Mechanism: "`journal/flush.go`"})
+	c.add(Row{Part: part, Quantity: "syncs, if none were shared", Unit: perSecond, Limit: storeSyncsPerSecond,
+		Need: eventsEach * copies, Mechanism: "`journal/flush.go` (group commit)"})
+	c.add(Row{Part: part, Quantity: "syncs, shared as under load", Unit: perSecond, Limit: storeSyncsPerSecond,
+		Need: eventsEach * copies * c.of("keep.syncs"), Mechanism: "`journal/flush.go` (group commit)"})
+}
+
+func (c *calculation) backlog() {
+	const part = "Backlog"
+	c.add(Row{Part: part, Quantity: "index in memory, of a dispatcher", Unit: bytes, Limit: storeMemory,
+		Need: heldEach * c.of("keep.memory"), Mechanism: "`messagestore/index.go`"})
+	c.add(Row{Part: part, Quantity: "delivery queue in memory", Unit: bytes, Limit: storeMemory,
+		Need: backlogEach * c.of("queue.memory"), Mechanism: "`delivery/queue.go`"})
+	c.add(Row{Part: part, Quantity: "on disk (today's disk)", Unit: bytes, Limit: storeDisk,
+		Need: heldEach * c.of("keep.disk"), Mechanism: "`journal/log.go`"})
+	c.add(Row{Part: part, Quantity: "inventory of a partition, in one answer", Unit: seconds, Limit: inventorySeconds,
+		Need: backlogEach / partitionsEach * (c.of("inventory.processor")*nano + c.of("inventory.bytes")/memberLink), Mechanism: "`messagestore/resync.go`"})
+}
+
+func (c *calculation) retries() {
+	const part = "Retries"
+	c.add(Row{Part: part, Quantity: "heap entries of messages of destinations that are down", Unit: bytes, Limit: storeMemory,
+		Need: backlogEach * c.of("queue.memory"), Mechanism: "`delivery/lane.go`"})
+	c.add(Row{Part: part, Quantity: "turns of the loop, three an event, over all services", Unit: percentOfCore, Limit: storeCore,
+		Need:      eventsEach * turnsPerEvent * c.of("turn.service") * nano * destinations / workersPerService * toPercent,
+		Mechanism: "`delivery/loop.go`"})
+}
+
+// turnsPerEvent: a message is submitted, started and ended.
+const turnsPerEvent = 3
+
+func (c *calculation) workers() {
+	const part = "List of workers"
+	c.add(Row{Part: part, Quantity: "pages to read it", Unit: plain, Limit: listPageLimit,
+		Need: destinations / listPageEntries, Mechanism: "`controlplane/workerread.go`"})
+	c.add(Row{Part: part, Quantity: "time to read it", Unit: seconds, Limit: listFreshSeconds,
+		Need: destinations / listPageEntries / listPagesPerSecond, Mechanism: "`controlplane/workerread.go`"})
+	c.add(Row{Part: part, Quantity: "sent to a dispatcher, one list a second as today", Unit: bytesPerSecond, Limit: controlBytesLimit,
+		Need: destinations * c.of("workers.bytes"), Mechanism: "`controlplane/sync.go`"})
+	c.add(Row{Part: part, Quantity: "the same as changes only, to everyone", Unit: bytesPerSecond, Limit: controlBytesLimit,
+		Need: workerChangesPerDay / secondsPerDay * c.of("workers.bytes"), Mechanism: "(not built)"})
+	c.add(Row{Part: part, Quantity: "in memory, of a dispatcher", Unit: bytes, Limit: controlMemoryLimit,
+		Need: destinations * c.of("workers.memory"), Mechanism: "`cluster/types.go`"})
+	c.add(Row{Part: part, Quantity: "reading one version, of a dispatcher", Unit: seconds, Limit: controlCoreLimit / toPercent,
+		Need: destinations * c.of("workers.decode") * nano, Mechanism: "`cluster/agent_sync.go`"})
+}
+
+func (c *calculation) leases() {
+	const part = "Leases"
+	c.add(Row{Part: part, Quantity: "bytes, of a dispatcher", Unit: bytesPerSecond, Limit: controlBytesLimit,
+		Need: c.of("lease.bytes"), Mechanism: "`cluster/agent_sync.go`"})
+	c.add(Row{Part: part, Quantity: "processor, of a dispatcher", Unit: percentOfCore, Limit: controlCoreLimit,
+		Need: c.of("lease.dispatcher"), Mechanism: "`cluster/agent_sync.go`"})
+	c.add(Row{Part: part, Quantity: "processor, of a member, mean of nine", Unit: percentOfCore, Limit: memberCore,
+		Need: dispatchers * c.of("lease.members") / controlMachines, Mechanism: "`controlplane/sync.go`, `leases.go`"})
+	c.add(Row{Part: part, Quantity: "primary's look at the leases, 64 partitions", Unit: percentOfCore, Limit: memberCore,
+		Need: c.of("manager.step.64") * nano * managerStepsPerSec * toPercent, Mechanism: "`controlplane/manager.go`"})
+	c.add(Row{Part: part, Quantity: "the same, 32,768 partitions", Unit: percentOfCore, Limit: memberCore,
+		Need: c.of("manager.step.32768") * nano * managerStepsPerSec * toPercent, Mechanism: "`controlplane/manager.go`"})
+	c.add(Row{Part: part, Quantity: "passed to the primary and read there", Unit: percentOfCore, Limit: memberCore,
+		Need: dispatchers * renewalsPerSecond * c.of("lease.take") * nano * toPercent, Mechanism: "`controlplane/leases.go`"})
+}
+
+// renewalsPerSecond is how often a dispatcher renews its lease.
+const renewalsPerSecond = 2.5
+
+func (c *calculation) configuration() {
+	const part = "Configuration"
+	routes := destinations / workersPerService
+	c.add(Row{Part: part, Quantity: "updates sent to a dispatcher", Unit: bytesPerSecond, Limit: controlBytesLimit,
+		Need: changesPerDay / secondsPerDay * c.of("update.bytes"), Mechanism: "`controlplane/sync.go`"})
+	c.add(Row{Part: part, Quantity: "applying them, of a dispatcher, 71,000 routes", Unit: percentOfCore, Limit: controlCoreLimit,
+		Need: changesPerDay / secondsPerDay * routes * c.of("update.processor") * nano * toPercent, Mechanism: "`configuration/update.go`"})
+	c.add(Row{Part: part, Quantity: "in memory, of a dispatcher, 71,000 routes", Unit: bytes, Limit: controlMemoryLimit,
+		Need: routes * c.of("configuration.memory"), Mechanism: "`configuration/document.go`"})
+	c.add(Row{Part: part, Quantity: "in force everywhere, slowest of the largest run", Unit: seconds, Limit: changeLimitSeconds,
+		Need: c.of("change.max") / millisecondsPerSecond, Mechanism: "`controlplane/sync.go`"})
+	c.add(Row{Part: part, Quantity: "the same while a tenth restarts", Unit: seconds, Limit: changeLimitSeconds,
+		Need: c.of("storm.max") / millisecondsPerSecond, Mechanism: "`controlplane/sync.go`"})
+	c.add(Row{Part: part, Quantity: "all control traffic at the daily rates, of a dispatcher, no workers", Unit: bytesPerSecond,
+		Limit: controlBytesLimit, Need: c.of("lease.bytes") + (c.of("day.bytes")-c.of("lease.bytes"))/compression, Mechanism: "`controlplane/sync.go`"})
+}
+
+// compression is how much faster than in a day things happen in a scale run.
+const compression = 100.0
+
+func (c *calculation) placement() {
+	const part = "Placement"
+	c.add(Row{Part: part, Quantity: "dispatchers that can lead a partition", Unit: plain, Limit: partitionsOfToday,
+		Need: dispatchers, Mechanism: "`controlplane/placement.go`"})
+	c.add(Row{Part: part, Quantity: "table of 32,500 partitions in memory", Unit: bytes, Limit: controlMemoryLimit,
+		Need: wanted*c.of("table.memory") + dispatchers*storeEntryBytes, Mechanism: "`cluster/types.go`"})
+	c.add(Row{Part: part, Quantity: "whole table, to those that start", Unit: bytesPerSecond, Limit: memberLink,
+		Need:      (restartsPerDay + failuresPerDay) / secondsPerDay * (wanted*c.of("table.bytes") + dispatchers*storeEntryBytes),
+		Mechanism: "`controlplane/sync.go`"})
+	c.add(Row{Part: part, Quantity: "its changes, to every dispatcher", Unit: bytesPerSecond, Limit: controlBytesLimit,
+		Need:      (restartsPerDay + failuresPerDay) * changesPerLoss / secondsPerDay * 2 * partitionsEach * c.of("table.bytes"),
+		Mechanism: "`cluster/tablechange.go`"})
+}
+
+// changesPerLoss is how often a partition's view changes for one end of a store: without it, with another, whole again,
+// and led by the wanted store again.
+const changesPerLoss = 4
+
+func (c *calculation) failures() {
+	c.add(Row{Part: "Failures", Quantity: "copies to make again, of a dispatcher, mean of a day", Unit: bytesPerSecond, Limit: storeDiskRate,
+		Need: failuresPerDay * heldEach * c.of("keep.disk") / secondsPerDay / dispatchers, Mechanism: "`messagestore/resync.go`"})
+	c.add(Row{Part: "Failures", Quantity: "time until a loss is declared, slowest", Unit: seconds, Limit: changeLimitSeconds,
+		Need: c.of("declared.max") / millisecondsPerSecond, Mechanism: "`controlplane/leases.go`"})
+	c.add(Row{Part: "A zone lost", Quantity: "one plan of the primary, 32,500 partitions", Unit: seconds, Limit: leaseSeconds,
+		Need: c.of("zone.plan") * nano, Mechanism: "`controlplane/repair.go`"})
+	c.add(Row{Part: "A zone lost", Quantity: "backlog copied again by the rest within a day", Unit: bytesPerSecond, Limit: storeDiskRate,
+		Need: heldEach * c.of("keep.disk") / (zones - 1) / secondsPerDay, Mechanism: "`messagestore/resync.go`"})
+}
+
+// leaseSeconds is how long a lease runs: a primary that plans for longer loses its own.
+const leaseSeconds = 1.5
+
+func (c *calculation) recovery() {
+	c.add(Row{Part: "Recovery of all", Quantity: "a store's reading of its log", Unit: seconds, Limit: recoverSeconds,
+		Need: heldEach * c.of("recover.processor") * micro, Mechanism: "`messagestore/store.go`, `journal/open.go`"})
+	c.add(Row{Part: "Recovery of all", Quantity: "a tenth comes back at once: time to the configuration", Unit: seconds,
+		Limit: recoverSeconds, Need: c.of("restarted.max") / millisecondsPerSecond, Mechanism: "`controlplane/sync.go`"})
+}
--- a/internal/capacity/keep_bench_test.go
+++ b/internal/capacity/keep_bench_test.go
@@ -39,18 +39,17 @@
 	pair := newStorePair(b)
 	body := make([]byte, benchBodyBytes)
 	before, cpuBefore := heapBytes(), processorTime()
-	var sequence atomic.Int64
+	var sequence, refused atomic.Int64
 	b.SetParallelism(max(benchClients/runtime.GOMAXPROCS(0), 1))
 	b.ResetTimer()
 	b.RunParallel(func(parallel *testing.PB) {
 		for parallel.Next() {
-			_, err := pair.client.Put(context.Background(), farSubmission(sequence.Add(1)), false, body)
-			if err != nil {
-				b.Error(err)
-			}
+			submission := farSubmission(sequence.Add(1))
+			refused.Add(putUntilKept(pair.client, submission, body))
 		}
 	})
 	b.StopTimer()
+	b.ReportMetric(float64(refused.Load()), "refused") // while a disk takes too long for a sync
 	messages := float64(b.N)
 	b.ReportMetric(float64((processorTime()-cpuBefore).Microseconds())/messages, "cpu-us/msg")
 	b.ReportMetric(float64(pair.syncs.Load())/messages/benchCopies, "syncs/msg/disk")
@@ -80,7 +79,7 @@
 	for _, each := range messages {
 		engine.Submit(each, 0)
 	}
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(time.Second) // the loop takes the last messages in
 	b.StopTimer()
 	b.ReportMetric(float64((processorTime()-cpuBefore).Microseconds())/float64(b.N), "cpu-us/msg")
 	b.ReportMetric(float64(int64(heapBytes())-int64(before))/float64(b.N), "heap-bytes/msg")
@@ -89,26 +88,36 @@
 	runtime.KeepAlive(messages)
 }
 
-// BenchmarkRecoverIndex opens a store whose log holds a million bytes and more of messages, as after a restart.
+// BenchmarkRecoverIndex opens a store whose log holds many messages, as after a restart.
 func BenchmarkRecoverIndex(b *testing.B) {
 	const messages = 20_000
 	pair := newStorePair(b)
 	for i := range messages {
-		_, err := pair.client.Put(context.Background(), farSubmission(int64(i)), false, make([]byte, benchBodyBytes))
-		assert.NilError(b, err)
+		putUntilKept(pair.client, farSubmission(int64(i)), make([]byte, benchBodyBytes))
 	}
+	var used time.Duration
 	b.ResetTimer()
 	for range b.N {
+		before := processorTime()
 		options := pair.options(0)
 		options.Server = rpc.NewServer(zap.NewNop())
 		options.FS = pair.disks[0]
 		reopened, err := messagestore.Open(options)
 		assert.NilError(b, err)
-		b.StopTimer()
+		used += processorTime() - before
 		assert.NilError(b, reopened.Close())
-		b.StartTimer()
 	}
-	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/messages, "us/msg")
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N)/messages, "cpu-us/msg")
+}
+
+// putUntilKept hands a message in until it is kept, and tells how often it was refused before.
+func putUntilKept(client *messagestore.Client, submission message.Submission, body []byte) (refused int64) {
+	for {
+		if _, err := client.Put(context.Background(), submission, false, body); err == nil {
+			return refused
+		}
+		refused++
+	}
 }
 
 func farSubmission(number int64) message.Submission {
--- /dev/null
+++ b/internal/capacity/target.go
@@ -0,0 +1,48 @@
+// Package capacity works out what each role of the system needs at the size that the operators have named, from slopes
+// that were measured, and writes the table of the page docs/CAPACITY.md.
+package capacity
+
+// Figures that the operators have named.
+const (
+	dispatchers           = 6500.0
+	eventsPerSecond       = 1.7e6
+	destinations          = 710_000.0
+	downPart              = 0.013
+	backlog               = 66e9
+	changesPerDay         = 8200.0
+	changeLimitSeconds    = 14.0
+	controlMachines       = 9.0
+	controlCoreLimit      = 3.4    // percent of a core, of a dispatcher
+	controlMemoryLimit    = 128e6  // bytes, of a dispatcher
+	controlBytesLimit     = 3000.0 // a second, of a dispatcher
+	failuresPerDay        = 37.0
+	restartsPerDay        = 420.0
+	zones                 = 7.0
+	secondsPerDay         = 86_400.0
+	millisecondsPerSecond = 1000.0
+)
+
+// Figures that the operators have not named: they are taken from the deployments of today.
+const (
+	copies              = 2.0              // disks that hold a message: one loss more than is tolerated
+	memberCore          = 72.0             // percent of a core, of a control member
+	memberMemory        = 284e6            // bytes
+	memberLink          = 125e6            // bytes a second
+	storeCore           = 80.0             // percent of a core
+	storeMemory         = 294e6            // bytes
+	storeDisk           = 360e6            // bytes
+	storeDiskRate       = 120e6            // bytes a second
+	storeSyncsPerSecond = 2000.0           // at half a millisecond each
+	recoverSeconds      = 12.0             // from a start until everything works again
+	workersPerService   = 10.0             // as the sweep has them
+	partitionsEach      = 5.0              // partitions that a dispatcher would lead
+	listPageEntries     = 50.0             // of the platform's list
+	listPagesPerSecond  = 47.0             // that the platform allows
+	listPageLimit       = 1000.0           // internal/controlplane/workerread.go
+	listFreshSeconds    = 3.0              // within which a change of the list has to be known
+	workerChangesPerDay = 2 * destinations // every worker is replaced once a day: one entry comes, one goes
+	storeEntryBytes     = 200.0            // of a store in the cluster table
+	managerStepsPerSec  = 10.0             // internal/controlplane/manager.go
+	inventorySeconds    = 1.0              // internal/messagestore/limits.go
+	partitionsOfToday   = 64.0             // internal/controlplane/placement.go
+)
--- a/internal/controlplane/capacity_bench_test.go
+++ b/internal/controlplane/capacity_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 		})
 		b.Run(fmt.Sprintf("take/stores=%d", stores), func(b *testing.B) {
 			from, to := filledLeases(infos), newLeaseTable(func() {})
+			var used time.Duration
 			for range b.N {
 				b.StopTimer()
 				for _, info := range infos {
@@ -38,11 +40,13 @@
 				}
 				payload := from.pass(time.Now())
 				b.StartTimer()
+				before := processorTime(b)
 				if err := to.take(payload, time.Now()); err != nil {
 					b.Fatal(err)
 				}
+				used += processorTime(b) - before
 			}
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(stores), "ns/lease")
+			b.ReportMetric(float64(used.Nanoseconds())/float64(b.N)/float64(stores), "cpu-ns/lease")
 		})
 	}
 }
@@ -57,9 +61,11 @@
 			leases := filledLeases(infos)
 			current := benchContent(infos, size.partitions)
 			b.ResetTimer()
+			before := processorTime(b)
 			for range b.N {
 				benchStep(current, leases)
 			}
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
@@ -71,29 +77,33 @@
 			infos := benchStores(size.stores)
 			leases := filledLeases(infos)
 			current := benchContent(infos, size.partitions)
-			leases.refuse(infos[size.stores/2].Name, time.Now())
+			leases.refuse(infos[size.stores/2], time.Now())
 			b.ResetTimer()
+			before := processorTime(b)
 			for range b.N {
 				benchStep(current, leases)
 			}
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
 
 // BenchmarkLostZone plans the replacement of a seventh of all stores.
 func BenchmarkLostZone(b *testing.B) {
-	for _, size := range []struct{ stores, partitions int }{{100, 500}, {300, 1500}, {1000, 5000}} {
+	for _, size := range []struct{ stores, partitions int }{{300, 1500}, {1000, 5000}, {3000, 15_000}, {6500, 32_500}} {
 		b.Run(fmt.Sprintf("stores=%d/partitions=%d", size.stores, size.partitions), func(b *testing.B) {
 			infos := benchStores(size.stores)
 			leases := filledLeases(infos)
 			current := benchContent(infos, size.partitions)
 			for number := 0; number < size.stores; number += 7 {
-				leases.refuse(infos[number].Name, time.Now())
+				leases.refuse(infos[number], time.Now())
 			}
 			b.ResetTimer()
+			before := processorTime(b)
 			for range b.N {
 				benchStep(current, leases)
 			}
+			b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
 		})
 	}
 }
@@ -111,6 +121,16 @@
 	return draft.diff(current)
 }
 
+// processorTime is what this process has used so far. The machine may have other work, which shows in the time on the
+// clock.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func benchStores(count int) []cluster.NodeInfo {
 	infos := make([]cluster.NodeInfo, count)
 	for i := range infos {
--- a/internal/controlplane/leases.go
+++ b/internal/controlplane/leases.go
@@ -94,15 +94,32 @@
 	known.expires = now.Add(cluster.LeaseDuration)
 }
 
-// refuse ends the lease of a process that was found dead.
-func (t *leaseTable) refuse(name string, now time.Time) {
+// refuse ends the lease of a process that was found dead, unless a later life of it has taken the lease up. It tells
+// whether the lease ran until then.
+func (t *leaseTable) refuse(dead cluster.NodeInfo, now time.Time) bool {
 	t.mutex.Lock()
-	if known, found := t.leases[name]; found {
+	known, found := t.leases[dead.Name]
+	ended := found && known.info.Incarnation == dead.Incarnation && now.Before(known.expires)
+	if ended {
 		known.expires = now
 		known.refused = now
 	}
 	t.mutex.Unlock()
-	t.changed()
+	if ended {
+		t.changed()
+	}
+	return ended
+}
+
+// live returns what a process last announced, where its lease runs.
+func (t *leaseTable) live(name string, now time.Time) (cluster.NodeInfo, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, found := t.leases[name]
+	if !found || !now.Before(known.expires) {
+		return cluster.NodeInfo{}, false
+	}
+	return known.info, true
 }
 
 // find returns what a process last announced.
--- a/internal/controlplane/leases_test.go
+++ b/internal/controlplane/leases_test.go
@@ -28,13 +28,46 @@
 	leases := newLeaseTable(func() {})
 	leases.renew(storeInfo("a", "1"), begin)
 	refused := begin.Add(100 * time.Millisecond)
-	leases.refuse("a", refused)
+	leases.refuse(storeInfo("a", "1"), refused)
 	leases.renew(storeInfo("a", "1"), begin.Add(50*time.Millisecond))
 	assert.Assert(t, !leases.statuses(refused)["a"].live)
 	leases.renew(storeInfo("a", "2"), refused.Add(time.Millisecond))
 	assert.Assert(t, leases.statuses(refused.Add(time.Millisecond))["a"].live)
 }
 
+func TestLeaseIsRefusedOnce(t *testing.T) {
+	begin := time.Now()
+	changes := 0
+	leases := newLeaseTable(func() { changes++ })
+	assert.Assert(t, !leases.refuse(storeInfo("a", "1"), begin))
+	leases.renew(storeInfo("a", "1"), begin)
+	assert.Equal(t, changes, 1)
+	_, live := leases.live("a", begin)
+	assert.Assert(t, live)
+	refused := begin.Add(100 * time.Millisecond)
+	assert.Assert(t, leases.refuse(storeInfo("a", "1"), refused))
+	assert.Equal(t, changes, 2)
+	_, live = leases.live("a", refused)
+	assert.Assert(t, !live)
+	assert.Assert(t, !leases.refuse(storeInfo("a", "1"), refused.Add(time.Millisecond)))
+	assert.Equal(t, changes, 2)
+	info, found := leases.find("a")
+	assert.Assert(t, found)
+	assert.Equal(t, info, storeInfo("a", "1"))
+}
+
+func TestLaterLifeOutlivesTheRefusalOfAnEarlierOne(t *testing.T) {
+	begin := time.Now()
+	leases := newLeaseTable(func() {})
+	leases.renew(storeInfo("a", "1"), begin)
+	leases.renew(storeInfo("a", "2"), begin.Add(100*time.Millisecond))
+	refused := begin.Add(101 * time.Millisecond)
+	assert.Assert(t, !leases.refuse(storeInfo("a", "1"), refused))
+	status := leases.statuses(refused)["a"]
+	assert.Assert(t, status.live)
+	assert.Equal(t, status.info.Incarnation, "2")
+}
+
 func TestGrantedLeaseIsNoSignOfLife(t *testing.T) {
 	now := time.Now()
 	leases := newLeaseTable(func() {})
--- a/internal/controlplane/report.go
+++ b/internal/controlplane/report.go
@@ -20,7 +20,8 @@
 )
 
 // handleReport takes in that a process could not be reached. The primary looks for itself: where nothing listens at
-// the address any more, or another process answers, the lease ends at once.
+// the address any more, or another process answers, the lease ends at once. Many report the same process; those that
+// come when its lease has ended change nothing.
 func (p *Plane) handleReport(ctx context.Context, call *rpc.Call) (any, []byte, error) {
 	var report cluster.Report
 	if err := call.Decode(&report); err != nil {
@@ -29,13 +30,12 @@
 	if err := p.requirePrimary(); err != nil {
 		return nil, nil, err
 	}
-	info, found := p.leases.find(report.Node)
-	if !report.Refused || !found || info.Address != report.Address {
+	info, live := p.leases.live(report.Node, time.Now())
+	if !report.Refused || !live || info.Address != report.Address {
 		return nil, nil, nil
 	}
-	if p.isDead(ctx, info) {
+	if p.isDead(ctx, info) && p.leases.refuse(info, time.Now()) {
 		p.logger.Info("process found dead", zap.String("node", info.Name))
-		p.leases.refuse(info.Name, time.Now())
 	}
 	return nil, nil, nil
 }
--- a/internal/messagestore/client.go
+++ b/internal/messagestore/client.go
@@ -22,7 +22,7 @@
 	putTimeout     = time.Second
 	queryTimeout   = 600 * time.Millisecond
 	retryPause     = 25 * time.Millisecond
-	suspectFor     = 300 * time.Millisecond
+	suspectFor     = time.Second
 	silenceLimit   = 150 * time.Millisecond // a store that takes longer gets nothing new for a while
 	refusePatience = 300 * time.Millisecond // how long a message that could go anywhere is offered round
 	answerReserve  = 60 * time.Millisecond  // kept of the caller's time for the answer
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -15,7 +15,10 @@
 	startBatch     = 50 // hollow dispatchers that are started at a time
 	startPause     = 100 * time.Millisecond
 	awaitInterval  = 50 * time.Millisecond
-	restartAbsence = time.Second // from the end of a dispatcher to its next start
+	restartAbsence = time.Second     // from the end of a dispatcher to its next start
+	failureAbsence = 3 * time.Second // the same where its loss is to be declared
+	restAfter      = 3 * time.Second // without a change of the cluster table
+	restPatience   = 90 * time.Second
 )
 
 // NetworkOf returns the network as the machine at an address has it.
@@ -31,6 +34,7 @@
 	traffic   traffic
 	tracker   *tracker
 	operator  *operator
+	absent    []absence
 	close     func() // ends the operator
 }
 
@@ -65,6 +69,12 @@
 	return f, nil
 }
 
+// absence is a dispatcher that has ended and is to be started again.
+type absence struct {
+	hollow *hollow
+	until  time.Time
+}
+
 const operatorIP = "127.15.0.1"
 
 // grow starts dispatchers until there are as many as wanted, a few at a time.
@@ -105,10 +115,49 @@
 func (f *fleet) awaitDeclared(ctx context.Context) error {
 	for f.tracker.undeclared() > 0 {
 		if ctx.Err() != nil {
-			return trace.LimitExceeded("%d losses were not declared", f.tracker.undeclared())
+			return trace.LimitExceeded("losses were not declared: %s", f.tracker.describeUndeclared(f.operator.agent.Table()))
+		}
+		pause(ctx, awaitInterval)
+	}
+	return nil
+}
+
+// awaitRest waits until the cluster table has not changed for a while, and tells whether that came in time.
+func (f *fleet) awaitRest(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, restPatience)
+	defer cancel()
+	revision, since := uint64(0), time.Now()
+	for ctx.Err() == nil {
+		if table := f.operator.agent.Table(); table != nil && table.Revision != revision {
+			revision, since = table.Revision, time.Now()
+		}
+		if time.Since(since) >= restAfter {
+			return true
 		}
 		pause(ctx, awaitInterval)
 	}
+	return false
+}
+
+// take ends a dispatcher until a time.
+func (f *fleet) take(chosen *hollow, until time.Time) {
+	chosen.kill()
+	f.absent = append(f.absent, absence{hollow: chosen, until: until})
+}
+
+// bringBack starts the dispatchers whose absence has ended, but none whose loss has not been declared.
+func (f *fleet) bringBack(now time.Time) error {
+	var staying []absence
+	for _, each := range f.absent {
+		if now.Before(each.until) || f.tracker.awaits(each.hollow.info.Name) {
+			staying = append(staying, each)
+			continue
+		}
+		if err := each.hollow.start(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	f.absent = staying
 	return nil
 }
 
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -73,8 +73,8 @@
 		fmt.Fprintln(table, strings.Join(row, "\t"))
 	}
 	for _, result := range results {
-		fmt.Fprintf(table, "%d:\t%d changes, %d restarts, %d failures in the day; %d of the operator's calls repeated\t\n",
-			result.Dispatchers, result.Changes, result.Restarts, result.Failures, result.Repeated)
+		fmt.Fprintf(table, "%d:\t%d changes, %d restarts, %d failures in the day; %d of the operator's calls repeated; settled before: %t\t\n",
+			result.Dispatchers, result.Changes, result.Restarts, result.Failures, result.Repeated, result.Settled)
 	}
 	return trace.Wrap(table.Flush())
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -47,6 +47,7 @@
 type Result struct {
 	Dispatchers int
 	Boot        time.Duration // from the first start of those that were added until all have a configuration
+	Settled     bool          // the cluster table came to rest before the calm phase
 	Calm        Rates
 	Day         Rates
 	Changes     int // configuration changes in the day
@@ -133,7 +134,7 @@
 		return err
 	}
 	result.Boot = time.Since(began)
-	pause(ctx, r.options.Calm/2) // placement comes to rest
+	result.Settled = r.fleet.awaitRest(ctx)
 	r.fleet.tracker.take()
 	return nil
 }
@@ -156,13 +157,18 @@
 		changes := newSchedule(r.random, DailyTarget.ConfigurationChanges*perSecond)
 		for time.Now().Before(end) && ctx.Err() == nil {
 			now := time.Now()
+			if err := r.fleet.bringBack(now); err != nil {
+				return err
+			}
 			switch {
 			case restarts.due(now):
 				result.Restarts++
-				err = r.fleet.restart(ctx, r.choose(1))
+				r.fleet.take(r.choose(1)[0], now.Add(restartAbsence))
 			case failures.due(now):
 				result.Failures++
-				err = r.fleet.lose(ctx, r.choose(1)[0])
+				chosen := r.choose(1)[0]
+				r.fleet.tracker.lost(chosen.info.Name, now)
+				r.fleet.take(chosen, now.Add(failureAbsence))
 			case changes.due(now):
 				result.Changes++
 				err = r.fleet.operator.change(ctx)
@@ -173,7 +179,10 @@
 				return err
 			}
 		}
-		return r.fleet.awaitCurrent(ctx)
+		if err := r.fleet.awaitDeclared(ctx); err != nil {
+			return err
+		}
+		return trace.NewAggregate(r.fleet.bringBack(farFuture), r.fleet.awaitCurrent(ctx))
 	})
 	taken := r.fleet.tracker.take()
 	result.DayLags, result.Declared = taken.lags, taken.losses
@@ -216,11 +225,13 @@
 	return nil
 }
 
-// choose draws dispatchers.
+// choose draws dispatchers that run.
 func (r *run) choose(count int) []*hollow {
-	chosen := make([]*hollow, count)
-	for i, number := range r.random.Perm(len(r.fleet.hollows))[:count] {
-		chosen[i] = r.fleet.hollows[number]
+	var chosen []*hollow
+	for _, number := range r.random.Perm(len(r.fleet.hollows)) {
+		if each := r.fleet.hollows[number]; each.stop != nil && len(chosen) < count {
+			chosen = append(chosen, each)
+		}
 	}
 	return chosen
 }
@@ -282,6 +293,9 @@
 	}
 }
 
+// farFuture is later than anything that is planned.
+var farFuture = time.Unix(1<<40, 0)
+
 const (
 	scheduleLook = 10 * time.Millisecond
 	memoryLook   = time.Second
--- a/internal/scale/tracker.go
+++ b/internal/scale/tracker.go
@@ -1,6 +1,8 @@
 package scale
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -102,6 +104,14 @@
 	}
 }
 
+// awaits tells whether the loss of a dispatcher has not been declared yet.
+func (t *tracker) awaits(name string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	_, found := t.killed[name]
+	return found
+}
+
 // undeclared counts the losses that have not been declared.
 func (t *tracker) undeclared() int {
 	t.mutex.Lock()
@@ -109,6 +119,21 @@
 	return len(t.killed)
 }
 
+// describeUndeclared names the losses that have not been declared, and what a table says of them.
+func (t *tracker) describeUndeclared(table *cluster.Table) string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var parts []string
+	for name, since := range t.killed {
+		state := cluster.StoreState("not listed")
+		if entry := table.Store(name); entry != nil {
+			state = entry.State
+		}
+		parts = append(parts, fmt.Sprintf("%s, lost %v ago, is %s", name, time.Since(since).Round(time.Millisecond), state))
+	}
+	return strings.Join(parts, "; ")
+}
+
 // take returns the samples gathered so far and begins anew.
 func (t *tracker) take() samples {
 	t.mutex.Lock()
