--- a/Makefile
+++ b/Makefile
@@ -68,3 +68,21 @@
 	PROMISES_KINDS=$(PROMISES_KINDS) PROMISES_SIZES=$(PROMISES_SIZES) PROMISES_SEEDS=$(PROMISES_SEEDS) PROMISES_JOBS=$(PROMISES_JOBS) FAULTS_AT_ONCE=$(FAULTS_AT_ONCE) go test ./internal/faults -run TestPromisesLongSet -count=1 -v -parallel 64 -timeout 60m
 leases:
 	LEASE_STATES=$(LEASE_STATES) LEASE_WALKS=$(LEASE_WALKS) go test ./internal/lease -count=1 -v -timeout 60m
+
+# Capacity: `make capacity` computes the tables of docs/CAPACITY.md anew from internal/capacity/slopes.json, and
+# `make capacity-bench` measures again what benchmarks can. `make scale` runs hollow dispatchers beside a control group.
+.PHONY: capacity capacity-bench scale
+SCALE_FLAGS ?= --size 100 --size 300 --plots bin/scale
+capacity:
+	go test ./internal/capacity -run '^TestPage$$' -count=1 -write
+capacity-bench:
+	go test ./internal/capacity -run '^$$' -bench 'KeepMessage' -benchtime 10000x -timeout 10m
+	go test ./internal/capacity -run '^$$' -bench 'QueuedInEngine' -benchtime 200000x
+	go test ./internal/capacity -run '^$$' -bench 'Recover|Table|Worker|Inventory|Configuration' -benchtime 3x -timeout 10m
+	go test ./internal/controlplane -run '^$$' -bench 'LeaseTable|ManagerStep' -benchtime 50x
+	go test ./internal/controlplane -run '^$$' -bench 'LostZone' -benchtime 2x -timeout 10m
+	go test ./internal/delivery -run '^$$' -bench 'Turn' -benchtime 500x
+scale: build
+	mkdir -p target
+	go build -ldflags=-linkmode=external -o target/ ./cmd/gladepick-system
+	bin/gladepick-scale $(SCALE_FLAGS)
