--- a/failures_test.go
+++ b/failures_test.go
@@ -798,7 +798,7 @@
 	shareAColdWorker(t, 1, 8, 8, 14) // and where these are all held, it need not wait for its mates to do more
 }
 
-func shareAColdWorker(t *testing.T, perSec time.Duration, slots, queue float64, least int) {
+func shareAColdWorker(t *testing.T, perSecond int, slots, queue float64, least int) {
 	const n, run = 80, 200 * time.Millisecond
 	list := fleet(24)
 	for i := range list {
@@ -811,7 +811,7 @@
 		d, now, id := must(t, s, seed), time.Minute+time.Duration(seed)*time.Millisecond, JobID(0)
 		d.Handle(now, &Event{Kind: EventList, List: ListFull, Entries: list}, nil)
 		cold := Entry{Worker: 777, Started: time.Minute + 10*time.Second, State: Ready}
-		for ; now < time.Minute+13*time.Second; now += time.Second / perSec {
+		for ; now < time.Minute+13*time.Second; now += time.Second / time.Duration(perSecond) {
 			if now >= cold.Started && d.workers[cold.Worker] == nil {
 				d.Handle(now, &Event{Kind: EventList, List: ListDelta, Entries: []Entry{cold}}, nil)
 			}
@@ -829,7 +829,7 @@
 		}
 	}
 	slices.Sort(sends)
-	each := max(float64(n*perSec)/24, slots/run.Seconds()) // jobs a second that a warm worker bears
+	each := max(float64(n*perSecond)/24, slots/run.Seconds()) // jobs a second that a warm worker bears
 	for i := range sends {
 		last, _ := slices.BinarySearch(sends, sends[i]+time.Second)
 		share := 0.3 + 0.7*sends[i].Seconds()/9
@@ -838,7 +838,7 @@
 		}
 	}
 	if len(sends) < least {
-		t.Errorf("%d dispatchers' jobs a second, %v slots: %d jobs in 3 s for a cold worker, not %d", n*perSec, slots, len(sends), least)
+		t.Errorf("%d dispatchers' jobs a second, %v slots: %d jobs in 3 s for a cold worker, not %d", n*perSecond, slots, len(sends), least)
 	}
 }
 
--- a/internal/lease/explore_test.go
+++ b/internal/lease/explore_test.go
@@ -61,16 +61,15 @@
 func word(d int) string { return string(rune('A' + d)) }
 
 type holder struct {
-	hold    *lease.Hold
-	at      int // dispatcher
-	client  bool
-	inner   bool  // the module has it
-	out     int   // attempts at workers that have not ended here
-	may     []may // attempts that may go out
-	place   uint32
-	tries   int
-	result  string // that has come from a worker
-	stopped bool
+	hold   *lease.Hold
+	at     int // dispatcher
+	client bool
+	inner  bool  // the module has it
+	out    int   // attempts at workers that have not ended here
+	may    []may // attempts that may go out
+	place  uint32
+	tries  int
+	result string // that has come from a worker
 }
 
 type may struct {
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -182,8 +182,14 @@
 	}
 }
 
-// Name, Life, Joined and Health are this member's own.
+// Name returns this member's own name.
 func (m *Machine) Name() string { return m.me.Name }
+
+// Life returns which of its lives this member is in.
 func (m *Machine) Life() uint64 { return m.me.Life }
+
+// Joined tells whether this member has joined the others.
 func (m *Machine) Joined() bool { return m.joined }
-func (m *Machine) Health() int  { return m.health }
+
+// Health returns this member's own health figure.
+func (m *Machine) Health() int { return m.health }
--- a/internal/membership/measure_test.go
+++ b/internal/membership/measure_test.go
@@ -45,12 +45,12 @@
 }
 
 type figures struct {
-	hours              float64
-	failed, accused    int // though they were there
-	rate               float64
-	first, last        []time.Duration
-	views              int
-	undetected, resets int
+	hours           float64
+	failed, accused int // though they were there
+	rate            float64
+	first, last     []time.Duration
+	views           int
+	undetected      int
 }
 
 // measure plays a stretch with loss and stops, then crashes one after the other.
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -24,8 +24,6 @@
 
 	batchBytes = 256 << 10 // records in one call to a backup, about
 
-	defaultCacheBytes = 24 << 20
-
 	leastSegmentBytes = 1 << 20
 	mostSegmentBytes  = 8 << 20
 	segmentsOnDisk    = 24 // of the disk's size, at least
--- a/internal/messagestore/record.go
+++ b/internal/messagestore/record.go
@@ -33,14 +33,6 @@
 	EndedAt   time.Time        `json:"endedAt,omitzero"`
 }
 
-// messageID returns the ID of the message that the record is about, "" where it is about none.
-func (r *record) messageID() string {
-	if r.Message != nil {
-		return r.Message.ID
-	}
-	return r.ID
-}
-
 // encode returns the record's line, with its newline.
 func (r *record) encode() ([]byte, error) {
 	line, err := json.Marshal(r)
--- a/internal/portal/door.go
+++ b/internal/portal/door.go
@@ -8,6 +8,7 @@
 // its reader says: nobody else knows what has just come. It must never leave a
 // connection waiting unseen, close one on a request that was read, word an
 // answer to a job, or change a byte that it lets pass.
+
 package portal
 
 import (
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -70,12 +70,6 @@
 	}
 }
 
-// current tells whether the dispatcher has the cluster table and a configuration of at least a version.
-func (h *hollow) current(version uint64) bool {
-	document := h.agent.Config()
-	return document != nil && document.Version() >= version && h.agent.Table() != nil
-}
-
 // changed takes new snapshots of the agent in.
 func (h *hollow) changed(ctx context.Context, agent *cluster.Agent, run *runOfHollow) {
 	if document := agent.Config(); document != nil {
--- a/internal/standin/broker.go
+++ b/internal/standin/broker.go
@@ -34,12 +34,11 @@
 }
 
 type consumer struct {
-	link      *brokerLink
-	channel   uint16
-	tag       string
-	autoAck   bool
-	queue     string
-	withdrawn bool
+	link    *brokerLink
+	channel uint16
+	tag     string
+	autoAck bool
+	queue   string
 }
 
 type brokerLink struct {
