--- a/internal/capture/capture.go
+++ b/internal/capture/capture.go
@@ -8,76 +8,24 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"os"
-	"path/filepath"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/parquet-go/parquet-go"
 
 	"ivyfold"
 	"ivyfold/internal/config"
 	"ivyfold/internal/dispatch"
 )
 
-// Version is that of the columns. A reader takes files of this version and older.
-const Version = 1
-
-// Try is one try of a client, from its arrival to its answer. Times are nanoseconds.
-type Try struct {
-	Node       string  `parquet:"node,dict"`
-	Boot       int64   `parquet:"boot"`       // when the dispatcher started, Unix time
-	Job        int64   `parquet:"job"`        // counts tries since then; 0 for one that was turned away
-	Came       int64   `parquet:"came,delta"` // Unix time at the start plus monotonic time since
-	Clock      int64   `parquet:"clock"`      // what the calendar showed beyond that: its steps
-	Class      string  `parquet:"class,dict"`
-	University string  `parquet:"university,dict"`
-	Repeat     bool    `parquet:"repeat"`
-	Slots      float64 `parquet:"slots"`
-	Memory     float64 `parquet:"memory"`
-	Subject    uint64  `parquet:"subject"` // salted hash; 0 for none
-	Patience   int64   `parquet:"patience"`
-	Verdict    string  `parquet:"verdict,dict"` // served, refused, failed, left or turned
-	Took       int64   `parquet:"took"`         // to the answer
-	RetryAfter int64   `parquet:"retry_after"`
-	Attempts   int32   `parquet:"attempts"`
-}
-
-// Attempt is one send of a job to a worker, as the dispatcher saw it.
-type Attempt struct {
-	Node    string  `parquet:"node,dict"`
-	Boot    int64   `parquet:"boot"`
-	Job     int64   `parquet:"job"`
-	Attempt int32   `parquet:"attempt"`
-	Class   string  `parquet:"class,dict"`
-	Worker  string  `parquet:"worker,dict"`
-	Kind    string  `parquet:"kind,dict"`
-	Zone    string  `parquet:"zone,dict"`
-	Sent    int64   `parquet:"sent,delta"`   // as Try.Came
-	Started int64   `parquet:"started"`      // after Sent; -1 if that was never told
-	Ended   int64   `parquet:"ended"`        // after Sent; -1 for one that was out when the dispatcher ended
-	Outcome string  `parquet:"outcome,dict"` // ok, error, full, timed_out, connect_failed, reset, cancelled, open
-	Free    float64 `parquet:"free_slots"`   // from the load report that came with the outcome; NaN if none did
-	Queue   float64 `parquet:"queue"`
-	Rate    float64 `parquet:"rate"` // the report's other figures, in its order
-	Errors  float64 `parquet:"errors"`
-}
-
 var verdicts = map[dispatch.Verdict]string{dispatch.Served: "served", dispatch.Refused: "refused", dispatch.Failed: "failed"}
 
-// partial ends the name of a file that is not closed.
-const partial = ".part"
-
 // open is a job that is under way.
 type open struct {
 	job      int64
@@ -113,13 +61,6 @@
 	done  chan struct{}
 }
 
-// disk is an open file.
-type disk interface {
-	io.Writer
-	Sync() error
-	Close() error
-}
-
 // NewRecorder makes a recorder for a node. clock is the core's.
 func NewRecorder(n *config.Node, counters *dispatch.Counters, clock func() (time.Duration, time.Time)) *Recorder {
 	at, now := clock()
@@ -322,221 +263,6 @@
 	}
 }
 
-// pair is the two files that are open.
-type pair struct {
-	dir   string
-	names [2]string
-	files [2]disk
-	size  [2]counted
-	tries *parquet.GenericWriter[Try]
-	sends *parquet.GenericWriter[Attempt]
-	stem  string // of all their names
-	began time.Time
-	rows  int
-	each  [2]int64 // rows in each
-}
-
-// counted counts and sums up what is written.
-type counted struct {
-	to    io.Writer
-	bytes int64
-	sum   *xxhash.Digest
-}
-
-func (c *counted) Write(p []byte) (int, error) {
-	n, err := c.to.Write(p)
-	c.bytes += int64(n)
-	c.sum.Write(p[:n])
-	return n, err
-}
-
-// Manifest seals the files of a capture. The library that reads them takes damaged bytes at their word, down to the
-// process's end; so no byte is given to it that is not the one that was written.
-type Manifest struct {
-	Version int    `json:"version"`
-	Node    string `json:"node"`
-	Lost    int64  `json:"lost"` // rows that found no room since the manifest before
-	Files   []Seal `json:"files"`
-}
-
-// Seal is one sealed file.
-type Seal struct {
-	Name  string `json:"name"` // beside the manifest
-	Bytes int64  `json:"bytes"`
-	Rows  int64  `json:"rows"`
-	XXH64 string `json:"xxh64"` // 16 hexadecimal digits, seed 0
-}
-
-// manifest ends a manifest's name.
-const manifest = ".capture.json"
-
-func (r *Recorder) begin() (*pair, error) {
-	p := &pair{dir: r.conf.Dir, began: time.Now()}
-	p.stem = fmt.Sprintf("%s-%s", prefix(r.node.Name), p.began.UTC().Format("20060102T150405.000000000"))
-	for i, what := range []string{"tries", "attempts"} {
-		p.names[i] = filepath.Join(r.conf.Dir, p.stem+"-"+what+".parquet")
-		f, err := r.create(p.names[i] + partial)
-		if err != nil {
-			p.drop()
-			return nil, err
-		}
-		p.files[i], p.size[i].to, p.size[i].sum = f, f, xxhash.New()
-	}
-	about := []parquet.WriterOption{parquet.Compression(&parquet.Snappy), parquet.PageBufferSize(64 << 10),
-		parquet.KeyValueMetadata("gladepick.version", strconv.Itoa(Version))}
-	p.tries = parquet.NewGenericWriter[Try](&p.size[0], about...)
-	p.sends = parquet.NewGenericWriter[Attempt](&p.size[1], about...)
-	return p, nil
-}
-
-// prefix makes a file name's beginning of a dispatcher's name.
-func prefix(name string) string {
-	return strings.Map(func(c rune) rune {
-		if c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '_' || c == '.' {
-			return c
-		}
-		return '_'
-	}, name)
-}
-
-func (p *pair) bytes() int64 { return p.size[0].bytes + p.size[1].bytes }
-
-// write adds a group of rows to each file, whole.
-func (p *pair) write(tries []Try, sends []Attempt) error {
-	p.rows += len(tries) + len(sends)
-	p.each[0] += int64(len(tries))
-	p.each[1] += int64(len(sends))
-	if len(tries) > 0 {
-		if _, err := p.tries.Write(tries); err != nil {
-			return err
-		}
-		if err := p.tries.Flush(); err != nil {
-			return err
-		}
-	}
-	if len(sends) > 0 {
-		if _, err := p.sends.Write(sends); err != nil {
-			return err
-		}
-		return p.sends.Flush()
-	}
-	return nil
-}
-
-// close ends both files, gives them their names and seals them with a manifest.
-func (p *pair) close(node string, lost int64) error {
-	if err := errors.Join(p.tries.Close(), p.sends.Close(), p.files[0].Sync(), p.files[1].Sync(), p.files[0].Close(), p.files[1].Close()); err != nil {
-		return err
-	}
-	p.files = [2]disk{}
-	m := Manifest{Version: Version, Node: node, Lost: lost}
-	for i, name := range p.names {
-		m.Files = append(m.Files, Seal{filepath.Base(name), p.size[i].bytes, p.each[i], fmt.Sprintf("%016x", p.size[i].sum.Sum64())})
-		if err := os.Rename(name+partial, name); err != nil {
-			return err
-		}
-	}
-	text, err := json.MarshalIndent(m, "", "  ")
-	if err != nil {
-		return err
-	}
-	return whole(filepath.Join(p.dir, p.stem+manifest), append(text, '\n'))
-}
-
-// whole writes a file that is there with all of its text or not at all.
-func whole(name string, text []byte) error {
-	f, err := os.Create(name + partial)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	if err = errors.Join(err, f.Sync(), f.Close()); err == nil {
-		err = os.Rename(name+partial, name)
-	}
-	if err != nil {
-		os.Remove(name + partial)
-		return err
-	}
-	d, err := os.Open(filepath.Dir(name))
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
-}
-
-// drop gives the open files up.
-func (p *pair) drop() {
-	for i, f := range p.files {
-		if f != nil {
-			f.Close()
-		}
-		if p.names[i] != "" {
-			os.Remove(p.names[i] + partial)
-			os.Remove(p.names[i])
-		}
-	}
-}
-
-// orphans tells what earlier processes of this name left open, and removes it: a file without its end cannot be read.
-func (r *Recorder) orphans() {
-	left, _ := filepath.Glob(filepath.Join(r.conf.Dir, prefix(r.node.Name)+"-*"+partial))
-	for _, name := range left {
-		log.Printf("capture: %s", orphan(name))
-		if err := os.Remove(name); err != nil {
-			log.Printf("capture: %v", err)
-		}
-	}
-}
-
-// orphan says what is lost with a file that was never closed.
-func orphan(name string) string {
-	info, err := os.Stat(name)
-	if err != nil {
-		return err.Error()
-	}
-	from := "its beginning"
-	if parts := strings.Split(filepath.Base(name), "-"); len(parts) >= 3 {
-		from = parts[len(parts)-2]
-	}
-	return fmt.Sprintf("%s was never closed: the rows from %s to %s are lost, %d bytes of them had been written", name, from,
-		info.ModTime().UTC().Format("20060102T150405"), info.Size())
-}
-
-// sweep removes the oldest sealed files beyond what is to be kept, the manifest before what it seals.
-func (r *Recorder) sweep() {
-	if r.conf.KeepMB <= 0 {
-		return
-	}
-	names, _ := filepath.Glob(filepath.Join(r.conf.Dir, prefix(r.node.Name)+"-*"+manifest))
-	slices.Sort(names)
-	total, sizes := int64(0), make([]int64, len(names))
-	sealed := make([]*Manifest, len(names))
-	for i, name := range names {
-		var err error
-		if sealed[i], err = readManifest(name); err != nil {
-			log.Printf("capture: %v", err)
-			continue
-		}
-		for _, s := range sealed[i].Files {
-			sizes[i] += s.Bytes
-		}
-		total += sizes[i]
-	}
-	for i := 0; i < len(names) && total > int64(r.conf.KeepMB*(1<<20)); i++ {
-		if sealed[i] == nil {
-			continue
-		}
-		err := os.Remove(names[i])
-		for _, s := range sealed[i].Files {
-			err = errors.Join(err, os.Remove(filepath.Join(r.conf.Dir, s.Name)))
-		}
-		if err != nil {
-			log.Printf("capture: %v", err)
-		}
-		total -= sizes[i]
-	}
-}
-
 func figure(l *ivyfold.Load, at int) float64 {
 	if at < 0 || at >= min(l.N, len(l.Values)) {
 		return nan
--- /dev/null
+++ b/internal/standin/fleet_troubles.go
@@ -0,0 +1,76 @@
+// What goes wrong in a fleet, as its description says.
+
+package standin
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"ivyfold/internal/config"
+)
+
+// tell lets every dispatcher's discovery say a worker's state, each after a delay of its own.
+func (f *Fleet) tell(m *machine, state string) {
+	for i, s := range f.seats {
+		r := f.desc.RosterS
+		m.mu.Lock()
+		w := m.line(i, state)
+		m.mu.Unlock()
+		time.AfterFunc(dur(r[0]+rand.Float64()*(r[1]-r[0])), func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			s.gen++
+			text, _ := json.Marshal(config.Roster{Generation: s.gen, Workers: []config.Worker{w}})
+			s.roster.Changes <- string(text)
+		})
+	}
+}
+
+// troubles sets up what the description says goes wrong.
+func (f *Fleet) troubles() {
+	rng := rand.New(rand.NewPCG(f.seed, 78))
+	for _, t := range f.desc.Troubles {
+		var hit []int
+		for i, m := range f.workers {
+			if (t.Zone == "" || m.zone == t.Zone) && (t.Kind == "" || m.kind.Name == t.Kind) {
+				hit = append(hit, i)
+			}
+		}
+		rng.Shuffle(len(hit), func(i, k int) { hit[i], hit[k] = hit[k], hit[i] })
+		hit = hit[:int(t.Part*float64(len(hit))+0.5)]
+		each := func(at float64, do func(i int, m *machine)) {
+			time.AfterFunc(dur(at), func() {
+				for _, i := range hit {
+					do(i, f.workers[i])
+				}
+			})
+		}
+		set := func(share float64) func(int, *machine) {
+			return func(_ int, m *machine) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.move()
+				m.taken = share
+				m.move()
+			}
+		}
+		end := t.AtS + t.ForS
+		switch t.What {
+		case "deaths":
+			each(t.AtS, func(_ int, m *machine) { m.die(); f.tell(m, "gone") })
+			each(end, func(i int, m *machine) { m.rise(i + 1); f.tell(m, "ready") })
+		case "drain":
+			each(t.AtS, func(_ int, m *machine) { f.tell(m, "draining") })
+			each(end, func(i int, m *machine) { m.die(); m.rise(i + 1); f.tell(m, "ready") })
+		case "shared":
+			for at := t.AtS; at < end; at += t.OnS + t.OffS {
+				each(at, set(t.Takes))
+				each(min(at+t.OnS, end), set(0))
+			}
+		case "reports_late":
+			time.AfterFunc(dur(t.AtS), func() { f.late.Store(int64(dur(t.Takes))) })
+			time.AfterFunc(dur(end), func() { f.late.Store(0) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/machine.go
@@ -0,0 +1,226 @@
+// A worker of a fleet: its connections and its answers.
+
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"ivyfold/internal/config"
+	"ivyfold/internal/model"
+)
+
+// machine is one worker.
+type machine struct {
+	f       *Fleet
+	id      string
+	kind    model.Kind
+	zone    string
+	speed   float64
+	mu      sync.Mutex
+	up      bool
+	born    time.Time // zero: warm
+	process int
+	taken   float64
+	each    float64
+	counted time.Time
+	running piles
+	waiting []*piece
+	timer   *time.Timer
+	ports   []net.Listener
+	conns   map[net.Conn]bool
+	views   []view
+	every   time.Duration
+	delay   time.Duration
+	done    int
+}
+
+// hop is the time one way between a zone and a machine.
+func (m *machine) hop(zone string) time.Duration {
+	base := m.f.desc.SameZoneMs
+	if zone != m.zone {
+		base = m.f.desc.CrossZoneMs
+	}
+	return time.Duration(base * (1 + m.f.desc.Jitter*(2*rand.Float64()-1)) * float64(time.Millisecond))
+}
+
+func (m *machine) line(dispatcher int, state string) config.Worker {
+	w := config.Worker{ID: m.id, Zone: m.zone, Kind: m.kind.Name, State: state, Weight: 1}
+	if len(m.ports) > dispatcher {
+		w.Address = m.ports[dispatcher].Addr().String()
+	}
+	if !m.born.IsZero() {
+		w.StartedAtMs = m.born.UnixMilli()
+	}
+	return w
+}
+
+// listen opens a port for each dispatcher, so that a connection tells from how far it comes.
+func (m *machine) listen(number int) error {
+	m.ports = nil
+	for i, s := range m.f.seats {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:%d", m.f.host, 10+i, number, 5000))
+		if err != nil {
+			return err
+		}
+		m.ports = append(m.ports, l)
+		process := m.process
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go m.serve(conn, s.zone, process)
+			}
+		}()
+	}
+	return nil
+}
+
+func (m *machine) serve(conn net.Conn, zone string, process int) {
+	m.mu.Lock()
+	if !m.up || m.process != process || m.kind.Connections > 0 && len(m.conns) >= m.kind.Connections {
+		m.mu.Unlock()
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+		return
+	}
+	m.conns[conn] = true
+	m.mu.Unlock()
+	defer func() {
+		conn.Close()
+		m.mu.Lock()
+		delete(m.conns, conn)
+		m.mu.Unlock()
+	}()
+	in := bufio.NewReader(conn)
+	more := m.kind.ConnectionMs / 1000
+	came := 2 * time.Duration(m.f.desc.Trips*float64(m.hop(zone))) // the connection itself takes so long
+	for {
+		conn.SetReadDeadline(time.Now().Add(dur(m.f.desc.ConnIdleS)))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		work, err := strconv.ParseFloat(string(bytes.TrimSpace(body)), 64)
+		if err != nil {
+			return
+		}
+		time.Sleep(came + m.hop(zone))
+		if !m.answer(conn, r, work+more, zone) {
+			return
+		}
+		came, more = 0, 0
+	}
+}
+
+// answer takes a job and tells its stages, each as long under way as the zones are apart.
+func (m *machine) answer(conn net.Conn, r *http.Request, work float64, zone string) bool {
+	id, key := r.Header.Get("X-Request-ID"), r.Header.Get("Idempotency-Key")
+	write := func(at time.Time, text string) bool {
+		time.Sleep(time.Until(at.Add(m.hop(zone))))
+		_, err := io.WriteString(conn, text)
+		return err == nil
+	}
+	chunk := func(state, more string) string {
+		s := line(id, m.id, state, more)
+		return fmt.Sprintf("%x\r\n%s\r\n", len(s), s)
+	}
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	finished := func() string { return chunk("done", `,"result":"ok"`+m.load()) + "0\r\n\r\n" }
+	var first chan bool
+	if key != "" {
+		m.f.mu.Lock()
+		before := m.f.past[key]
+		if before == nil {
+			first = make(chan bool)
+			m.f.past[key] = first
+		}
+		m.f.mu.Unlock()
+		if before != nil {
+			<-before
+			return write(time.Now(), head+finished())
+		}
+	}
+	forget := func() {
+		if first != nil {
+			m.f.mu.Lock()
+			delete(m.f.past, key)
+			m.f.mu.Unlock()
+			close(first)
+		}
+	}
+	p := m.take(work)
+	if p == nil {
+		forget()
+		return write(time.Now(), "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n"+m.loadHead()+"\r\n")
+	}
+	at, ok := <-p.stage
+	if !ok {
+		forget()
+		return false
+	}
+	open := write(at, head+chunk("started", ""))
+	for beat := time.NewTicker(time.Second); ; {
+		select {
+		case at, ok = <-p.stage:
+			beat.Stop()
+			if !ok {
+				forget()
+				return false
+			}
+			if first != nil {
+				close(first)
+			}
+			return open && write(at, finished())
+		case <-beat.C:
+			open = open && write(time.Now(), chunk("running", `,"share":0.5`))
+		}
+	}
+}
+
+func (m *machine) die() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.move()
+	m.up = false
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	for _, p := range append(m.running, m.waiting...) {
+		close(p.stage)
+	}
+	m.running, m.waiting = nil, nil
+	for _, l := range m.ports {
+		l.Close()
+	}
+	for conn := range m.conns {
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
+	m.ports, m.conns = nil, map[net.Conn]bool{}
+}
+
+func (m *machine) rise(number int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.process++
+	m.up, m.born, m.counted, m.each = true, time.Now(), time.Now(), 0
+	if err := m.listen(number); err != nil {
+		panic(err) // a port of this day's own was taken: nothing that is measured now means anything
+	}
+	go m.report(m.process)
+}
--- /dev/null
+++ b/internal/standin/machine_service.go
@@ -0,0 +1,97 @@
+// The service time of a worker's jobs: slots, waiting room, cold start and shared cores.
+
+package standin
+
+import (
+	"container/heap"
+	"time"
+)
+
+// piece is a job at a machine; its stages come out in order.
+type piece struct {
+	work, finish float64
+	stage        chan time.Time // started, then done; closed without if the machine died
+}
+
+type piles []*piece
+
+func (p piles) Len() int           { return len(p) }
+func (p piles) Less(i, k int) bool { return p[i].finish < p[k].finish }
+func (p piles) Swap(i, k int)      { p[i], p[k] = p[k], p[i] }
+func (p *piles) Push(v any)        { *p = append(*p, v.(*piece)) }
+func (p *piles) Pop() any {
+	old := *p
+	last := old[len(old)-1]
+	*p = old[:len(old)-1]
+	return last
+}
+
+// rate is the service a second of each running job.
+func (m *machine) rate(at time.Time) float64 {
+	capacity := 1.0
+	if !m.born.IsZero() {
+		capacity = min(m.kind.ColdShare+(1-m.kind.ColdShare)*at.Sub(m.born).Seconds()/max(m.kind.WarmS, 1e-9), 1)
+	}
+	return m.speed * capacity * min(1, m.kind.Cores*(1-m.taken)/float64(max(len(m.running), 1)))
+}
+
+// move brings the service up to now, lets jobs end and begin, and sets the next look. The lock is held.
+func (m *machine) move() {
+	now := time.Now()
+	if span := now.Sub(m.counted); len(m.running) > 0 && span > 0 {
+		m.each += m.rate(m.counted.Add(span/2)) * span.Seconds()
+	}
+	m.counted = now
+	for len(m.running) > 0 && m.running[0].finish <= m.each+1e-7 {
+		p := heap.Pop(&m.running).(*piece)
+		p.stage <- now
+		m.done++
+	}
+	for len(m.waiting) > 0 && len(m.running) < m.kind.Slots {
+		m.begin(m.waiting[0], now)
+		m.waiting = m.waiting[1:]
+	}
+	if m.timer != nil {
+		m.timer.Stop()
+	}
+	if len(m.running) > 0 {
+		wait := time.Hour
+		if r := m.rate(now); r > 0 {
+			wait = dur(min((m.running[0].finish-m.each)/r, 1000))
+		}
+		if !m.born.IsZero() {
+			wait = min(wait, 20*time.Millisecond)
+		}
+		m.timer = time.AfterFunc(wait, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.move()
+		})
+	}
+}
+
+func (m *machine) begin(p *piece, now time.Time) {
+	p.finish = m.each + p.work
+	heap.Push(&m.running, p)
+	p.stage <- now
+}
+
+func (m *machine) take(work float64) *piece {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.move()
+	p := &piece{work: work, stage: make(chan time.Time, 2)}
+	switch {
+	case !m.up:
+		close(p.stage)
+		return p
+	case len(m.running) < m.kind.Slots && len(m.waiting) == 0:
+		m.begin(p, m.counted)
+	case len(m.waiting) < m.kind.Queue:
+		m.waiting = append(m.waiting, p)
+	default:
+		return nil
+	}
+	m.move()
+	return p
+}
