--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -191,5 +191,5 @@
 // Joined tells whether this member has joined the others.
 func (m *Machine) Joined() bool { return m.joined }
 
-// Health returns this member's own health figure.
+// Health returns how unwell this member is: 0 while its own probes come back in time.
 func (m *Machine) Health() int { return m.health }
