Send the list of workers to stores only

Fronts deliver nothing.

Change: the list and the waking for it are for stores; others hear the number of workers and the list's age. The test that expected the list everywhere now asserts both: every store has it, and nobody else.

--- a/internal/architecture/planes_test.go
+++ b/internal/architecture/planes_test.go
@@ -46,6 +46,7 @@
 	"internal/capacity":        planeTools,
 	"internal/operatorcli":     planeTools,
 	"internal/scale":           planeTools,
+	"internal/simcluster":      planeTools,
 	"internal/systemnode/demo": planeTools,
 
 	"cmd/gladepick":             planeDispatcher,
--- a/internal/cluster/agent.go
+++ b/internal/cluster/agent.go
@@ -39,6 +39,7 @@
 	workers atomic.Pointer[WorkerList]
 	member  atomic.Pointer[string]    // address of the member that served last
 	renewed atomic.Pointer[time.Time] // when the last successful renewal was sent
+	count   atomic.Int64              // entries of the list of workers
 	read    atomic.Pointer[time.Time] // when the list of workers was last read from the platform
 
 	patience atomic.Int64 // how long the answer to a sync may take, in nanoseconds
@@ -85,6 +86,9 @@
 // Workers returns the list of workers, or nil before it is known.
 func (a *Agent) Workers() *WorkerList { return a.workers.Load() }
 
+// WorkerCount returns how many entries the list of workers has. A process that is no store knows only their number.
+func (a *Agent) WorkerCount() int { return int(a.count.Load()) }
+
 // WorkersReadAt returns about when the control plane last read the list of workers; the zero time if never.
 func (a *Agent) WorkersReadAt() time.Time { return loadTime(&a.read) }
 
--- a/internal/cluster/agent_sync.go
+++ b/internal/cluster/agent_sync.go
@@ -134,6 +134,7 @@
 	if response.WorkersAgeMS >= 0 {
 		read := time.Now().Add(-time.Duration(response.WorkersAgeMS) * time.Millisecond)
 		a.read.Store(&read)
+		a.count.Store(int64(response.WorkerCount))
 	}
 	if err == nil {
 		a.noteRenewal(sent)
--- a/internal/controlplane/cluster_test.go
+++ b/internal/controlplane/cluster_test.go
@@ -259,7 +259,7 @@
 	})
 }
 
-func TestWorkersReachEveryProcess(t *testing.T) {
+func TestWorkersReachEveryStoreAndNoOther(t *testing.T) {
 	run(t, 5, 2, func(t *testing.T, w *world) {
 		entry := func(id, state string) map[string]any {
 			return map[string]any{
@@ -272,6 +272,10 @@
 		everywhere := func(condition func([]cluster.Worker) bool) func() bool {
 			return func() bool {
 				for _, m := range w.running() {
+					if !m.store {
+						assert.Assert(t, m.agent().Workers() == nil, "a process that delivers nothing needs no list")
+						continue
+					}
 					if m.agent().Workers() == nil || !condition(m.agent().Workers().Workers) {
 						return false
 					}
--- a/internal/controlplane/sync.go
+++ b/internal/controlplane/sync.go
@@ -26,7 +26,8 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
-		stateChanged, workersChanged := p.state.changed.next(), p.workers.changed.next()
+		stateChanged := p.state.changed.next()
+		workersChanged := p.workersChangedFor(&request)
 		response, body := p.news(&request)
 		if response.hasNews() || wait <= 0 {
 			return response.SyncResponse, body, nil
@@ -42,6 +43,15 @@
 	}
 }
 
+// workersChangedFor returns what is closed at the next change of the list of workers. A process that delivers nothing
+// does not get the list and waits for no change of it.
+func (p *Plane) workersChangedFor(request *cluster.SyncRequest) <-chan struct{} {
+	if !request.Node.Store {
+		return nil
+	}
+	return p.workers.changed.next()
+}
+
 // syncNews is an answer to a sync.
 type syncNews struct{ cluster.SyncResponse }
 
@@ -73,7 +83,8 @@
 	response.WorkersAgeMS = -1
 	if workers != nil {
 		response.WorkersAgeMS = time.Since(readAt).Milliseconds()
-		if workers.NewerThan(held) {
+		response.WorkerCount = len(workers.Workers)
+		if request.Node.Store && workers.NewerThan(held) {
 			response.Workers = workers
 		}
 	}
--- a/internal/systemnode/inspection/view.go
+++ b/internal/systemnode/inspection/view.go
@@ -11,7 +11,7 @@
 type Snapshots interface {
 	Config() *configuration.Document
 	Table() *cluster.Table
-	Workers() *cluster.WorkerList
+	WorkerCount() int
 	WorkersReadAt() time.Time
 	LeaseValid() bool
 }
@@ -27,11 +27,9 @@
 		LeaseValid:    known.LeaseValid(),
 		ConfigVersion: known.Config().Version(),
 		Stores:        map[string]int{},
+		Workers:       known.WorkerCount(),
 		WorkersAgeMS:  neverRead,
 	}
-	if workers := known.Workers(); workers != nil {
-		status.Workers = len(workers.Workers)
-	}
 	if readAt := known.WorkersReadAt(); !readAt.IsZero() {
 		status.WorkersAgeMS = time.Since(readAt).Milliseconds()
 	}
--- a/internal/systemnode/inspection/view_test.go
+++ b/internal/systemnode/inspection/view_test.go
@@ -15,14 +15,14 @@
 type fakeSnapshots struct {
 	config  *configuration.Document
 	table   *cluster.Table
-	workers *cluster.WorkerList
+	workers int
 	readAt  time.Time
 	lease   bool
 }
 
 func (f *fakeSnapshots) Config() *configuration.Document { return f.config }
 func (f *fakeSnapshots) Table() *cluster.Table           { return f.table }
-func (f *fakeSnapshots) Workers() *cluster.WorkerList    { return f.workers }
+func (f *fakeSnapshots) WorkerCount() int                { return f.workers }
 func (f *fakeSnapshots) WorkersReadAt() time.Time        { return f.readAt }
 func (f *fakeSnapshots) LeaseValid() bool                { return f.lease }
 
@@ -67,7 +67,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		known := &fakeSnapshots{
 			table:   sampleTable(),
-			workers: &cluster.WorkerList{Workers: make([]cluster.Worker, 3)},
+			workers: 3,
 			readAt:  time.Now(),
 			lease:   true,
 		}
--- a/internal/systemnode/metrics.go
+++ b/internal/systemnode/metrics.go
@@ -76,9 +76,7 @@
 	if table := n.agent.Table(); table != nil {
 		samples.Add(metricTable, float64(table.Revision))
 	}
-	if workers := n.agent.Workers(); workers != nil {
-		samples.Add(metricWorkers, float64(len(workers.Workers)))
-	}
+	samples.Add(metricWorkers, float64(n.agent.WorkerCount()))
 }
 
 // withInspection adds the read-only calls to a handler.
