Divide a ceiling by what each store leads, spread callers that were told to slow down, report a store once

Cause, from simulated clusters: after a failover one store worked off a backlog with a fourth of a service's ceiling while the others' parts were idle; stores that got 429 together came back together, and the same one was last each time; each failed call to a store was a report of its own.

Whole simulated clusters with auditors are in the tests now.

--- a/internal/capacity/formulas.go
+++ b/internal/capacity/formulas.go
@@ -40,11 +40,16 @@
 	const part = "Retries"
 	c.add(Row{Part: part, Quantity: "heap entries of messages of destinations that are down", Unit: bytes, Limit: storeMemory,
 		Need: backlogEach * c.of("queue.memory"), Mechanism: "`delivery/lane.go`"})
+	c.add(Row{Part: part, Quantity: "attempts at destinations that are down, of a dispatcher that holds messages of all", Unit: perSecond,
+		Limit: eventsEach, Need: destinations * downPart / longestRetryPause, Mechanism: "`delivery/window.go`"})
 	c.add(Row{Part: part, Quantity: "turns of the loop, three an event, over all services", Unit: percentOfCore, Limit: storeCore,
 		Need:      eventsEach * turnsPerEvent * c.of("turn.service") * nano * destinations / workersPerService * toPercent,
 		Mechanism: "`delivery/loop.go`"})
 }
 
+// longestRetryPause is for how long a service that is down is left alone at most, in seconds; internal/delivery/window.go.
+const longestRetryPause = 0.08
+
 // turnsPerEvent: a message is submitted, started and ended.
 const turnsPerEvent = 3
 
@@ -103,6 +108,17 @@
 // compression is how much faster than in a day things happen in a scale run.
 const compression = 100.0
 
+// controlState holds what a dispatcher keeps of the control state as a whole, and for how many dispatchers a control
+// group has been seen to work.
+func (c *calculation) controlState() {
+	const part = "Control group"
+	c.add(Row{Part: part, Quantity: "list, configuration and table in memory, of a dispatcher", Unit: bytes, Limit: controlMemoryLimit,
+		Need: destinations*c.of("workers.memory") + destinations/workersPerService*c.of("configuration.memory") +
+			wanted*c.of("table.memory") + dispatchers*storeEntryBytes, Mechanism: "`cluster/agent.go`"})
+	c.add(Row{Part: part, Quantity: "dispatchers; the limit is the largest number with which a day was played through", Unit: plain,
+		Limit: c.of("scale.largest"), Need: dispatchers, Mechanism: "`controlplane/replication`, `controlplane/sync.go`"})
+}
+
 func (c *calculation) placement() {
 	const part = "Placement"
 	c.add(Row{Part: part, Quantity: "dispatchers that can lead a partition", Unit: plain, Limit: partitionsOfToday,
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "github.com/gravitational/trace"
+import (
+	"slices"
+
+	"github.com/gravitational/trace"
+)
 
 // Row is one line of the page's table: what the target needs of something, and what there is of it.
 type Row struct {
@@ -57,7 +61,8 @@
 
 // add completes a row with the slopes that were used since the last one.
 func (c *calculation) add(row Row) {
-	row.Slopes, c.used = c.used, nil
+	slices.Sort(c.used)
+	row.Slopes, c.used = slices.Compact(c.used), nil
 	c.rows = append(c.rows, row)
 }
 
@@ -72,6 +77,7 @@
 	c.configuration()
 	c.placement()
 	c.failures()
+	c.controlState()
 	c.recovery()
 	if len(c.missing) > 0 {
 		return nil, trace.NotFound("slopes were not measured: %q", c.missing)
--- a/internal/cluster/types.go
+++ b/internal/cluster/types.go
@@ -122,6 +122,21 @@
 	return len(leaders)
 }
 
+// Shares returns by how much a store's part of a limit for all stores is to be divided: partitions are counted, so the
+// parts of all stores together stay within the limit, whichever of them lead more than others.
+func (t *Table) Shares(store string) int {
+	led := 0
+	for _, partition := range t.Partitions {
+		if primary, found := partition.Primary(); found && primary.Store == store {
+			led++
+		}
+	}
+	if led == 0 {
+		return max(len(t.Partitions), 1)
+	}
+	return (len(t.Partitions) + led - 1) / led
+}
+
 // Worker is one entry of the platform's list of workers.
 type Worker struct {
 	ID         string `json:"id"`
--- /dev/null
+++ b/internal/cluster/types_test.go
@@ -0,0 +1,30 @@
+package cluster_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+)
+
+// TestSharesStayWithinTheWhole checks that the parts of all stores never add up to more than the whole, and that a
+// store that leads more gets more.
+func TestSharesStayWithinTheWhole(t *testing.T) {
+	table := &cluster.Table{}
+	for id := range 64 {
+		leader := []string{"a", "a", "a", "b", "b", "c"}[id%6]
+		table.Partitions = append(table.Partitions, cluster.Partition{
+			ID: id, Replicas: []cluster.Replica{{Store: leader}, {Store: "d"}},
+		})
+	}
+	sum := 0.0
+	for _, store := range []string{"a", "b", "c"} {
+		sum += 1 / float64(table.Shares(store))
+	}
+	assert.Assert(t, sum <= 1)
+	assert.Assert(t, sum > 0.8)
+	assert.Assert(t, table.Shares("a") < table.Shares("b"))
+	assert.Equal(t, table.Shares("d"), 64)
+	assert.Equal(t, (&cluster.Table{}).Shares("a"), 1)
+}
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -261,7 +261,7 @@
 // throttle keeps messages back after a worker said that it gets too many: from all workers where they share a ceiling.
 func (s *service) throttle(d *destination, now time.Duration) {
 	if s.definition.RatePerSecond > 0 || d.static {
-		s.window.throttled(now)
+		s.window.throttled(now, s.engine.random)
 		return
 	}
 	d.avoidUntil = now + throttledPause
--- a/internal/delivery/window.go
+++ b/internal/delivery/window.go
@@ -73,8 +73,12 @@
 	w.resumeAt = now + jitter(w.pause, random)
 }
 
-// throttled keeps everything back for a while.
-func (w *window) throttled(now time.Duration) { w.resumeAt = max(w.resumeAt, now+throttledPause) }
+// throttled keeps everything back for a while, not as long as others do: else they all come back at once, and the same
+// caller is the last in every round.
+func (w *window) throttled(now time.Duration, random *rand.Rand) {
+	spread := time.Duration(random.Float64() * float64(throttledPause) / 2)
+	w.resumeAt = max(w.resumeAt, now+throttledPause+spread)
+}
 
 // jitter varies a pause by a quarter up and down.
 func jitter(pause time.Duration, random *rand.Rand) time.Duration {
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -20,6 +20,7 @@
 	maintainInterval  = 200 * time.Millisecond
 	forgetInterval    = 5 * time.Second
 	heartbeatInterval = 300 * time.Millisecond
+	reportInterval    = 200 * time.Millisecond
 	handoverPoll      = 10 * time.Millisecond
 	wishPatience      = 2 * time.Second
 
--- a/internal/messagestore/replicate.go
+++ b/internal/messagestore/replicate.go
@@ -144,6 +144,9 @@
 
 // report tells the control plane of a store that can't be reached.
 func (s *Store) report(store, address string, refused bool) {
+	if !s.mayReport(store, time.Now()) {
+		return
+	}
 	s.background.Go(func() {
 		ctx, cancel := context.WithTimeout(s.context, askTimeout)
 		defer cancel()
@@ -154,6 +157,17 @@
 	})
 }
 
+// mayReport tells whether a report of a store is due: one tells as much as many at once.
+func (s *Store) mayReport(store string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.reported[store]) < reportInterval {
+		return false
+	}
+	s.reported[store] = now
+	return true
+}
+
 // finish takes the answer to a batch in.
 func (d *peer) finish(batch []outgoing, started time.Time, refused []int, err error) {
 	s := d.store
--- a/internal/messagestore/store.go
+++ b/internal/messagestore/store.go
@@ -63,10 +63,11 @@
 	engine     Engine
 	table      *cluster.Table
 	partitions map[int]*partition
-	changes    leadChanges      // not logged yet
-	gates      sync.Map         // by partition ID: *gate
-	peers      map[string]*peer // by disk id
-	cached     int64            // bytes of bodies in memory
+	changes    leadChanges          // not logged yet
+	gates      sync.Map             // by partition ID: *gate
+	peers      map[string]*peer     // by disk id
+	reported   map[string]time.Time // by store: when it was last reported
+	cached     int64                // bytes of bodies in memory
 	wake       chan struct{}
 	context    context.Context
 	cancel     context.CancelFunc
@@ -80,6 +81,7 @@
 		logger:     options.Logger,
 		partitions: make(map[int]*partition),
 		peers:      make(map[string]*peer),
+		reported:   make(map[string]time.Time),
 		wake:       make(chan struct{}, 1),
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
--- a/internal/messagestore/store_test.go
+++ b/internal/messagestore/store_test.go
@@ -350,6 +350,19 @@
 	})
 }
 
+func TestOneReportOfAStoreTellsAsMuchAsMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		store := h.machines["a"].store
+		assert.Assert(t, store.mayReport("b", time.Now()))
+		assert.Assert(t, !store.mayReport("b", time.Now()))
+		assert.Assert(t, store.mayReport("c", time.Now()))
+		time.Sleep(reportInterval)
+		assert.Assert(t, store.mayReport("b", time.Now()))
+	})
+}
+
 func TestOldEndedMessagesAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b")
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -11,7 +11,12 @@
 	"ivyfold/internal/network"
 )
 
-const dialTimeout = 500 * time.Millisecond
+const (
+	dialTimeout = 500 * time.Millisecond
+	// redialAfter is after how long without an answer a connection is dialed once more beside the first try. A machine
+	// that starts never sees what was sent to it before, and the operating system sends it again only after a second.
+	redialAfter = 120 * time.Millisecond
+)
 
 var errClientClosed = errors.New("rpc: client closed")
 
@@ -119,7 +124,7 @@
 	defer close(attempt.done)
 	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
 	defer cancel()
-	stream, err := c.network.Dial(ctx, c.address)
+	stream, err := dialAgain(ctx, c.network, c.address)
 	if c.ctx.Err() != nil && err == nil {
 		_ = stream.Close()
 		err = errClientClosed
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -120,7 +120,8 @@
 			return result, trace.Wrap(err, phase.name)
 		}
 		r.options.Logger.Info("phase ended", zap.Int("dispatchers", size), zap.String("phase", phase.name),
-			zap.Duration("took", time.Since(began)))
+			zap.Duration("took", time.Since(began)), zap.Float64("bytesPerSecond", result.Calm.Bytes),
+			zap.Float64("coresOfMembers", result.Calm.MemberProcessor))
 	}
 	return result, nil
 }
--- /dev/null
+++ b/internal/simcluster/audit_test.go
@@ -0,0 +1,218 @@
+package simcluster
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const second = time.Second
+
+// faultless is a history in which no rule is broken.
+func faultless() *History {
+	route := func(name, service string) Route {
+		return Route{Name: name, Service: service, MaxAttempts: 3, Timeout: second, Retention: 90 * second}
+	}
+	first := Configuration{Version: 1, Routes: []Route{route("orders", "orders"), route("moving", "moving-0")}}
+	moved := Configuration{Version: 2, Routes: []Route{route("orders", "orders"), route("moving", "moving-1")}}
+	history := &History{
+		End: 60 * second,
+		Orders: []Order{
+			{Operator: "a", Base: 0, Configuration: first, SentAt: 0, AnsweredAt: second, Status: http.StatusOK},
+			{Operator: "a", Base: 1, Configuration: moved, SentAt: 20 * second, AnsweredAt: 21 * second, Status: http.StatusOK},
+			{Operator: "b", Base: 1, Configuration: first, SentAt: 20 * second, AnsweredAt: 21 * second, Status: http.StatusPreconditionFailed},
+		},
+		Reads:    []ConfigurationRead{{At: 58 * second, Configuration: moved}},
+		Services: []Service{{Name: "orders", RatePerSecond: 1}},
+	}
+	history.send("1", "orders", 2*second)
+	history.run("1", "orders", 3*second)
+	history.send("2", "orders", 4*second)
+	history.run("2", "orders", 5*second)
+	history.send("3", "moving", 30*second)
+	history.run("3", "moving-1", 31*second)
+	history.send("4", "moving", 40*second)
+	history.run("4", "moving-1", 41*second)
+	return history
+}
+
+// send adds an accepted message.
+func (h *History) send(id, route string, at time.Duration) *Try {
+	h.Tries = append(h.Tries, Try{
+		RequestID: id, Front: "front-0", Route: route, Path: "/" + route + "/" + id, Body: "body " + id, OrderKey: "key",
+		FirstSent: at, SentAt: at, AnsweredAt: at + 50*time.Millisecond, Status: http.StatusAccepted, MessageID: "m" + id,
+	})
+	h.Answers = append(h.Answers, StateAnswer{
+		RequestID: id, Status: http.StatusOK, State: stateCompleted, Stamp: "stamp " + id,
+	})
+	return &h.Tries[len(h.Tries)-1]
+}
+
+// run adds a successful run.
+func (h *History) run(id, service string, at time.Duration) *Arrival {
+	route := ""
+	for _, try := range h.Tries {
+		if try.RequestID == id {
+			route = try.Route
+		}
+	}
+	h.Arrivals = append(h.Arrivals, Arrival{
+		RequestID: id, Method: http.MethodPost, Path: "/" + route + "/" + id, Body: "body " + id, Service: service,
+		Worker: "i-1", Sender: "store-0", Life: 1, Deadline: second, At: at, EndedAt: at + 100*time.Millisecond,
+		Result: Succeeded, Status: http.StatusOK, Stamp: "stamp " + id,
+	})
+	return &h.Arrivals[len(h.Arrivals)-1]
+}
+
+func (h *History) answer(id string) *StateAnswer {
+	for i := range h.Answers {
+		if h.Answers[i].RequestID == id {
+			return &h.Answers[i]
+		}
+	}
+	return nil
+}
+
+func TestAuditPassesWhatIsRight(t *testing.T) {
+	assert.DeepEqual(t, Audit(faultless()), []Violation(nil))
+}
+
+// mutations break one rule each.
+var mutations = []struct {
+	name   string
+	rule   Rule
+	mutate func(h *History)
+}{
+	{"accepted and unknown", RuleLost, func(h *History) { h.answer("1").Status = http.StatusNotFound }},
+	{"accepted and no answer", RuleLost, func(h *History) { h.Answers = h.Answers[1:] }},
+	{"queued without its body", RuleLost, func(h *History) {
+		*h.answer("4") = StateAnswer{RequestID: "4", Status: statusOK, State: stateQueued, BodyStatus: http.StatusNotFound}
+	}},
+	{"queued with another body", RuleMixed, func(h *History) {
+		*h.answer("4") = StateAnswer{RequestID: "4", Status: statusOK, State: stateQueued, BodyStatus: statusOK, Body: "else"}
+	}},
+	{"completed with a foreign stamp", RuleMixed, func(h *History) { h.answer("1").Stamp = "stamp 2" }},
+	{"completed without a run", RuleMixed, func(h *History) { h.Arrivals = h.Arrivals[1:] }},
+	{"dead too soon", RuleMixed, func(h *History) {
+		h.Arrivals[3].Result = Failed
+		*h.answer("4") = StateAnswer{RequestID: "4", Status: statusOK, State: stateDeadLetter, BodyStatus: statusOK, Body: "body 4"}
+	}},
+	{"dead although it succeeded", RuleMixed, func(h *History) {
+		*h.answer("4") = StateAnswer{RequestID: "4", Status: statusOK, State: stateDeadLetter, BodyStatus: statusOK, Body: "body 4"}
+	}},
+	{"no state", RuleMixed, func(h *History) { h.answer("1").State = "" }},
+	{"overtaken", RuleOrder, func(h *History) { h.Arrivals[0].At, h.Arrivals[0].EndedAt = 6*second, 6*second+1 }},
+	{"overtaken and never run", RuleOrder, func(h *History) { h.Arrivals[0].Result = Failed }},
+	{"begun while the one before runs", RuleOrder, func(h *History) { h.Arrivals[0].EndedAt = 5*second + 1 }},
+	{"run twice", RuleTwice, func(h *History) { h.run("1", "orders", 8*second) }},
+	{"run twice around planned work", RuleTwice, func(h *History) {
+		h.run("1", "orders", 8*second)
+		h.Troubles = []Trouble{{Machine: "store-0", Kind: troubleTerm, Planned: true, From: 7 * second, Until: 9 * second}}
+	}},
+	{"run twice long after trouble", RuleTwice, func(h *History) {
+		h.run("1", "orders", 12*second)
+		h.Troubles = []Trouble{{Machine: "store-0", Kind: troubleKill, From: 5 * second, Until: 6 * second}}
+	}},
+	{"ceiling", RuleCeiling, func(h *History) {
+		for i := range 11 {
+			h.run("1", "orders", 10*second+time.Duration(i)*300*time.Millisecond).Result = NotRun
+		}
+	}},
+	{"refused and run", RuleRefused, func(h *History) { h.Tries[0].Status = http.StatusServiceUnavailable }},
+	{"drained worker", RuleDrain, func(h *History) {
+		h.Departing = []Departure{{Worker: "i-1", ShownAt: 37 * second}}
+	}},
+	{"nobody asked", RuleUnasked, func(h *History) { h.run("5", "orders", 9*second) }},
+	{"changed body", RuleUnasked, func(h *History) { h.Arrivals[0].Body = "else" }},
+	{"changed path", RuleUnasked, func(h *History) { h.Arrivals[0].Path += "?" }},
+	{"too early", RuleEarly, func(h *History) { h.Tries[0].Delay = 2 * second }},
+	{"process ends", RuleOwnEnd, func(h *History) { h.OwnEnds = []OwnEnd{{Machine: "store-0", At: 9 * second}} }},
+	{"old service after the acknowledgement", RuleConfiguration, func(h *History) { h.Arrivals[2].Service = "moving-0" }},
+	{"back to the old service", RuleConfiguration, func(h *History) {
+		h.Arrivals[3].Service = "moving-0"
+		h.Troubles = []Trouble{{Machine: "store-1", Kind: troubleKill, From: 38 * second, Until: 39 * second}}
+	}},
+	{"never allowed", RuleConfiguration, func(h *History) { h.Arrivals[0].Service = "moving-0" }},
+	{"404 for a route that is there", RuleConfiguration, func(h *History) { h.Tries[3].Status = http.StatusNotFound }},
+	{"accepted on a route that is gone", RuleConfiguration, func(h *History) {
+		h.send("5", "gone", 50*second)
+		h.run("5", "orders", 51*second)
+	}},
+	{"both acknowledged", RuleConfiguration, func(h *History) { h.Orders[2].Status = http.StatusOK }},
+	{"refused for nothing", RuleConfiguration, func(h *History) { h.Orders = append(h.Orders[:1:1], h.Orders[2]) }},
+	{"lost configuration", RuleConfiguration, func(h *History) { h.Reads[0].Configuration = h.Orders[0].Configuration }},
+	{"loser of a race read back", RuleConfiguration, func(h *History) {
+		h.Orders[2].Configuration = h.Orders[1].Configuration.clone()
+		h.Orders[2].Configuration.Routes[0].MaxAttempts++
+		h.Reads[0].Configuration = h.Orders[2].Configuration
+	}},
+	{"nothing read back", RuleConfiguration, func(h *History) { h.Reads = nil }},
+}
+
+func TestAuditorsCatchMutations(t *testing.T) {
+	for _, mutation := range mutations {
+		t.Run(mutation.name, func(t *testing.T) {
+			history := faultless()
+			mutation.mutate(history)
+			found := false
+			for _, violation := range Audit(history) {
+				found = found || violation.Rule == mutation.rule
+			}
+			assert.Assert(t, found, "%v", Audit(history))
+		})
+	}
+}
+
+// excuses are histories that look like faults, and are none.
+var excuses = []struct {
+	name   string
+	mutate func(h *History)
+}{
+	{"run twice after trouble", func(h *History) {
+		h.run("1", "orders", 8*second)
+		h.Troubles = []Trouble{{Machine: "store-1", Kind: troubleKill, From: 5 * second, Until: 6 * second}}
+	}},
+	{"success that came too late", func(h *History) {
+		h.Arrivals[0].EndedAt = h.Arrivals[0].At + h.Arrivals[0].Deadline - answerMargin/2
+		h.run("1", "orders", 8*second)
+	}},
+	{"success that nobody read", func(h *History) {
+		h.run("1", "orders", 20*second)
+		h.Troubles = []Trouble{{Machine: "store-0", Kind: troubleKill, From: 3*second + 110*time.Millisecond, Until: 4 * second}}
+	}},
+	{"success on a connection that had ended", func(h *History) {
+		h.Arrivals[0].Unread = true
+		h.run("1", "orders", 8*second)
+	}},
+	{"old service in trouble", func(h *History) {
+		h.Arrivals[2].Service = "moving-0"
+		h.Troubles = []Trouble{{Machine: "front-1", Kind: troubleKill, From: 29 * second, Until: 32 * second}}
+	}},
+	{"another process has the old version", func(h *History) {
+		h.Arrivals[2].At, h.Tries[2].SentAt = 22*second, 21*second
+		h.Tries[3].SentAt, h.Arrivals[3].At = 23*second, 23*second
+		h.Arrivals[3].Service, h.Arrivals[3].Life = "moving-0", 2
+	}},
+	{"dead after its attempts", func(h *History) {
+		h.Arrivals[3].Result = Failed
+		for i := range 2 {
+			h.run("4", "moving-1", 42*second+time.Duration(i)*second).Result = Failed
+		}
+		*h.answer("4") = StateAnswer{RequestID: "4", Status: statusOK, State: stateDeadLetter, BodyStatus: statusOK, Body: "body 4"}
+	}},
+	{"draining worker says no", func(h *History) {
+		h.Departing = []Departure{{Worker: "i-1", ShownAt: 39 * second}}
+	}},
+}
+
+func TestAuditorsKnowExcuses(t *testing.T) {
+	for _, excuse := range excuses {
+		t.Run(excuse.name, func(t *testing.T) {
+			history := faultless()
+			excuse.mutate(history)
+			assert.DeepEqual(t, Audit(history), []Violation(nil))
+		})
+	}
+}
--- /dev/null
+++ b/internal/simcluster/cluster.go
@@ -0,0 +1,333 @@
+// Package simcluster plays whole clusters of the system in one process, for tests: real fronts and stores on a
+// simulated network, simulated disks and a simulated clock, among stand-ins for workers, the platform, clients and
+// operators. What the stand-ins see is kept in a History, which auditors judge by the rules.
+//
+// A cluster lives in a bubble of testing/synctest: make it, play with it and finish it within one.
+package simcluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/journal"
+	"ivyfold/internal/network/simulated"
+	"ivyfold/internal/rpc"
+)
+
+const (
+	seedCount       = 3
+	observerIP      = "10.7.0.1"
+	zoneDelay       = 3 * time.Millisecond // between machines in different zones, one way
+	foundingTimeout = 20 * time.Second
+	finish          = 10 * time.Second // for what is left after the load has ended
+	pollInterval    = 100 * time.Millisecond
+)
+
+// Options describe a cluster. Fields that are zero take defaults.
+type Options struct {
+	Fronts     int
+	CoreFronts int // so many of the fronts have a disk and are members of the control group
+	Stores     int
+	Zones      int
+	Tolerated  int // losses at once; a message has one copy more
+	Seed       uint64
+	Rate       float64 // messages a second
+	Services   []Service
+	Routes     []Route
+	Verbose    bool // log what the processes log
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Fronts, 4)
+	setDefault(&o.CoreFronts, min(o.Fronts, 4))
+	setDefault(&o.Stores, 4)
+	setDefault(&o.Zones, 3)
+	setDefault(&o.Tolerated, 1)
+	setDefault(&o.Seed, 1)
+	setDefault(&o.Rate, 20)
+	if o.Services == nil {
+		o.Services = DefaultServices()
+	}
+	if o.Routes == nil {
+		o.Routes = DefaultRoutes()
+	}
+	return o
+}
+
+func setDefault[Value comparable](field *Value, value Value) {
+	var zero Value
+	if *field == zero {
+		*field = value
+	}
+}
+
+// MovingServices are the services that the route "moving" goes to in turn, version by version.
+var MovingServices = []string{"moving-0", "moving-1", "moving-2"}
+
+// DefaultServices are the services of a cluster that names none.
+func DefaultServices() []Service {
+	services := []Service{
+		{Name: "plain", Workers: 3, Capacity: 8, Work: 30 * time.Millisecond, FailingPart: 0.03},
+		{Name: "orders", Workers: 2, Capacity: 8, Work: 120 * time.Millisecond, FailingPart: 0.03},
+		{Name: "slow", Workers: 3, Capacity: 16, Work: 600 * time.Millisecond, FailingPart: 0.03},
+		{Name: "ledger", Workers: 2, Capacity: 8, Work: 25 * time.Millisecond, Deduplicates: true},
+		{Name: "limited", Workers: 2, Capacity: 8, Work: 20 * time.Millisecond, RatePerSecond: 6},
+		{Name: "endpoint", Workers: 1, Capacity: 8, Work: 20 * time.Millisecond, Static: true},
+	}
+	for _, name := range MovingServices {
+		services = append(services, Service{Name: name, Workers: 1, Capacity: 8, Work: 20 * time.Millisecond})
+	}
+	return services
+}
+
+// DefaultRoutes are the routes of a cluster that names none.
+func DefaultRoutes() []Route {
+	route := Route{MaxAttempts: 6, Timeout: time.Second, Retention: 90 * time.Second, Weight: 2}
+	named := func(name, service string, change func(*Route)) Route {
+		made := route
+		made.Name, made.Service = name, service
+		if change != nil {
+			change(&made)
+		}
+		return made
+	}
+	return []Route{
+		named("plain", "plain", func(r *Route) { r.Weight = 5 }),
+		named("orders", "orders", func(r *Route) { r.Ordered, r.Keys, r.Weight = true, 4, 5 }),
+		named("ledger", "ledger", nil),
+		named("delayed", "plain", func(r *Route) { r.Delay = 2 * time.Second }),
+		named("slow", "slow", func(r *Route) { r.Timeout = 2 * time.Second }),
+		named("limited", "limited", func(r *Route) { r.Weight = 5 }),
+		named("endpoint", "endpoint", nil),
+		named("moving", MovingServices[0], nil),
+	}
+}
+
+// Cluster is a whole system with what stands around it.
+type Cluster struct {
+	Machines []*Machine
+	Operator *Operator // the first operator
+	Platform *Platform
+	Load     *Load
+
+	t         testing.TB
+	options   Options
+	network   *simulated.Network
+	random    *random
+	logger    *zap.Logger
+	recorder  *recorder
+	seeds     []string
+	processes sync.WaitGroup
+	helpers   sync.WaitGroup
+	stop      context.CancelFunc
+	ctx       context.Context
+	closing   atomic.Bool
+	services  map[string]*workerService
+	entry     *entry
+	observer  *cluster.Agent
+	operators int
+	machineIP map[string]string // machine name by address
+	mutex     sync.Mutex        // guards Machines and machineIP once processes run
+}
+
+// New starts a cluster and waits until it serves a first configuration. It must be called within a bubble of
+// testing/synctest.
+func New(t testing.TB, options Options) *Cluster {
+	options = options.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	c := &Cluster{
+		t: t, options: options, ctx: ctx, stop: stop,
+		network: simulated.New(options.Seed), random: newRandom(options.Seed), recorder: newRecorder(),
+		logger: zap.NewNop(), services: make(map[string]*workerService), machineIP: make(map[string]string),
+	}
+	if options.Verbose {
+		c.logger = zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel))
+	}
+	c.recorder.history.Services = options.Services
+	c.Platform = newPlatform(c)
+	c.startWorkers()
+	c.addMachines()
+	c.entry = newEntry(c)
+	c.observer = c.newObserver()
+	c.Operator = c.NewOperator()
+	for _, machine := range c.Machines {
+		machine.bootstrap = true
+		machine.Start()
+	}
+	first := Configuration{Version: 1, Routes: options.Routes, Services: options.Services}
+	if !c.Operator.Replace(0, first, foundingTimeout) {
+		t.Fatalf("no first configuration within %v", foundingTimeout)
+	}
+	c.Await(foundingTimeout, "the cluster takes messages", c.entry.allIn)
+	c.Load = newLoad(c)
+	return c
+}
+
+func (c *Cluster) addMachines() {
+	for i := range c.options.Fronts {
+		c.addMachine(classFront, fmt.Sprintf("front-%d", i), c.zone(i), i < c.options.CoreFronts)
+	}
+	for i := range c.options.Stores {
+		c.addMachine(classStore, fmt.Sprintf("store-%d", i), c.zone(i), true)
+	}
+	for i := range min(seedCount, c.options.Fronts) {
+		c.seeds = append(c.seeds, c.Machines[i].address(controlPort))
+	}
+}
+
+func (c *Cluster) zone(index int) string { return fmt.Sprintf("zone-%d", index%c.options.Zones) }
+
+// addMachine adds a machine at an address of its own.
+func (c *Cluster) addMachine(class, name, zone string, disk bool) *Machine {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	machine := &Machine{Name: name, Zone: zone, cluster: c, class: class}
+	machine.ip = fmt.Sprintf("10.1.0.%d", len(c.Machines)+1)
+	if disk {
+		machine.disk = journal.NewMemory(c.random.uint64())
+		machine.disk.SetSyncDelay(time.Millisecond)
+	}
+	for _, other := range c.Machines {
+		if other.Zone != zone {
+			c.network.SetDelay(machine.ip, other.ip, zoneDelay)
+		}
+	}
+	c.Machines = append(c.Machines, machine)
+	c.machineIP[machine.ip] = name
+	return machine
+}
+
+func (c *Cluster) machineAt(ip string) string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.machineIP[ip]
+}
+
+// Machine returns the newest machine of a name.
+func (c *Cluster) Machine(name string) *Machine {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for i := len(c.Machines) - 1; i >= 0; i-- {
+		if c.Machines[i].Name == name {
+			return c.Machines[i]
+		}
+	}
+	c.t.Fatalf("no machine %s", name)
+	return nil
+}
+
+// Store returns a store by its number.
+func (c *Cluster) Store(number int) *Machine { return c.Machine(fmt.Sprintf("store-%d", number)) }
+
+// Front returns a front by its number.
+func (c *Cluster) Front(number int) *Machine { return c.Machine(fmt.Sprintf("front-%d", number)) }
+
+// machinesOf returns the machines of a class.
+func (c *Cluster) machinesOf(class string) []*Machine {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var found []*Machine
+	for _, machine := range c.Machines {
+		if machine.class == class {
+			found = append(found, machine)
+		}
+	}
+	return found
+}
+
+// newObserver makes an agent that follows the cluster table.
+func (c *Cluster) newObserver() *cluster.Agent {
+	pool := rpc.NewPool(c.network.Host(observerIP))
+	info := cluster.NodeInfo{Name: "observer", Class: "observer", Address: observerIP + ":1", Incarnation: "observer"}
+	agent, err := cluster.NewAgent(cluster.AgentOptions{
+		Info: func() cluster.NodeInfo { return info }, Pool: pool, Seeds: c.seeds, InternalPort: internalPort, Register: true,
+	})
+	assert.NilError(c.t, err)
+	c.helpers.Go(func() {
+		agent.Run(c.ctx)
+		pool.Close()
+	})
+	return agent
+}
+
+// Table returns the cluster table as an outside observer has it.
+func (c *Cluster) Table() *cluster.Table { return c.observer.Table() }
+
+// ControlPrimary returns the machine that leads the control group.
+func (c *Cluster) ControlPrimary() *Machine { return c.Machine(c.Table().Primary) }
+
+// Await waits until a condition holds; the test fails where it does not within a limit.
+func (c *Cluster) Await(limit time.Duration, what string, condition func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			c.t.Errorf("%v: not within %v: %s", c.recorder.now(), limit, what)
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// AwaitCopies waits until every partition has all its copies on active stores.
+func (c *Cluster) AwaitCopies(limit time.Duration) {
+	c.t.Helper()
+	c.Await(limit, "all partitions have their copies", c.hasCopies)
+}
+
+func (c *Cluster) hasCopies() bool {
+	table := c.Table()
+	if table == nil {
+		return false
+	}
+	for _, partition := range table.Partitions {
+		synced := 0
+		for _, replica := range partition.Replicas {
+			store := table.Store(replica.Store)
+			if replica.Synced && store != nil && store.DiskID == replica.DiskID && store.State == cluster.StoreActive {
+				synced++
+			}
+		}
+		if synced < table.Copies {
+			return false
+		}
+	}
+	return true
+}
+
+// random is a seeded source of random numbers that goroutines may share.
+type random struct {
+	mutex  sync.Mutex
+	source *rand.Rand
+}
+
+func newRandom(seed uint64) *random { return &random{source: rand.New(rand.NewPCG(seed, seed))} }
+
+func (r *random) uint64() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.source.Uint64()
+}
+
+func (r *random) intN(limit int) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.source.IntN(limit)
+}
+
+// part draws a number from 0 up to, but not including, 1.
+func (r *random) part() float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.source.Float64()
+}
--- /dev/null
+++ b/internal/simcluster/machine.go
@@ -0,0 +1,302 @@
+package simcluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ivyfold/internal/journal"
+	"ivyfold/internal/network"
+	"ivyfold/internal/settings"
+	"ivyfold/internal/systemnode"
+)
+
+const (
+	internalPort = 7240
+	frontPort    = 8044
+	readyPort    = 8045
+	controlPort  = 8046
+
+	classFront = "front"
+	classStore = "store"
+
+	grace        = 6 * time.Second // between SIGTERM and SIGKILL
+	restartPause = time.Second     // after a process has ended by itself
+	deadDialTime = time.Second     // until a connection attempt of an ended process fails
+)
+
+// The kinds of trouble.
+const (
+	troubleKill      = "kill"
+	troublePower     = "power loss"
+	troubleWipe      = "wiped disk"
+	troubleTerm      = "SIGTERM"
+	troubleDisk      = "disk"
+	troubleNetwork   = "network"
+	troubleStart     = "start"
+	troubleReplacing = "replacement"
+	troubleRemoval   = "removal"
+)
+
+// Machine is a simulated machine, with one process at a time.
+type Machine struct {
+	Name string
+	Zone string
+
+	cluster   *Cluster
+	class     string
+	ip        string
+	disk      *journal.Memory // nil without a disk
+	bootstrap bool            // its next start is the first of the whole system
+
+	removed atomic.Bool // for good
+	mutex   sync.Mutex
+	current *process
+}
+
+// process is one run of a machine's program.
+type process struct {
+	network *processNetwork
+	cancel  context.CancelFunc
+	ended   chan struct{}
+	told    atomic.Bool // to end
+}
+
+// program is a front or a store.
+type program interface {
+	Run(ctx context.Context) error
+}
+
+// processNetwork is the network of a process; it fails once the process has ended.
+type processNetwork struct {
+	network.Network
+	dead atomic.Bool
+}
+
+// Listen implements network.Network.
+func (n *processNetwork) Listen(address string) (net.Listener, error) {
+	if n.dead.Load() {
+		return nil, syscall.ENETDOWN
+	}
+	return n.Network.Listen(address)
+}
+
+// Dial implements network.Network. What is left of a process that has ended hears nothing.
+func (n *processNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if n.dead.Load() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(deadDialTime):
+		}
+		return nil, syscall.ENETDOWN
+	}
+	return n.Network.Dial(ctx, address)
+}
+
+// Start starts the machine's process, and the machine itself where it had no power.
+func (m *Machine) Start() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.current != nil {
+		return
+	}
+	m.cluster.network.PowerOn(m.ip)
+	m.cluster.recorder.endTroubles(m.Name, "")
+	m.cluster.recorder.addStart(m.Name)
+	if !m.bootstrap {
+		m.cluster.recorder.beginTrouble(m.Name, troubleStart, false)
+		m.cluster.recorder.endTroubles(m.Name, troubleStart)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &process{
+		network: &processNetwork{Network: m.cluster.network.Host(m.ip)},
+		cancel:  cancel,
+		ended:   make(chan struct{}),
+	}
+	options := systemnode.Options{
+		Settings: m.settings(),
+		Network:  started.network,
+		Logger:   m.cluster.logger.With(zap.String("node", m.Name)),
+		Seed:     m.cluster.random.uint64(),
+	}
+	if m.disk != nil {
+		options.FS = m.disk.Mount()
+	}
+	m.bootstrap = false
+	m.current = started
+	m.cluster.processes.Go(func() { m.run(ctx, started, options) })
+}
+
+// run runs a process to its end.
+func (m *Machine) run(ctx context.Context, started *process, options systemnode.Options) {
+	err := m.runProgram(ctx, options)
+	close(started.ended)
+	if started.told.Load() {
+		return
+	}
+	m.cluster.recorder.write(func(history *History) {
+		end := OwnEnd{Machine: m.Name, At: m.cluster.recorder.now(), Reason: fmt.Sprint(err)}
+		history.OwnEnds = append(history.OwnEnds, end)
+	})
+	m.end(started)
+	time.Sleep(restartPause)
+	if !m.cluster.closing.Load() {
+		m.Start()
+	}
+}
+
+func (m *Machine) runProgram(ctx context.Context, options systemnode.Options) error {
+	var made program
+	var err error
+	if m.class == classStore {
+		made, err = systemnode.NewStore(options)
+	} else {
+		made, err = systemnode.NewFront(options)
+	}
+	if err != nil {
+		return err
+	}
+	return made.Run(ctx)
+}
+
+// end cuts a process off from its machine. What is left of it can't do anything.
+func (m *Machine) end(ending *process) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.current != ending {
+		return
+	}
+	ending.told.Store(true)
+	ending.network.dead.Store(true)
+	m.cluster.network.Kill(m.ip)
+	if m.disk != nil {
+		m.disk.Crash()
+	}
+	ending.cancel()
+	m.current = nil
+}
+
+func (m *Machine) process() *process {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.current
+}
+
+// Running tells whether the machine has a process.
+func (m *Machine) Running() bool { return m.process() != nil }
+
+// Kill ends the process at once. The disk keeps everything.
+func (m *Machine) Kill() {
+	m.cluster.recorder.beginTrouble(m.Name, troubleKill, false)
+	if running := m.process(); running != nil {
+		m.end(running)
+	}
+}
+
+// LosePower ends the machine at once. The disk loses what was not synced, in whole, in part or not at all.
+func (m *Machine) LosePower() {
+	m.cluster.recorder.beginTrouble(m.Name, troublePower, false)
+	if m.disk != nil {
+		m.disk.PowerLoss()
+	}
+	m.cluster.network.PowerOff(m.ip)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.current == nil {
+		return
+	}
+	m.current.told.Store(true)
+	m.current.network.dead.Store(true)
+	m.current.cancel()
+	m.current = nil
+}
+
+// LoseDisk ends the machine at once, and empties its disk.
+func (m *Machine) LoseDisk() {
+	m.LosePower()
+	m.cluster.recorder.beginTrouble(m.Name, troubleWipe, false)
+	if m.disk != nil {
+		m.disk.Wipe()
+	}
+}
+
+// Terminate sends SIGTERM and waits until the process has ended, at the latest by SIGKILL after the grace.
+func (m *Machine) Terminate() {
+	m.cluster.recorder.beginTrouble(m.Name, troubleTerm, true)
+	running := m.process()
+	if running == nil {
+		return
+	}
+	running.told.Store(true)
+	running.cancel()
+	select {
+	case <-running.ended:
+	case <-time.After(grace):
+		m.cluster.t.Logf("%v: %s was still running after the grace", m.cluster.recorder.now(), m.Name)
+	}
+	m.end(running)
+}
+
+// StallDisk has the disk hang, or go on.
+func (m *Machine) StallDisk(stalled bool) {
+	m.noteDisk(stalled)
+	m.disk.SetStalled(stalled)
+}
+
+// FillDisk has the disk run full, or have room again.
+func (m *Machine) FillDisk(full bool) {
+	m.noteDisk(full)
+	m.disk.SetFull(full)
+}
+
+func (m *Machine) noteDisk(trouble bool) {
+	if trouble {
+		m.cluster.recorder.beginTrouble(m.Name, troubleDisk, false)
+		return
+	}
+	m.cluster.recorder.endTroubles(m.Name, troubleDisk)
+}
+
+func (m *Machine) address(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
+
+// settings makes the process's settings.
+func (m *Machine) settings() *settings.Settings {
+	made := &settings.Settings{
+		Node: m.Name, Role: m.class, Class: m.class, Serves: []string{settings.ServesStore},
+		IP: m.ip, Zone: m.Zone, Region: "region",
+		InternalPorts:   settings.PortRange{First: internalPort, Last: internalPort + 15},
+		Seeds:           m.cluster.seeds,
+		Bootstrap:       m.bootstrap,
+		CountsForQuorum: m.disk != nil,
+		Heartbeat:       1200 * time.Millisecond,
+		Limits:          settings.Limits{CPUShare: 0.7, Cores: 1, MemoryMB: 284, MaxFDs: 4100, LinkMbps: 1000, DiskMB: 64},
+		FaultTolerance:  settings.FaultTolerance{Machines: m.cluster.options.Tolerated},
+		Bounds:          bounds,
+		Cloud:           settings.Cloud{Address: platformAddress, RatePerSecond: platformRate, Lag: platformLag},
+	}
+	if m.disk != nil {
+		made.DataDir = "data"
+	}
+	if m.class == classFront {
+		made.Serves = []string{settings.ServesFront, settings.ServesControl}
+		made.ListenAddresses = settings.ListenAddresses{
+			Front: m.address(frontPort), Ready: m.address(readyPort), Control: m.address(controlPort),
+		}
+	}
+	return made
+}
+
+// bounds are the figures of the rules that processes are told.
+var bounds = settings.Bounds{
+	SeedLag: 3 * time.Second, ReuseAfter: 2 * time.Second, Contact: contact, Acknowledge: 5 * time.Second,
+	CatchUp: 4400 * time.Millisecond, Drain: drainBound, Grace: grace, LossSlack: 200 * time.Millisecond,
+	ConfigurationLag: configurationBound, RevertSlack: revertSlack, MaxSkew: 12 * time.Second,
+	Recovery: 12 * time.Second, Finish: finish, Status: 2 * time.Minute, Callback: 5 * time.Second,
+	Visibility: 3 * time.Second, Early: earlySlack, CeilingWindow: ceilingWindow, CeilingOvershoot: ceilingOvershoot,
+}
--- a/internal/systemnode/store.go
+++ b/internal/systemnode/store.go
@@ -123,7 +123,7 @@
 	}
 	if table := s.agent.Table(); table != nil {
 		s.leaders.Store(int64(table.Leaders()))
-		s.engine.SetDeliverers(table.Deliverers)
+		s.engine.SetDeliverers(table.Shares(s.info.Name))
 		s.messages.ApplyTable(table)
 	}
 }
