--- a/internal/cluster/agent_sync.go
+++ b/internal/cluster/agent_sync.go
@@ -125,6 +125,10 @@
 
 // accept takes over an answer. The lease counts from the sending of the request.
 func (a *Agent) accept(request *SyncRequest, response *SyncResponse, body []byte, sent time.Time) error {
+	body, err := unpackIfPacked(response, body)
+	if err != nil {
+		return err
+	}
 	a.apply.Lock()
 	changed, err := a.acceptConfig(request, response, body)
 	changed = a.acceptTable(response.Table) || changed
@@ -146,6 +150,14 @@
 	return err
 }
 
+// unpackIfPacked returns an answer's body as it was before it was compressed.
+func unpackIfPacked(response *SyncResponse, body []byte) ([]byte, error) {
+	if !response.Packed {
+		return body, nil
+	}
+	return Unpack(body)
+}
+
 // rememberCore keeps the members of the control group on the disk whenever they have changed. A disk that hangs holds
 // up nothing else.
 func (a *Agent) rememberCore() {
--- a/internal/controlplane/cluster_test.go
+++ b/internal/controlplane/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -303,3 +304,21 @@
 	}
 	return count
 }
+
+// TestLargeUpdateIsSoonInForce checks that an update with many routes, which travels compressed, is in force everywhere.
+func TestLargeUpdateIsSoonInForce(t *testing.T) {
+	run(t, 5, 2, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		status, body := w.orderUntilClear(5*time.Second, http.MethodPost, replace, "0", document(3))
+		assert.Equal(t, status, http.StatusOK, body)
+		var routes []string
+		for i := range 1500 {
+			routes = append(routes, fmt.Sprintf(
+				`{"name":"r-%d","host":"large.example","path-prefix":"/p%d/","service":"s-1","timeout-ms":500}`, i, i))
+		}
+		large := fmt.Sprintf(`{"version":5,"upsert":{"routes":[%s]}}`, strings.Join(routes, ","))
+		status, body = w.orderUntilClear(5*time.Second, http.MethodPost, update, "3", large)
+		assert.Equal(t, status, http.StatusOK, body)
+		w.requireInForce(time.Second, 5)
+	})
+}
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -47,6 +47,7 @@
 	state    *stateMachine
 	leases   *leaseTable
 	workers  workerCache
+	packer   bodyPacker
 	manager  *manager
 	members  *memberManager
 	reader   *workerReader
--- a/internal/controlplane/sync.go
+++ b/internal/controlplane/sync.go
@@ -29,6 +29,10 @@
 		stateChanged := p.state.changed.next()
 		workersChanged := p.workersChangedFor(&request)
 		response, body := p.news(&request)
+		if packed, pays := p.packBody(&request, response, body); pays {
+			response.Packed = true
+			body = packed
+		}
 		if response.hasNews() || wait <= 0 {
 			return response.SyncResponse, body, nil
 		}
@@ -43,6 +47,19 @@
 	}
 }
 
+// packBody compresses the body of an answer: a configuration of many routes takes long over the links of small machines,
+// and all processes ask for it at once.
+func (p *Plane) packBody(request *cluster.SyncRequest, response *syncNews, body []byte) ([]byte, bool) {
+	if len(body) == 0 {
+		return nil, false
+	}
+	from := request.ConfigVersion
+	if len(response.ConfigUpdates) == 0 {
+		from = 0
+	}
+	return p.packer.pack(from, response.ConfigVersion, body)
+}
+
 // workersChangedFor returns what is closed at the next change of the list of workers. A process that delivers nothing
 // does not get the list and waits for no change of it.
 func (p *Plane) workersChangedFor(request *cluster.SyncRequest) <-chan struct{} {
