--- a/internal/systemnode/node.go
+++ b/internal/systemnode/node.go
@@ -99,6 +99,7 @@
 		Seeds:        n.settings.Seeds,
 		InternalPort: n.settings.InternalPorts.First,
 		Register:     n.settings.Bootstrap,
+		Disk:         n.options.FS,
 		Logger:       n.logger,
 	})
 	if err != nil {
