Hand a partition over only when every backup that may be promoted lacks nothing

Cause, found on reading: with three copies, a handover flushed the backups that were up to date, while the control plane might promote another one that lacked ends of messages, which would have run again without any trouble to excuse it.

--- a/internal/messagestore/drain.go
+++ b/internal/messagestore/drain.go
@@ -86,12 +86,18 @@
 	}
 	epoch := p.epoch
 	var backups []*peer
+	lacking := false
 	for _, replica := range p.backups() {
 		if p.resync[replica.DiskID] == nil {
 			backups = append(backups, s.peer(replica))
+		} else if replica.Synced {
+			lacking = true // it could be promoted, and would run again what has ended
 		}
 	}
 	s.mu.Unlock()
+	if lacking {
+		return false
+	}
 	for _, backup := range backups {
 		flushed, cancel := context.WithTimeout(ctx, replicateTimeout)
 		err := backup.flush(flushed, p)
--- a/internal/messagestore/store_test.go
+++ b/internal/messagestore/store_test.go
@@ -235,6 +235,27 @@
 	})
 }
 
+// TestHandoverWaitsForBackupsThatLackRecords checks that a partition is not handed over while a backup that may be
+// promoted lacks records: it would run again what has ended.
+func TestHandoverWaitsForBackupsThatLackRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		h.setView(0, "a", "b", "c")
+		time.Sleep(time.Second)
+		store := h.machines["a"].store
+		store.mu.Lock()
+		p := store.partition(0)
+		p.resync["disk-b"] = &resyncState{running: true}
+		store.mu.Unlock()
+		assert.Assert(t, !store.handOver(t.Context(), 0))
+		store.mu.Lock()
+		delete(p.resync, "disk-b")
+		store.mu.Unlock()
+		assert.Assert(t, store.handOver(t.Context(), 0))
+	})
+}
+
 func TestWishedPrimaryGetsThePartition(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
