Say once when compressing pays and how a partition is paused, and correct the comment on deliverers

Nothing behaves otherwise: Pack itself returns nothing where it does not pay, pause and resume share their step under the lock, and the table's comment no longer claims that ceilings are divided by the number of deliverers.

--- a/internal/cluster/packing.go
+++ b/internal/cluster/packing.go
@@ -31,7 +31,10 @@
 	if err := writer.Close(); err != nil {
 		return nil, false
 	}
-	return packed.Bytes(), packed.Len() < len(body)
+	if packed.Len() >= len(body) {
+		return nil, false
+	}
+	return packed.Bytes(), true
 }
 
 // Unpack returns the body that Pack has compressed.
--- a/internal/cluster/types.go
+++ b/internal/cluster/types.go
@@ -94,7 +94,7 @@
 	Stores     []StoreEntry `json:"stores"`     // by name
 	Partitions []Partition  `json:"partitions"` // index and ID agree
 	Copies     int          `json:"copies"`     // how many disks hold a message before it is acknowledged
-	// Deliverers is by how many stores a service's rate ceiling is divided: all that deliver now or may still do so.
+	// Deliverers is how many stores deliver now or may still do so. Rate ceilings are divided by Shares.
 	Deliverers int `json:"deliverers"`
 }
 
--- a/internal/controlplane/packing.go
+++ b/internal/controlplane/packing.go
@@ -24,9 +24,6 @@
 	packed, known := b.packed[from]
 	if !known {
 		packed, _ = cluster.Pack(body)
-		if len(packed) >= len(body) {
-			packed = nil
-		}
 		b.packed[from] = packed
 	}
 	return packed, packed != nil
--- a/internal/messagestore/drain.go
+++ b/internal/messagestore/drain.go
@@ -56,24 +56,23 @@
 
 // pause stops a partition's deliveries.
 func (s *Store) pause(id int) {
-	s.mu.Lock()
-	if p := s.partitions[id]; p != nil {
-		p.paused = true
-		s.setGate(p)
-	}
-	s.mu.Unlock()
+	s.setPaused(id, true)
 	s.engine.PausePartition(id)
 }
 
 // resume takes a partition's deliveries up again after a handover that did not come about.
 func (s *Store) resume(id int) {
+	s.setPaused(id, false)
+	s.engine.ResumePartition(id)
+}
+
+func (s *Store) setPaused(id int, paused bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if p := s.partitions[id]; p != nil {
-		p.paused = false
+		p.paused = paused
 		s.setGate(p)
 	}
-	s.mu.Unlock()
-	s.engine.ResumePartition(id)
 }
 
 // handOver brings the backups up to date and asks for a new primary. Deliveries of the partition have stopped.
