Run the synctest packages on one processor under the race detector, and on all without it

The crash is in the race detector's stack depot, called for a timer channel's callback: runtime/time.go gives all of a bubble's timers one race context (bubble.timers.raceCtx), and maybeRunChan runs callbacks on the goroutine that receives, so two that receive from expired timers at once use that context together. Eight goroutines with time.NewTimer(0) and a receive without waiting crash within 0.05 s under -race (tsan_rtl.cpp: slot_locked), and pass 16 million rounds with one processor.

Change: these packages go twice: -race with -cpu 1 (races are found by their order, not by chance), and all processors without it.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,17 @@
 # The random steps of the tests have a fixed seed, set in their files: every run gives the same verdict.
 # The lease tables and the copies have no goroutine, and are gone through without the race detector. Plays of real processes
 # come last and alone: what else runs must not look like a fault of theirs.
+# Packages that run in bubbles of testing/synctest go twice: under the race detector on one processor, and without it on all.
+# In a bubble the runtime gives the callbacks of all timer channels one context of the race detector, and two goroutines
+# that receive from expired timers at the same moment corrupt it (SIGSEGV in its stack depot; eight
+# goroutines that each make a timer of 0 s and receive without waiting end so within a second). The detector finds races by their order, so one processor is enough for it.
+SYNCTEST_PACKAGES = $$(grep -rl --include=*_test.go '"testing/synctest"' . | xargs -n 1 dirname | sort -u | grep -v -e /internal/faults)
+OTHER_PACKAGES = $$(go list ./... | grep -v -e /internal/faults -e /internal/lease -e /internal/replica | \
+	grep -v -x -F "$$(go list $(SYNCTEST_PACKAGES))")
 test: lint build
-	go test -race -count=1 -timeout 10m $$(go list ./... | grep -v -e /internal/faults -e /internal/lease -e /internal/replica)
+	go test -race -count=1 -timeout 10m $(OTHER_PACKAGES)
+	go test -race -cpu 1 -count=1 -timeout 10m $(SYNCTEST_PACKAGES)
+	go test -count=1 -timeout 10m $(SYNCTEST_PACKAGES)
 	go test -count=1 -timeout 5m ./internal/lease ./internal/replica
 	go test -count=1 -timeout 5m ./internal/faults
 
