--- a/internal/delivery/internal_test.go
+++ b/internal/delivery/internal_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"ivyfold/internal/cluster"
+	"ivyfold/internal/configuration"
 	"ivyfold/internal/message"
 )
 
@@ -93,3 +94,33 @@
 	all.byNumber[numberOf("i-2")] = all.add("i-1", cluster.Worker{ID: "i-1"})
 	assert.Equal(t, all.add("i-2", cluster.Worker{ID: "i-2"}).number, numberOf("i-2")+1)
 }
+
+// After an outage the chains with few messages are emptied first, but nothing is passed by what came much later.
+func TestLateMessagesRankByTheirFollowers(t *testing.T) {
+	q := newQueue()
+	l := newLane("r")
+	l.route = &configuration.Route{Name: "r", TargetStart: time.Second}
+	sequence := uint64(0)
+	submit := func(key string, due time.Duration) {
+		sequence++
+		en := &entry{message: &message.Message{Sequence: sequence, OrderKey: key}, due: due, expires: never}
+		q.link(en)
+		if en.chain.first(en) {
+			l.add(en, time.Minute)
+		}
+	}
+	for range 100 {
+		submit("long", 0)
+	}
+	submit("pair", time.Second)
+	submit("pair", time.Second)
+	submit("single", 2*time.Second)
+	submit("much later", longestRankDelay+time.Second)
+	l.splitLate(time.Minute)
+	var order []string
+	for en := l.late.first(); en != nil; en = l.late.first() {
+		order = append(order, en.message.OrderKey)
+		l.late.remove(en)
+	}
+	assert.DeepEqual(t, order, []string{"single", "pair", "long", "much later"})
+}
--- a/internal/delivery/lane.go
+++ b/internal/delivery/lane.go
@@ -14,15 +14,22 @@
 	service *service
 	waiting entryHeap // not to be looked at yet, by the time of the next look
 	ready   entryHeap // due, the oldest first
-	late    entryHeap // the same, of those that can't start in time any more
+	late    entryHeap // those that can't start in time any more, by their rank
 }
 
+const (
+	// rankPerFollower is by how much later a late message ranks for each message that waits behind it.
+	rankPerFollower = 4 * time.Second
+	// longestRankDelay bounds that, so that a message is passed only by those that were due at most so much later.
+	longestRankDelay = 12 * time.Second
+)
+
 func newLane(name string) *lane {
 	return &lane{
 		name:    name,
 		waiting: entryHeap{less: func(a, b *entry) bool { return a.notBefore < b.notBefore }},
 		ready:   entryHeap{less: olderFirst},
-		late:    entryHeap{less: olderFirst},
+		late:    entryHeap{less: lowerRankFirst},
 	}
 }
 
@@ -33,6 +40,23 @@
 	return a.message.Sequence < b.message.Sequence
 }
 
+func lowerRankFirst(a, b *entry) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	return olderFirst(a, b)
+}
+
+// lateRank orders late messages. Those with few behind them go first: after an outage the short chains are soon empty,
+// and new messages with their order keys can start in time again.
+func (en *entry) lateRank() time.Duration {
+	if en.chain == nil {
+		return en.due
+	}
+	followers := time.Duration(len(en.chain.entries) - 1)
+	return en.due + min(followers*rankPerFollower, longestRankDelay)
+}
+
 // add keeps an entry until it may be looked at.
 func (l *lane) add(en *entry, now time.Duration) {
 	en.placement = inLane
@@ -66,6 +90,7 @@
 func (l *lane) splitLate(now time.Duration) {
 	for en := l.ready.first(); en != nil && en.wanted() < now; en = l.ready.first() {
 		l.ready.remove(en)
+		en.rank = en.lateRank()
 		l.late.add(en)
 	}
 }
--- a/internal/delivery/queue.go
+++ b/internal/delivery/queue.go
@@ -28,6 +28,7 @@
 	due        time.Duration
 	expires    time.Duration
 	notBefore  time.Duration // when it may be looked at next
+	rank       time.Duration // its place among the late entries of its lane
 	heap       *entryHeap    // the heap it is in
 	heapIndex  int
 	lane       *lane
