Give up silent stores and missing primaries before half of the caller's time is over

Change: unsent messages get 503 after 300 ms or 0.45 of the time; those at a store that answers nothing get 502 then; one that answers others may wait for a backup, and one whose process ended is back soon, so these are waited for. Retry-After is 0.35 of what is left. A backup that owes an answer is replaced after 300 ms, not 600.

--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // Names of the headers that clients and the front use.
@@ -28,10 +29,25 @@
 	connectionClose = "close"
 )
 
-// retryAfter is the value of Retry-After in a refusal. The header takes whole seconds, and a pause of one second would
-// miss the deadline of most messages, while another front may take the message at once.
+// retryAfter is the value of Retry-After in a refusal to a client that names no deadline. The header takes whole seconds,
+// and a pause of one second would miss the deadline of most messages, while another front may take the message at once.
 const retryAfter = "0.2"
 
+const (
+	// retryAfterPart is the part of its time left after which a client should come back. It leaves room for two more
+	// tries, the second after a longer pause.
+	retryAfterPart     = 0.35
+	shortestRetryAfter = 20 * time.Millisecond
+	longestRetryAfter  = time.Second
+)
+
+// retryAfterWithin returns the value of Retry-After for a client that has so much time left.
+func retryAfterWithin(left time.Duration) string {
+	pause := time.Duration(retryAfterPart * float64(left))
+	pause = min(max(pause, shortestRetryAfter), longestRetryAfter)
+	return strconv.FormatFloat(pause.Seconds(), 'f', 3, 64)
+}
+
 // requestError is the answer to a request that can't be served.
 type requestError struct {
 	Status int
@@ -48,7 +64,7 @@
 	if failure.Close {
 		header.Set(headerConnection, connectionClose)
 	}
-	if failure.Status == http.StatusServiceUnavailable {
+	if failure.Status == http.StatusServiceUnavailable && header.Get(headerRetryAfter) == "" {
 		header.Set(headerRetryAfter, retryAfter)
 	}
 	writeBytes(w, failure.Status, contentTypeText, []byte(failure.Reason+"\n"))
--- a/internal/ingress/submission.go
+++ b/internal/ingress/submission.go
@@ -17,6 +17,7 @@
 const (
 	defaultPutTimeout = 2 * time.Second // where the client names no deadline
 	maxPutTimeout     = 4 * time.Second
+	maxClientTimeout  = time.Hour // longer deadlines count as this one
 )
 
 // maxDelay is the longest delay that a message may ask for.
@@ -36,11 +37,13 @@
 
 // serveMessage takes a message.
 func (f *Front) serveMessage(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
 	setBodyDeadline(w, r)
 	id, failure := f.takeMessage(w, r)
 	f.announceDrain(w)
 	if failure != nil {
 		f.countFailure(failure)
+		setRetryAfter(w, r, failure, started)
 		writeError(w, failure)
 		return
 	}
@@ -49,6 +52,14 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// setRetryAfter tells a refused client that has named its deadline when to come back.
+func setRetryAfter(w http.ResponseWriter, r *http.Request, failure *requestError, started time.Time) {
+	timeout, limited := clientTimeout(r.Header.Get(headerDeadline))
+	if limited && failure.Status == http.StatusServiceUnavailable {
+		w.Header().Set(headerRetryAfter, retryAfterWithin(timeout-time.Since(started)))
+	}
+}
+
 func (f *Front) takeMessage(w http.ResponseWriter, r *http.Request) (string, *requestError) {
 	table := f.options.Configuration()
 	if table == nil {
@@ -214,15 +225,20 @@
 // putTimeout returns the time that X-Deadline-Ms leaves for keeping a message. A header that can't be read counts as
 // absent.
 func putTimeout(deadline string) time.Duration {
-	milliseconds, err := strconv.ParseFloat(deadline, 64)
-	if err != nil || math.IsNaN(milliseconds) {
+	timeout, limited := clientTimeout(deadline)
+	if !limited {
 		return defaultPutTimeout
 	}
-	if milliseconds <= 0 {
-		return 0
-	}
-	if milliseconds >= float64(maxPutTimeout.Milliseconds()) {
-		return maxPutTimeout
+	return min(max(timeout, 0), maxPutTimeout)
+}
+
+// clientTimeout reads X-Deadline-Ms, and tells whether a client has named its deadline.
+func clientTimeout(deadline string) (time.Duration, bool) {
+	milliseconds, err := strconv.ParseFloat(deadline, 64)
+	if err != nil || math.IsNaN(milliseconds) {
+		return 0, false
 	}
-	return time.Duration(milliseconds * float64(time.Millisecond))
+	limit := float64(maxClientTimeout.Milliseconds())
+	milliseconds = min(max(milliseconds, -limit), limit)
+	return time.Duration(milliseconds * float64(time.Millisecond)), true
 }
--- a/internal/ingress/submission_test.go
+++ b/internal/ingress/submission_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -170,6 +171,28 @@
 	}
 }
 
+// A refused client is told a pause that leaves it time for another try.
+func TestRetryAfterFitsTheDeadline(t *testing.T) {
+	cases := []struct{ deadline, retryAfter string }{
+		{"", retryAfter},
+		{"x", retryAfter},
+		{"800", "0.280"},
+		{"10", "0.020"},
+		{"1e12", "1.000"},
+	}
+	for _, test := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			front, messages := newTestFront(t)
+			messages.putErr = message.ErrNotKept
+			request := newRequest(http.MethodPost, "/plain/1", "x")
+			request.Header.Set(headerDeadline, test.deadline)
+			recorder := serve(front.Handler(), request)
+			assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
+			assert.Equal(t, recorder.Header().Get(headerRetryAfter), test.retryAfter, "deadline %q", test.deadline)
+		})
+	}
+}
+
 func TestPutTimeout(t *testing.T) {
 	cases := []struct {
 		deadline string
--- a/internal/messagestore/client.go
+++ b/internal/messagestore/client.go
@@ -24,8 +24,12 @@
 	retryPause     = 25 * time.Millisecond
 	suspectFor     = time.Second
 	silenceLimit   = 150 * time.Millisecond // a store that takes longer gets nothing new for a while
-	refusePatience = 300 * time.Millisecond // how long a message that could go anywhere is offered round
+	refusePatience = 300 * time.Millisecond // how long a message that no store was sent is offered
 	answerReserve  = 60 * time.Millisecond  // kept of the caller's time for the answer
+
+	// givenUpAfter is the part of the caller's time after which a message is given up that no store was sent, or that
+	// was sent to a store which has said nothing since. The caller is told at once, with time left to come back.
+	givenUpAfter = 0.45
 )
 
 // Client hands messages to the stores and asks for them, for a front.
@@ -37,6 +41,7 @@
 
 	mu       sync.Mutex
 	suspects map[string]time.Time // by store: not preferred until then
+	heard    map[string]time.Time // by store: when it last answered a call
 	routed   *cluster.Table       // the table that near and far were made from
 	near     []int                // partitions whose primary stands in this zone
 	far      []int                // all other partitions that have a primary
@@ -44,7 +49,10 @@
 
 // NewClient returns a client of the stores that a table lists. Stores that can't be reached are reported.
 func NewClient(zone string, pool *rpc.Pool, table func() *cluster.Table, report func(cluster.Report)) *Client {
-	return &Client{zone: zone, pool: pool, table: table, report: report, suspects: make(map[string]time.Time)}
+	return &Client{
+		zone: zone, pool: pool, table: table, report: report,
+		suspects: make(map[string]time.Time), heard: make(map[string]time.Time),
+	}
 }
 
 // Ready tells whether a message could be kept now.
@@ -66,6 +74,7 @@
 	partition int
 	id        string
 	sent      bool // the message may have reached a store under this ID
+	silent    bool // that store has answered nothing since
 }
 
 // Put has a message kept. An error that is message.ErrNotKept promises that it is not and will never run.
@@ -73,14 +82,14 @@
 	ctx context.Context, submission message.Submission, ordered bool, body []byte,
 ) (string, error) {
 	ordered = ordered && submission.Message.OrderKey != ""
-	started := time.Now()
+	patience := patienceOf(ctx)
 	var place *placement
 	for {
 		if place == nil {
 			place = c.place(submission.Message.OrderKey, ordered)
 		}
 		if place != nil {
-			err := c.putOnce(ctx, place, submission, body)
+			err := c.putOnce(ctx, patience, place, submission, body)
 			if err == nil {
 				return place.id, nil
 			}
@@ -89,7 +98,7 @@
 			}
 		}
 		sent := place != nil && place.sent
-		if !sent && !ordered && time.Since(started) > refusePatience || !c.pause(ctx) {
+		if patience.isOver(place) || !c.pause(ctx) {
 			return "", c.putError(sent)
 		}
 		if !sent && !ordered {
@@ -98,6 +107,31 @@
 	}
 }
 
+// patience says until when a message is offered.
+type patience struct {
+	unsentUntil time.Time // while no store was sent it
+	silentUntil time.Time // while a store that was sent it says nothing
+}
+
+// patienceOf divides the time that a caller has.
+func patienceOf(ctx context.Context) patience {
+	now := time.Now()
+	limit := putTimeout
+	if deadline, limited := ctx.Deadline(); limited {
+		limit = time.Duration(givenUpAfter * float64(time.Until(deadline)))
+	}
+	return patience{unsentUntil: now.Add(min(limit, refusePatience)), silentUntil: now.Add(limit)}
+}
+
+// isOver tells whether a message that was not kept is given up. One whose store was lost is offered again for as long as
+// its caller waits: a process that ended is back soon, and knows whether it has the message.
+func (p patience) isOver(place *placement) bool {
+	if place == nil || !place.sent {
+		return time.Now().After(p.unsentUntil)
+	}
+	return place.silent
+}
+
 func (c *Client) putError(sent bool) error {
 	if sent {
 		return errors.New("no answer from the stores")
@@ -117,7 +151,7 @@
 
 // putOnce makes one call.
 func (c *Client) putOnce(
-	ctx context.Context, place *placement, submission message.Submission, body []byte,
+	ctx context.Context, patience patience, place *placement, submission message.Submission, body []byte,
 ) error {
 	submission.Message.Partition, submission.Message.ID = place.partition, place.id
 	entry := c.primary(place.partition)
@@ -126,23 +160,49 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
-	silent := time.AfterFunc(silenceLimit, func() { c.suspect(entry, false) })
-	defer silent.Stop()
+	started := time.Now()
+	suspected := time.AfterFunc(silenceLimit, func() { c.suspect(entry, false) })
+	defer suspected.Stop()
+	givenUp := time.AfterFunc(max(time.Until(patience.silentUntil), silenceLimit), func() {
+		if !c.heardSince(entry, started) {
+			cancel()
+		}
+	})
+	defer givenUp.Stop()
 	_, err := c.pool.Get(entry.Address).Call(ctx, methodPut, putRequest{submission}, body, nil)
 	switch {
 	case err == nil:
+		c.noteAnswer(entry)
 		return nil
 	case errors.Is(err, rpc.ErrNotSent):
 		c.suspect(entry, ctx.Err() == nil)
 	case errors.Is(err, rpc.ErrLost):
 		place.sent = true
+		place.silent = ctx.Err() != nil && !c.heardSince(entry, started)
 		c.suspect(entry, ctx.Err() == nil)
 	case rpc.CodeOf(err) != rpc.CodeNotLeader && rpc.CodeOf(err) != rpc.CodeUnavailable:
 		place.sent = true
+		c.noteAnswer(entry)
+	default:
+		c.noteAnswer(entry)
 	}
 	return err
 }
 
+// noteAnswer notes that a store lives.
+func (c *Client) noteAnswer(entry *cluster.StoreEntry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heard[entry.Name] = time.Now()
+}
+
+// heardSince tells whether a store has answered any call since a moment: one that lives may wait for a backup.
+func (c *Client) heardSince(entry *cluster.StoreEntry, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard[entry.Name].After(since)
+}
+
 // suspect notes and reports that a store can't be reached.
 func (c *Client) suspect(entry *cluster.StoreEntry, refused bool) {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/messagestore/client_test.go
@@ -0,0 +1,90 @@
+package messagestore
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/message"
+)
+
+// A client that waits 800 ms hears of a message that could not be kept with time left to come back.
+const (
+	callerTime = 800 * time.Millisecond
+	earlyLimit = callerTime / 2
+)
+
+// putWithin hands a message in for a caller with little time, and tells how long that took.
+func (h *harness) putWithin(orderKey string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(h.t.Context(), callerTime)
+	defer cancel()
+	started := time.Now()
+	submission := message.Submission{Message: message.Message{RequestID: "r", OrderKey: orderKey}}
+	_, err := h.client().Put(ctx, submission, orderKey != "", []byte("x"))
+	return time.Since(started), err
+}
+
+func TestSilentStoresAreGivenUpEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		h.mustPut("before", "key", "x") // both are connected
+		for _, m := range h.machines {
+			h.network.Cut("10.0.1.1", m.ip)
+		}
+		for _, orderKey := range []string{"", "key"} {
+			took, err := h.putWithin(orderKey)
+			assert.Assert(t, err != nil)
+			assert.Assert(t, !errors.Is(err, message.ErrNotKept), "a store may have it")
+			assert.Assert(t, took < earlyLimit, "%v", took)
+		}
+		for _, m := range h.machines {
+			h.network.Heal("10.0.1.1", m.ip)
+		}
+	})
+}
+
+func TestPartitionsWithoutPrimaryAreRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		h.update(func(table *cluster.Table) {
+			for i := range table.Partitions {
+				table.Partitions[i].Replicas = nil
+			}
+		})
+		for _, orderKey := range []string{"", "key"} {
+			took, err := h.putWithin(orderKey)
+			assert.Assert(t, errors.Is(err, message.ErrNotKept))
+			assert.Assert(t, took < earlyLimit, "%v", took)
+		}
+	})
+}
+
+// A process that was killed is back soon, and the message is kept under the same name.
+func TestMessageOutlastsTheRestartOfItsStores(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		h.mustPut("before", "key", "x")
+		time.AfterFunc(time.Millisecond, func() {
+			h.stop("a")
+			h.stop("b")
+		})
+		time.AfterFunc(500*time.Millisecond, func() {
+			h.start("a")
+			h.start("b")
+		})
+		// The first call is on its way when the stores end.
+		h.network.SetDelay("10.0.1.1", h.machines["a"].ip, 2*time.Millisecond)
+		h.network.SetDelay("10.0.1.1", h.machines["b"].ip, 2*time.Millisecond)
+		took, err := h.putWithin("key")
+		assert.NilError(t, err)
+		assert.Assert(t, took > earlyLimit, "%v", took)
+	})
+}
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -11,9 +11,10 @@
 	backupLease       = time.Second
 	backupSilence     = 150 * time.Millisecond
 	outcomeTimeout    = time.Second
-	replicateTimeout  = 600 * time.Millisecond
+	replicateTimeout  = 300 * time.Millisecond // after it another backup is asked for: writes wait, clients leave soon
 	inventoryTimeout  = time.Second
 	askTimeout        = time.Second
+	dropSettle        = 50 * time.Millisecond // before a backup that refuses is dropped: others may have died with it
 	resyncTimeout     = 5 * time.Second
 	resyncPause       = 200 * time.Millisecond
 	resyncPatience    = 600 * time.Millisecond
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -36,8 +36,14 @@
 // caller holds the lock.
 func (s *Store) backupFailed(p *partition, replica cluster.Replica) {
 	s.needResync(p, replica)
-	if len(p.pending) > 0 {
-		p.resync[replica.DiskID].unwanted = true
+	state := p.resync[replica.DiskID]
+	if len(p.pending) == 0 || state.unwanted {
+		return
+	}
+	state.unwanted = true
+	if settled := time.Now().Add(dropSettle); state.notBefore.Before(settled) {
+		state.notBefore = settled
+		time.AfterFunc(dropSettle, s.wakeMaintenance)
 	}
 }
 
