--- a/internal/controlplane/ask.go
+++ b/internal/controlplane/ask.go
@@ -68,6 +68,9 @@
 	if position <= 0 {
 		return &rpc.Error{Code: rpc.CodeConflict, Message: ask.Drop + " is no backup"}
 	}
+	if d.expectsBack(partition.Replicas[position]) {
+		return unavailable(ask.Drop + " is expected back")
+	}
 	if !d.dropBackup(partition, position) {
 		return unavailable("no store can take the place of " + ask.Drop)
 	}
--- a/internal/controlplane/cluster_test.go
+++ b/internal/controlplane/cluster_test.go
@@ -322,3 +322,32 @@
 		w.requireInForce(time.Second, 5)
 	})
 }
+
+// Stores that are killed together are back soon, with all they held: nothing changes its place.
+func TestStoresKilledTogetherKeepTheirPlaces(t *testing.T) {
+	run(t, 4, 4, func(t *testing.T, w *world) {
+		w.awaitPlacement()
+		time.Sleep(2 * time.Second)
+		reporter := w.machine("front-3").agent()
+		before := reporter.Table()
+		var killed []*machine
+		for i := range 3 {
+			killed = append(killed, w.machine(fmt.Sprint("store-", i)))
+		}
+		for _, m := range killed {
+			m.kill()
+		}
+		for _, m := range killed {
+			address := fmt.Sprintf("%s:%d", m.ip, internalPort)
+			assert.NilError(t, reporter.Report(t.Context(), cluster.Report{Node: m.name, Address: address, Refused: true}))
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range killed {
+			m.start()
+		}
+		time.Sleep(2 * time.Second)
+		after := reporter.Table()
+		assert.Assert(t, after.Revision > before.Revision, "the stores were found dead")
+		assert.DeepEqual(t, after.Partitions, before.Partitions)
+	})
+}
--- a/internal/controlplane/draft.go
+++ b/internal/controlplane/draft.go
@@ -17,6 +17,7 @@
 	copies     int
 	deliverers int
 	nodes      map[string]nodeStatus
+	held       map[string]bool // stores that are down, and are expected back soon
 }
 
 func newDraft(current *content, nodes map[string]nodeStatus, copies int) *draft {
--- a/internal/controlplane/leases.go
+++ b/internal/controlplane/leases.go
@@ -139,6 +139,7 @@
 	live    bool      // the lease runs
 	recent  bool      // renewed so lately that it surely outlived those whose lease has run out now
 	expires time.Time // when the lease runs out or ran out
+	refused time.Time // when the process was last found dead; zero where it was not
 }
 
 // statuses returns all processes by their names, and forgets those that have been silent for long.
@@ -157,6 +158,7 @@
 			live:    live,
 			recent:  live && now.Sub(known.renewed) < recentRenewal,
 			expires: known.expires,
+			refused: known.refused,
 		}
 	}
 	return statuses
--- a/internal/controlplane/manager.go
+++ b/internal/controlplane/manager.go
@@ -126,11 +126,24 @@
 	current := m.plane.state.current.Load()
 	draft := newDraft(current, m.plane.leases.statuses(now), m.plane.copies())
 	draft.updateStores()
+	m.holdForRestarts(draft, now)
 	granted := applyEdits(draft, requests)
 	m.plan(draft, role, now)
 	finish(granted, m.propose(ctx, draft.diff(current)))
 }
 
+// holdForRestarts keeps copies in their places for a while after their stores were found dead.
+func (m *manager) holdForRestarts(draft *draft, now time.Time) {
+	found := draft.findOutage(now)
+	if len(found.dead) == 0 {
+		return
+	}
+	if until := found.holdUntil(draft.copies-1, m.leadingSince); until.After(now) {
+		draft.held = found.dead
+		time.AfterFunc(until.Sub(now), m.nudge)
+	}
+}
+
 // begin starts the reign of this process: every store that is not known to be down gets a full lease.
 func (m *manager) begin(now time.Time) {
 	m.leading, m.leadingSince = true, now
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -15,7 +15,7 @@
 }
 
 func (d *draft) repairPartition(partition cluster.Partition) cluster.Partition {
-	if d.settled(partition) {
+	if d.settled(partition) || slices.ContainsFunc(partition.Replicas, d.expectsBack) {
 		return partition
 	}
 	next := partition
