Look only at services that need it in a turn, and at lost ones less often the longer they are away

Change: an agenda of services that something happened to or whose time has come; all four times a second. The pause grows to a hundredth of the outage, a minute at most. Workers are sorted by service in one pass.

--- a/internal/delivery/apply.go
+++ b/internal/delivery/apply.go
@@ -39,7 +39,7 @@
 	for _, definition := range e.table.Services() {
 		s := e.services[definition.Name]
 		if s == nil {
-			s = &service{engine: e, share: e.connectionShare()}
+			s = &service{engine: e, share: e.connectionShare(), lookAt: never, lookIndex: -1}
 		}
 		s.redefine(definition, routes[definition.Name])
 		kept[definition.Name] = s
@@ -47,6 +47,8 @@
 	for name, s := range e.services {
 		if kept[name] == nil {
 			s.retireDecider()
+			s.lanes = nil
+			e.agenda.forget(s)
 		}
 	}
 	e.services = kept
@@ -133,8 +135,12 @@
 // refreshDestinations gives each service its destinations, and tells the deciders of changes.
 func (e *Engine) refreshDestinations() {
 	used := make(map[*destination]bool)
+	listed := e.destinations.listed()
 	for _, s := range e.services {
-		s.destinations = e.destinations.of(s.definition)
+		s.destinations = listed[s.definition.Name]
+		if s.definition.StaticEndpoint != "" {
+			s.destinations = []*destination{e.destinations.static(s.definition)}
+		}
 		for _, d := range s.destinations {
 			used[d] = true
 		}
@@ -144,6 +150,7 @@
 		}
 	}
 	e.destinations.dropStatic(used)
+	e.touchAll()
 }
 
 // applyDeliverers divides the ceilings anew.
@@ -153,6 +160,7 @@
 	for _, s := range e.services {
 		s.bucket.setCeiling(now, s.definition.RatePerSecond, count)
 	}
+	e.touchAll()
 }
 
 // connectionShare is by how many callers a worker's limits are divided.
--- a/internal/delivery/capacity_bench_test.go
+++ b/internal/delivery/capacity_bench_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"ivyfold/internal/cluster"
 	"ivyfold/internal/configuration"
 	"ivyfold/internal/network"
 )
@@ -29,6 +30,44 @@
 	}
 }
 
+// BenchmarkFullLook looks at all services, of which none has anything to do.
+func BenchmarkFullLook(b *testing.B) {
+	const services = 10_000
+	engine := New(Options{Name: "store", Zone: "a", Network: network.TCP{}})
+	engine.applyConfiguration(benchTable(b, services))
+	before := processorTime(b)
+	b.ResetTimer()
+	for range b.N {
+		engine.touchAll()
+		engine.lookAtServices(engine.now())
+	}
+	b.ReportMetric(float64(processorTime(b)-before)/float64(b.N)/services, "cpu-ns/service")
+}
+
+// BenchmarkSetWorkers takes in a list of workers that differs from the one before in one entry.
+func BenchmarkSetWorkers(b *testing.B) {
+	const services, workers = 1000, 10_000
+	engine := New(Options{Name: "store", Zone: "a", Network: network.TCP{}})
+	engine.applyConfiguration(benchTable(b, services))
+	list := make([]cluster.Worker, workers)
+	for i := range list {
+		list[i] = cluster.Worker{
+			ID: fmt.Sprintf("i-%05d", i), Service: fmt.Sprintf("s-%d", i%services), Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+			Zone: "a", Capacity: 6,
+		}
+	}
+	engine.destinations.publish(list)
+	engine.applyWorkers()
+	before := processorTime(b)
+	b.ResetTimer()
+	for i := range b.N {
+		list[i%workers].Draining = !list[i%workers].Draining
+		engine.destinations.publish(list)
+		engine.applyWorkers()
+	}
+	b.ReportMetric(float64(processorTime(b)-before)/float64(b.N)/workers, "cpu-ns/worker")
+}
+
 // processorTime is what this process has used so far.
 func processorTime(b *testing.B) time.Duration {
 	var usage syscall.Rusage
--- a/internal/delivery/destinations.go
+++ b/internal/delivery/destinations.go
@@ -121,20 +121,19 @@
 	return number
 }
 
-// of returns a service's destinations by number.
-func (d *destinations) of(service *configuration.Service) []*destination {
-	if service.StaticEndpoint != "" {
-		return []*destination{d.static(service)}
-	}
+// listed returns the destinations of all services that stand on the list, by service and number.
+func (d *destinations) listed() map[string][]*destination {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	var found []*destination
+	found := make(map[string][]*destination)
 	for _, known := range d.byID {
-		if !known.static && known.worker.Service == service.Name {
-			found = append(found, known)
+		if !known.static {
+			found[known.worker.Service] = append(found[known.worker.Service], known)
 		}
 	}
-	slices.SortFunc(found, func(a, b *destination) int { return cmp.Compare(a.number, b.number) })
+	for _, workers := range found {
+		slices.SortFunc(workers, func(a, b *destination) int { return cmp.Compare(a.number, b.number) })
+	}
 	return found
 }
 
--- a/internal/delivery/engine.go
+++ b/internal/delivery/engine.go
@@ -68,6 +68,8 @@
 	parkedAt     map[int]time.Duration // partitions that may not deliver, with the time of their next look
 	ends         []ending              // collected in a turn of the loop, reported after it
 	nextExpiry   time.Duration         // no queued message expires before
+	agenda       agenda                // which services need a look
+	lookedAtAll  time.Duration         // when all services were last looked at
 }
 
 // ending is a message that ended without an attempt.
--- a/internal/delivery/internal_test.go
+++ b/internal/delivery/internal_test.go
@@ -124,3 +124,48 @@
 	}
 	assert.DeepEqual(t, order, []string{"single", "pair", "long", "much later"})
 }
+
+func TestTurnsLookAtServicesThatNeedIt(t *testing.T) {
+	var a agenda
+	services := make([]*service, 100)
+	for i := range services {
+		services[i] = &service{lookAt: never, lookIndex: -1}
+		a.schedule(services[i], time.Duration(i+1)*time.Second)
+	}
+	assert.Equal(t, a.next(0), time.Second)
+	assert.Equal(t, len(a.take(0)), 0)
+	a.touch(services[50])
+	a.touch(services[50])
+	assert.Equal(t, a.next(0), time.Duration(0))
+	assert.Equal(t, len(a.take(0)), 1)
+	assert.Equal(t, len(a.take(10*time.Second)), 10)
+	a.schedule(services[0], 90*time.Second)
+	a.schedule(services[10], 5*time.Second)
+	a.forget(services[11])
+	assert.Equal(t, a.next(10*time.Second), 5*time.Second)
+	assert.Equal(t, len(a.take(time.Hour)), 90)
+	assert.Equal(t, a.next(time.Hour), never)
+}
+
+// A service that stays down is tried ever more seldom, and found within a small part of its outage.
+func TestPausesGrowWithTheOutage(t *testing.T) {
+	var w window
+	random := rand.New(rand.NewPCG(1, 1))
+	longest := map[time.Duration]time.Duration{
+		time.Second: 100 * time.Millisecond, time.Minute: 750 * time.Millisecond, time.Hour: 45 * time.Second,
+		24 * time.Hour: 75 * time.Second,
+	}
+	for range 20 {
+		w.failed(time.Second, 1, random)
+	}
+	for outage, limit := range longest {
+		now := time.Second + outage
+		for range 20 {
+			w.failed(now, 1, random)
+		}
+		assert.Assert(t, w.resumeAt > now && w.resumeAt-now <= limit, "after %v: %v", outage, w.resumeAt-now)
+	}
+	w.answered(10)
+	w.failed(48*time.Hour, 1, random)
+	assert.Assert(t, !w.down)
+}
--- a/internal/delivery/loop.go
+++ b/internal/delivery/loop.go
@@ -41,21 +41,16 @@
 			break
 		}
 		expired.decider.handle(&ivyfold.Event{Kind: ivyfold.EventTimer, Token: expired.token})
+		e.agenda.touch(expired.decider.service)
 	}
 	e.unpark(now)
 	e.expire(now)
-	for _, l := range e.queue.lanes {
-		l.promote(now)
-	}
-	next := never
-	for _, s := range e.services {
-		next = min(next, s.pump(now))
-	}
+	next := e.lookAtServices(now)
 	if len(e.ends) > 0 {
 		next = now // what came behind them may be due
 	}
 	e.reportEnds()
-	e.publishGauges()
+	e.gauges.queued.Store(int64(e.queue.size))
 	next = min(next, e.nextTimer())
 	return min(max(next-e.now(), 0), longestIdle)
 }
@@ -63,9 +58,6 @@
 // nextTimer is when something comes due that no event announces.
 func (e *Engine) nextTimer() time.Duration {
 	next := min(e.timers.next(), e.nextExpiry)
-	for _, l := range e.queue.lanes {
-		next = min(next, l.nextDue())
-	}
 	for _, at := range e.parkedAt {
 		next = min(next, at)
 	}
@@ -125,7 +117,9 @@
 		e.end(en, message.Outcome{State: message.DeadLetter})
 		return
 	}
-	e.laneFor(en.message.Route).add(en, e.now())
+	l := e.laneFor(en.message.Route)
+	l.add(en, e.now())
+	e.agenda.touch(l.service)
 }
 
 // holdBack takes an entry out of its lane as another one comes first in its chain.
@@ -225,8 +219,9 @@
 	}
 }
 
-// lookAtParked has all partitions looked at in this turn.
+// lookAtParked has all partitions and services looked at in this turn.
 func (e *Engine) lookAtParked() {
+	e.touchAll()
 	for id := range e.parkedAt {
 		e.parkedAt[id] = 0
 	}
--- a/internal/delivery/service.go
+++ b/internal/delivery/service.go
@@ -25,6 +25,9 @@
 	starts       int // counts
 	probe        int // the destination whose doubts are cleared next
 	renewedAt    time.Duration
+	touched      bool          // it is on the agenda of this turn
+	lookAt       time.Duration // when it is to be looked at next
+	lookIndex    int           // its place among the services by that time; -1 where it has none
 }
 
 // renewSpan is how often the decision module's doubts about workers may be cleared while messages are held.
--- a/internal/delivery/settle.go
+++ b/internal/delivery/settle.go
@@ -27,6 +27,7 @@
 	j.last = r.verdict
 	a.destination.learnIdleTime(r.keepAlive, e.destinations.dial)
 	d.service.note(a.destination, r.verdict)
+	e.agenda.touch(d.service)
 	if r.verdict == verdictFailed {
 		j.entry.failures = a.failures + 1
 	}
--- a/internal/delivery/stats.go
+++ b/internal/delivery/stats.go
@@ -21,7 +21,7 @@
 	Down   bool // no worker has answered of late
 }
 
-// gauges are what the loop publishes after each turn.
+// gauges are what the loop publishes: of a service, after each look at it.
 type gauges struct {
 	queued atomic.Int64
 	mutex  sync.Mutex // guards the map
@@ -46,13 +46,7 @@
 	}
 }
 
-func (e *Engine) publishGauges() {
-	e.gauges.queued.Store(int64(e.queue.size))
-	for _, s := range e.services {
-		s.publishGauge()
-	}
-}
-
+// publishGauge publishes the service's figures after a look.
 func (s *service) publishGauge() {
 	due := 0
 	for _, l := range s.lanes {
--- a/internal/delivery/window.go
+++ b/internal/delivery/window.go
@@ -6,13 +6,15 @@
 )
 
 const (
-	outageFailures  = 3 // in a row, and one more for each ready worker
-	mostFailures    = 12
-	firstPause      = 20 * time.Millisecond
-	longestPause    = 80 * time.Millisecond // between looks at a service that is down
-	windowAfterDown = 2
-	leastGrowth     = 0.1                    // for each answer; a full worker takes one off
-	throttledPause  = 250 * time.Millisecond // after a worker said that the service gets too much
+	outageFailures   = 3 // in a row, and one more for each ready worker
+	mostFailures     = 12
+	firstPause       = 20 * time.Millisecond
+	shortOutagePause = 80 * time.Millisecond // between looks at a service that has not been down for long
+	longestPause     = time.Minute           // the same, however long it has been down
+	outagePart       = 100                   // a longer outage is looked at after one part in so many of it
+	windowAfterDown  = 2
+	leastGrowth      = 0.1                    // for each answer; a full worker takes one off
+	throttledPause   = 250 * time.Millisecond // after a worker said that the service gets too much
 )
 
 // window bounds a service's messages that are out, by how its workers answer. It grows while they do, fast after an
@@ -23,6 +25,7 @@
 	threshold float64 // up to here it grows fast
 	failures  int     // attempts in a row without a worker's answer
 	down      bool
+	downSince time.Duration
 	pause     time.Duration
 	resumeAt  time.Duration // nothing starts before
 	limit     int           // as last seen
@@ -68,11 +71,19 @@
 	if !w.down && w.failures < min(outageFailures+ready, mostFailures) {
 		return
 	}
-	w.down = true
-	w.pause = min(max(2*w.pause, firstPause), longestPause)
+	if !w.down {
+		w.down, w.downSince = true, now
+	}
+	w.pause = min(max(2*w.pause, firstPause), w.outagePause(now))
 	w.resumeAt = now + jitter(w.pause, random)
 }
 
+// outagePause is the longest pause between two looks at a service that is down. It grows with the outage, so that many
+// services which stay down cost little, and one that returns is found within a small part of the time it was away.
+func (w *window) outagePause(now time.Duration) time.Duration {
+	return min(max((now-w.downSince)/outagePart, shortOutagePause), longestPause)
+}
+
 // throttled keeps everything back for a while, not as long as others do: else they all come back at once, and the same
 // caller is the last in every round.
 func (w *window) throttled(now time.Duration, random *rand.Rand) {
