Send changes of the list of workers, encode news once, and bound what one plan changes

Change: members keep the latest changes of the list; what leads from one version to the newest is encoded once; the draft keeps its counts, and a plan changes 512 views at most, those without a primary first; the number of partitions is chosen at the founding, 64 up to 21 stores.

--- a/internal/cluster/agent_sync.go
+++ b/internal/cluster/agent_sync.go
@@ -134,6 +134,7 @@
 	changed = a.acceptTable(response.Table) || changed
 	changed = a.acceptTableChanges(response.TableChanges) || changed
 	changed = a.acceptWorkers(response.Workers) || changed
+	changed = a.acceptWorkerChanges(response.WorkerChanges) || changed
 	a.apply.Unlock()
 	if response.WorkersAgeMS >= 0 {
 		read := time.Now().Add(-time.Duration(response.WorkersAgeMS) * time.Millisecond)
@@ -269,3 +270,12 @@
 	a.workers.Store(workers)
 	return true
 }
+
+// acceptWorkerChanges applies changes that start at the list held here.
+func (a *Agent) acceptWorkerChanges(changes []WorkerChange) bool {
+	if len(changes) == 0 {
+		return false
+	}
+	workers, applied := a.workers.Load().ApplyAll(changes)
+	return applied && a.acceptWorkers(workers)
+}
--- a/internal/cluster/types.go
+++ b/internal/cluster/types.go
@@ -177,10 +177,12 @@
 	// TableChanges lead to the newest table from the one that the caller holds; they come in the place of the table.
 	TableChanges []TableChange `json:"tableChanges,omitempty"`
 	Workers      *WorkerList   `json:"workers,omitempty"`
-	Packed       bool          `json:"packed,omitempty"`      // the body is compressed, see Pack
-	WorkerCount  int           `json:"workerCount,omitempty"` // entries of the list of workers, which only stores get
-	WorkersAgeMS int64         `json:"workersAgeMs"`          // how long ago the list of workers was last read; -1 where it never was
-	Lease        int64         `json:"leaseMs"`               // the lease runs for so long, counted from the sending of the request
+	// WorkerChanges lead to the newest list of workers from the one that the caller holds; they come in its place.
+	WorkerChanges []WorkerChange `json:"workerChanges,omitempty"`
+	Packed        bool           `json:"packed,omitempty"`      // the body is compressed, see Pack
+	WorkerCount   int            `json:"workerCount,omitempty"` // entries of the list of workers, which only stores get
+	WorkersAgeMS  int64          `json:"workersAgeMs"`          // how long ago the list of workers was last read; -1 where it never was
+	Lease         int64          `json:"leaseMs"`               // the lease runs for so long, counted from the sending of the request
 }
 
 // Names of the control plane's calls. See the package controlplane.
--- /dev/null
+++ b/internal/cluster/workerchange.go
@@ -0,0 +1,97 @@
+package cluster
+
+import (
+	"slices"
+	"strings"
+)
+
+// WorkerVersion names a version of the list of workers. An epoch's revisions begin anew.
+type WorkerVersion struct {
+	Epoch    uint64 `json:"epoch"`
+	Revision uint64 `json:"revision"`
+}
+
+// Version returns the list's version; the zero value for no list.
+func (l *WorkerList) Version() WorkerVersion {
+	if l == nil {
+		return WorkerVersion{}
+	}
+	return WorkerVersion{l.Epoch, l.Revision}
+}
+
+// WorkerChange leads from one version of the list of workers to a newer one.
+type WorkerChange struct {
+	From    WorkerVersion `json:"from"`
+	To      WorkerVersion `json:"to"`
+	Set     []Worker      `json:"set,omitempty"`     // new entries, and those that differ, by id
+	Removed []string      `json:"removed,omitempty"` // ids of entries that are gone
+}
+
+// Size is the number of entries that the change touches.
+func (c *WorkerChange) Size() int { return len(c.Set) + len(c.Removed) }
+
+// DiffWorkers returns the change that leads from one list to another. The entries of both are sorted by id; same tells
+// which of them need not travel again.
+func DiffWorkers(from, to *WorkerList, same func(a, b Worker) bool) *WorkerChange {
+	change := &WorkerChange{From: from.Version(), To: to.Version()}
+	position := 0
+	for _, worker := range to.Workers {
+		for position < len(from.Workers) && from.Workers[position].ID < worker.ID {
+			change.Removed = append(change.Removed, from.Workers[position].ID)
+			position++
+		}
+		if position < len(from.Workers) && from.Workers[position].ID == worker.ID {
+			if !same(from.Workers[position], worker) {
+				change.Set = append(change.Set, worker)
+			}
+			position++
+			continue
+		}
+		change.Set = append(change.Set, worker)
+	}
+	for _, worker := range from.Workers[min(position, len(from.Workers)):] {
+		change.Removed = append(change.Removed, worker.ID)
+	}
+	return change
+}
+
+// Apply returns the list with a change, and false where the change was made from another version. The list itself stays
+// as it is.
+func (l *WorkerList) Apply(change *WorkerChange) (*WorkerList, bool) {
+	if l == nil || l.Version() != change.From {
+		return l, false
+	}
+	next := &WorkerList{
+		Epoch: change.To.Epoch, Revision: change.To.Revision,
+		Workers: make([]Worker, 0, len(l.Workers)+len(change.Set)),
+	}
+	set := change.Set
+	for _, worker := range l.Workers {
+		for len(set) > 0 && set[0].ID < worker.ID {
+			next.Workers = append(next.Workers, set[0])
+			set = set[1:]
+		}
+		if len(set) > 0 && set[0].ID == worker.ID {
+			next.Workers = append(next.Workers, set[0])
+			set = set[1:]
+			continue
+		}
+		if _, removed := slices.BinarySearchFunc(change.Removed, worker.ID, strings.Compare); !removed {
+			next.Workers = append(next.Workers, worker)
+		}
+	}
+	next.Workers = append(next.Workers, set...)
+	return next, true
+}
+
+// ApplyAll applies the changes one after the other, and returns false where one of them starts from another version.
+func (l *WorkerList) ApplyAll(changes []WorkerChange) (*WorkerList, bool) {
+	for i := range changes {
+		next, applied := l.Apply(&changes[i])
+		if !applied {
+			return l, false
+		}
+		l = next
+	}
+	return l, true
+}
--- a/internal/controlplane/ask.go
+++ b/internal/controlplane/ask.go
@@ -42,7 +42,7 @@
 			return err
 		}
 	}
-	d.partitions[ask.Partition] = partition
+	d.setPartition(ask.Partition, partition)
 	return nil
 }
 
--- a/internal/controlplane/draft.go
+++ b/internal/controlplane/draft.go
@@ -17,12 +17,14 @@
 	copies     int
 	deliverers int
 	nodes      map[string]nodeStatus
-	held       map[string]bool // stores that are down, and are expected back soon
+	held       map[string]bool   // stores that are down, and are expected back soon
+	aliveDisks map[string]string // the disks of the stores that can serve, by store; see noteAlive
+	copyCounts map[string]int    // by store, see replicaCounts; nil until they are needed
 }
 
 func newDraft(current *content, nodes map[string]nodeStatus, copies int) *draft {
 	table := current.table
-	return &draft{
+	made := &draft{
 		primary:    table.Primary,
 		core:       table.Core,
 		stores:     slices.Clone(table.Stores),
@@ -32,6 +34,8 @@
 		deliverers: table.Deliverers,
 		nodes:      nodes,
 	}
+	made.noteAlive()
+	return made
 }
 
 // diff returns the change that leads from the current state to the draft, or nil where they are alike.
@@ -53,7 +57,7 @@
 		change.Deliverers, empty = d.deliverers, false
 	}
 	change.Stores = differing(d.stores, table.Stores, func(a, b cluster.StoreEntry) bool { return a == b })
-	change.Partitions = differing(d.partitions, table.Partitions, equalPartitions)
+	change.Partitions = changedPartitions(d.partitions, table.Partitions)
 	change.Jobs = differing(d.jobs, current.jobs, func(a, b retireJob) bool { return a == b })
 	if empty && len(change.Stores)+len(change.Partitions)+len(change.Jobs) == 0 {
 		return nil
@@ -61,6 +65,17 @@
 	return change
 }
 
+// changedPartitions returns the views that differ from those of another list. A partition's place in both is its id.
+func changedPartitions(partitions, others []cluster.Partition) []cluster.Partition {
+	var changed []cluster.Partition
+	for i, partition := range partitions {
+		if i >= len(others) || !equalPartitions(partition, others[i]) {
+			changed = append(changed, partition)
+		}
+	}
+	return changed
+}
+
 // differing returns the values that are not in another list.
 func differing[Value any](values, others []Value, equal func(a, b Value) bool) []Value {
 	var result []Value
@@ -91,11 +106,8 @@
 
 // alive tells whether a replica can serve: its store is up, and has the disk that holds the copy.
 func (d *draft) alive(replica cluster.Replica) bool {
-	entry := d.store(replica.Store)
-	if entry == nil || entry.DiskID != replica.DiskID {
-		return false
-	}
-	return entry.State == cluster.StoreActive || entry.State == cluster.StoreLeaving || entry.State == cluster.StoreRetiring
+	disk, up := d.aliveDisks[replica.Store]
+	return up && disk == replica.DiskID
 }
 
 // staying tells whether a replica is alive and is not to be emptied.
--- a/internal/controlplane/harness_test.go
+++ b/internal/controlplane/harness_test.go
@@ -305,7 +305,7 @@
 	w.t.Helper()
 	w.eventually(8*time.Second, "partitions placed", func() bool {
 		for _, m := range w.running() {
-			if m.agent().Table() == nil || len(m.agent().Table().Partitions) != controlplane.PartitionCount {
+			if m.agent().Table() == nil || len(m.agent().Table().Partitions) != controlplane.LeastPartitions {
 				return false
 			}
 		}
--- a/internal/controlplane/manager.go
+++ b/internal/controlplane/manager.go
@@ -191,7 +191,9 @@
 	if now.Sub(m.lastNewStore) >= placementRest {
 		draft.placeInitially()
 	}
-	draft.repair()
+	if more := draft.repair(); more {
+		m.nudge()
+	}
 	if now.Sub(m.lastRebalance) >= rebalanceInterval && now.Sub(m.leadingSince) > cluster.LeaseDuration {
 		m.lastRebalance = now
 		draft.rebalance()
--- a/internal/controlplane/placement.go
+++ b/internal/controlplane/placement.go
@@ -6,8 +6,22 @@
 	"ivyfold/internal/cluster"
 )
 
-// PartitionCount is the number of partitions. It is fixed: message ids name their partitions.
-const PartitionCount = 64
+const (
+	// LeastPartitions is the number of partitions of a small system.
+	LeastPartitions = 64
+	// partitionsPerStore is how many there are at least for each store that is there at the founding.
+	partitionsPerStore = 3
+)
+
+// partitionCount is the number of partitions of a system that is founded with so many stores, a power of two. It stays
+// for the system's life: message ids name their partitions.
+func partitionCount(stores int) int {
+	count := LeastPartitions
+	for count < partitionsPerStore*stores {
+		count *= 2
+	}
+	return count
+}
 
 // placeInitially spreads all partitions over the active stores, if there are enough of them for all copies.
 func (d *draft) placeInitially() {
@@ -16,17 +30,31 @@
 		return
 	}
 	stores = interleaveZones(stores, func(entry cluster.StoreEntry) string { return entry.Zone })
-	for id := range PartitionCount {
+	for id := range partitionCount(len(stores)) {
 		first := stores[id%len(stores)]
 		partition := cluster.Partition{ID: id, Epoch: 1, Replicas: []cluster.Replica{replicaAt(first, true)}}
 		for len(partition.Replicas) < d.copies {
 			next := d.replacement(partition.Replicas, "")
 			partition.Replicas = append(partition.Replicas, replicaAt(*next, true))
 		}
-		d.partitions = append(d.partitions, partition)
+		d.partitions = append(d.partitions, cluster.Partition{ID: id})
+		d.setPartition(id, partition)
 	}
 }
 
+// setPartition puts a partition's view into the draft. All changes of views go through it.
+func (d *draft) setPartition(id int, view cluster.Partition) {
+	if d.copyCounts != nil {
+		for _, replica := range d.partitions[id].Replicas {
+			d.copyCounts[replica.Store]--
+		}
+		for _, replica := range view.Replicas {
+			d.copyCounts[replica.Store]++
+		}
+	}
+	d.partitions[id] = view
+}
+
 func replicaAt(store cluster.StoreEntry, synced bool) cluster.Replica {
 	return cluster.Replica{Store: store.Name, DiskID: store.DiskID, Synced: synced}
 }
@@ -69,6 +97,7 @@
 // a zone that holds none yet, then the one with the fewest copies, then the first by name. One store may be excluded.
 func (d *draft) replacement(replicas []cluster.Replica, exclude string) *cluster.StoreEntry {
 	load := d.replicaCounts()
+	taken := d.zonesOf(replicas)
 	var best *cluster.StoreEntry
 	bestShared := false
 	for i := range d.stores {
@@ -76,7 +105,7 @@
 		if candidate.State != cluster.StoreActive || candidate.Name == exclude || holds(replicas, candidate.Name) {
 			continue
 		}
-		shared := d.sharesZone(replicas, candidate.Zone)
+		shared := slices.Contains(taken, candidate.Zone)
 		switch {
 		case best == nil,
 			bestShared && !shared,
@@ -91,18 +120,27 @@
 	return slices.ContainsFunc(replicas, func(replica cluster.Replica) bool { return replica.Store == store })
 }
 
-func (d *draft) sharesZone(replicas []cluster.Replica, zone string) bool {
-	return slices.ContainsFunc(replicas, func(replica cluster.Replica) bool { return d.zone(replica.Store) == zone })
+// zonesOf returns the zones that replicas stand in.
+func (d *draft) zonesOf(replicas []cluster.Replica) []string {
+	zones := make([]string, 0, len(replicas))
+	for _, replica := range replicas {
+		zones = append(zones, d.zone(replica.Store))
+	}
+	return zones
 }
 
+// replicaCounts counts the copies that each store holds. They are counted once and kept up to date.
 func (d *draft) replicaCounts() map[string]int {
-	counts := make(map[string]int, len(d.stores))
+	if d.copyCounts != nil {
+		return d.copyCounts
+	}
+	d.copyCounts = make(map[string]int, len(d.stores))
 	for _, partition := range d.partitions {
 		for _, replica := range partition.Replicas {
-			counts[replica.Store]++
+			d.copyCounts[replica.Store]++
 		}
 	}
-	return counts
+	return d.copyCounts
 }
 
 // primaryCounts counts the partitions that each store leads, or is to lead.
--- a/internal/controlplane/placement_random_test.go
+++ b/internal/controlplane/placement_random_test.go
@@ -67,7 +67,7 @@
 
 func (w *placementWorld) requireBalance(stores []string) {
 	w.t.Helper()
-	least, most := PartitionCount, 0
+	least, most := LeastPartitions, 0
 	for _, store := range stores {
 		least, most = min(least, w.leads(store)), max(most, w.leads(store))
 	}
--- a/internal/controlplane/placement_test.go
+++ b/internal/controlplane/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,7 +178,7 @@
 		world.requireWhole()
 		for _, store := range stores {
 			leads := world.leads(store)
-			assert.Assert(t, leads >= PartitionCount/count && leads <= PartitionCount/count+1, "%s leads %d", store, leads)
+			assert.Assert(t, leads >= LeastPartitions/count && leads <= LeastPartitions/count+1, "%s leads %d", store, leads)
 		}
 		for _, partition := range world.current.table.Partitions {
 			first, second := partition.Replicas[0].Store, partition.Replicas[1].Store
@@ -382,3 +383,49 @@
 		return nil
 	}))
 }
+
+func TestPartitionsGrowWithTheStoresAtTheFounding(t *testing.T) {
+	for stores, partitions := range map[int]int{1: 64, 17: 64, 22: 128, 100: 512, 6500: 32_768} {
+		assert.Equal(t, partitionCount(stores), partitions, "%d stores", stores)
+	}
+}
+
+// A large loss is repaired in steps: first the partitions that nobody leads, then those that lack a copy.
+func TestLargeLossIsRepairedInSteps(t *testing.T) {
+	const stores = 700
+	var names []string
+	for i := range stores {
+		names = append(names, fmt.Sprintf("store-%03d", i))
+	}
+	world := newPlacementWorld(t, 2, names...)
+	assert.NilError(t, world.plan())
+	for i := 0; i < stores; i += 4 {
+		world.stop(names[i])
+	}
+	steps := 0
+	for before := uint64(0); world.current.table.Revision != before; steps++ {
+		before = world.current.table.Revision
+		draft := newDraft(world.current, world.nodes, world.copies)
+		draft.updateStores()
+		more := draft.repair()
+		changed := changedPartitions(draft.partitions, world.current.table.Partitions)
+		assert.Assert(t, len(changed) <= repairsAtOnce)
+		assert.Equal(t, more, len(changed) == repairsAtOnce)
+		if more {
+			leaderless := slices.ContainsFunc(draft.partitions, draft.leaderless)
+			assert.Assert(t, !leaderless || steps == 0)
+		}
+		if change := draft.diff(world.current); change != nil {
+			next := *world.current
+			applyTable(&next, change)
+			world.current = &next
+		}
+	}
+	assert.Assert(t, steps > 2, "%d steps", steps)
+	for _, partition := range world.current.table.Partitions {
+		for _, replica := range partition.Replicas {
+			assert.Assert(t, world.nodes[replica.Store].live)
+		}
+		assert.Equal(t, len(partition.Replicas), 2)
+	}
+}
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -48,6 +48,7 @@
 	leases   *leaseTable
 	workers  workerCache
 	packer   bodyPacker
+	encoded  newsCaches
 	manager  *manager
 	members  *memberManager
 	reader   *workerReader
--- a/internal/controlplane/rebalance.go
+++ b/internal/controlplane/rebalance.go
@@ -72,16 +72,18 @@
 	if best < 0 {
 		return false
 	}
-	d.wish(&d.partitions[best], to)
+	d.setPartition(best, d.wish(d.partitions[best], to))
 	return true
 }
 
-func (d *draft) wish(partition *cluster.Partition, to string) {
+// wish returns a partition's view with another store wanted as its primary.
+func (d *draft) wish(partition cluster.Partition, to string) cluster.Partition {
 	partition.Wanted = to
 	if partition.Find(to) >= 0 {
-		return
+		return partition
 	}
 	added := replicaAt(*d.store(to), false)
 	partition.Replicas = append(slices.Clone(partition.Replicas), added)
 	partition.Epoch++
+	return partition
 }
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -6,12 +6,38 @@
 	"ivyfold/internal/cluster"
 )
 
-// repair brings every replica group in line with the stores: it promotes a synced backup where a primary is down,
-// replaces copies that are lost or to be moved, and drops those that are too many.
-func (d *draft) repair() {
-	for i := range d.partitions {
-		d.partitions[i] = d.repairPartition(d.partitions[i])
+// repairsAtOnce bounds the views that one step changes, so that the loss of a zone does not hold up the primary of the
+// control group for longer than its lease.
+const repairsAtOnce = 512
+
+// repair brings replica groups in line with the stores: it promotes a synced backup where a primary is down, replaces
+// copies that are lost or to be moved, and drops those that are too many. Partitions that nobody leads come first. It
+// tells whether there may be more to do.
+func (d *draft) repair() bool {
+	changed := 0
+	for _, urgent := range []bool{true, false} {
+		for i := range d.partitions {
+			if d.leaderless(d.partitions[i]) != urgent {
+				continue
+			}
+			next := d.repairPartition(d.partitions[i])
+			if equalPartitions(next, d.partitions[i]) {
+				continue
+			}
+			d.setPartition(i, next)
+			changed++
+			if changed >= repairsAtOnce {
+				return true
+			}
+		}
 	}
+	return false
+}
+
+// leaderless tells whether a partition's primary is down.
+func (d *draft) leaderless(partition cluster.Partition) bool {
+	primary, found := partition.Primary()
+	return found && !d.alive(primary)
 }
 
 func (d *draft) repairPartition(partition cluster.Partition) cluster.Partition {
@@ -174,7 +200,7 @@
 }
 
 func (d *draft) surplusRank(replica cluster.Replica, load map[string]int) int {
-	const retiring, unsynced = 2 * PartitionCount, PartitionCount + 1
+	retiring, unsynced := 2*len(d.partitions), len(d.partitions)+1
 	switch {
 	case d.retiring(replica):
 		return retiring
--- a/internal/controlplane/stores.go
+++ b/internal/controlplane/stores.go
@@ -31,6 +31,18 @@
 	for i := range d.stores {
 		d.stores[i].State = d.stateOf(&d.stores[i])
 	}
+	d.noteAlive()
+}
+
+// noteAlive notes the disks of the stores that can serve. Every partition's replicas are looked up in it.
+func (d *draft) noteAlive() {
+	d.aliveDisks = make(map[string]string, len(d.stores))
+	for _, entry := range d.stores {
+		switch entry.State {
+		case cluster.StoreActive, cluster.StoreLeaving, cluster.StoreRetiring:
+			d.aliveDisks[entry.Name] = entry.DiskID
+		}
+	}
 }
 
 func (d *draft) stateOf(entry *cluster.StoreEntry) cluster.StoreState {
--- a/internal/controlplane/sync.go
+++ b/internal/controlplane/sync.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"ivyfold/internal/cluster"
 	"ivyfold/internal/rpc"
 )
@@ -28,13 +31,16 @@
 	for {
 		stateChanged := p.state.changed.next()
 		workersChanged := p.workersChangedFor(&request)
-		response, body := p.news(&request)
+		response, body, err := p.news(&request)
+		if err != nil {
+			return nil, nil, err
+		}
 		if packed, pays := p.packBody(&request, response, body); pays {
 			response.Packed = true
 			body = packed
 		}
 		if response.hasNews() || wait <= 0 {
-			return response.SyncResponse, body, nil
+			return response, body, nil
 		}
 		select {
 		case <-stateChanged:
@@ -69,56 +75,97 @@
 	return p.workers.changed.next()
 }
 
-// syncNews is an answer to a sync.
-type syncNews struct{ cluster.SyncResponse }
+// syncNews is an answer to a sync. Its parts that many callers get alike are encoded once for all of them; they stand in
+// the place of the fields of SyncResponse with the same names.
+type syncNews struct {
+	cluster.SyncResponse
+	Table         json.RawMessage `json:"table,omitempty"`
+	TableChanges  json.RawMessage `json:"tableChanges,omitempty"`
+	Workers       json.RawMessage `json:"workers,omitempty"`
+	WorkerChanges json.RawMessage `json:"workerChanges,omitempty"`
+}
 
 func (n *syncNews) hasNews() bool {
-	return n.ConfigVersion != 0 || n.Table != nil || len(n.TableChanges) > 0 || n.Workers != nil
+	return n.ConfigVersion != 0 || len(n.Table)+len(n.TableChanges)+len(n.Workers)+len(n.WorkerChanges) > 0
+}
+
+// newsCaches hold the encoded parts of answers to syncs.
+type newsCaches struct {
+	table   encodeCache[uint64]
+	workers encodeCache[cluster.WorkerVersion]
 }
 
 // addTable adds what is newer than a revision of the table.
-func (n *syncNews) addTable(current *content, revision uint64) {
-	if current.table.Revision <= revision {
-		return
+func (p *Plane) addTable(response *syncNews, current *content, revision uint64) error {
+	newest := current.table.Revision
+	if newest <= revision {
+		return nil
 	}
-	missing := current.table.Revision - revision
+	missing := newest - revision
+	var err error
 	if revision == 0 || missing > uint64(len(current.changes)) {
-		n.Table = current.table
-		return
+		response.Table, err = p.encoded.table.get(0, newest, current.table)
+		return trace.Wrap(err)
+	}
+	changes := current.changes[uint64(len(current.changes))-missing:]
+	response.TableChanges, err = p.encoded.table.get(revision, newest, changes)
+	return trace.Wrap(err)
+}
+
+// addWorkers adds what is newer than the list of workers that the caller holds.
+func (p *Plane) addWorkers(response *syncNews, request *cluster.SyncRequest) error {
+	workers, readAt := p.workers.load()
+	response.WorkersAgeMS = -1
+	if workers == nil {
+		return nil
 	}
-	n.TableChanges = current.changes[uint64(len(current.changes))-missing:]
+	response.WorkersAgeMS = time.Since(readAt).Milliseconds()
+	response.WorkerCount = len(workers.Workers)
+	held := cluster.WorkerVersion{Epoch: request.WorkersEpoch, Revision: request.WorkersRevision}
+	older := &cluster.WorkerList{Epoch: held.Epoch, Revision: held.Revision}
+	if !request.Node.Store || !workers.NewerThan(older) {
+		return nil
+	}
+	var err error
+	if changes, known := p.workers.since(held); known {
+		newest := changes[len(changes)-1].To
+		response.WorkerChanges, err = p.encoded.workers.get(held, newest, changes)
+		return trace.Wrap(err)
+	}
+	response.Workers, err = p.encoded.workers.get(cluster.WorkerVersion{}, workers.Version(), workers)
+	return trace.Wrap(err)
 }
 
 // news collects what is newer than what the caller holds.
-func (p *Plane) news(request *cluster.SyncRequest) (*syncNews, []byte) {
+func (p *Plane) news(request *cluster.SyncRequest) (*syncNews, []byte, error) {
 	current := p.state.current.Load()
 	response := &syncNews{}
 	response.Lease = cluster.LeaseDuration.Milliseconds()
-	response.addTable(current, request.TableRevision)
-	held := &cluster.WorkerList{Epoch: request.WorkersEpoch, Revision: request.WorkersRevision}
-	workers, readAt := p.workers.load()
-	response.WorkersAgeMS = -1
-	if workers != nil {
-		response.WorkersAgeMS = time.Since(readAt).Milliseconds()
-		response.WorkerCount = len(workers.Workers)
-		if request.Node.Store && workers.NewerThan(held) {
-			response.Workers = workers
-		}
+	if err := p.addTable(response, current, request.TableRevision); err != nil {
+		return nil, nil, err
+	}
+	if err := p.addWorkers(response, request); err != nil {
+		return nil, nil, err
 	}
-	if current.version() <= request.ConfigVersion {
-		return response, nil
+	return response, addConfiguration(response, current, request.ConfigVersion), nil
+}
+
+// addConfiguration announces what is newer than a version of the configuration, and returns it.
+func addConfiguration(response *syncNews, current *content, version uint64) []byte {
+	if current.version() <= version {
+		return nil
 	}
 	response.ConfigVersion = current.version()
-	updates, found := current.updatesSince(request.ConfigVersion)
+	updates, found := current.updatesSince(version)
 	if !found {
-		return response, current.document.JSON()
+		return current.document.JSON()
 	}
 	var body []byte
 	for _, update := range updates {
 		response.ConfigUpdates = append(response.ConfigUpdates, len(update.body))
 		body = append(body, update.body...)
 	}
-	return response, body
+	return body
 }
 
 // updatesSince returns the updates that lead from a version to the current one, and false where they are not known or
--- a/internal/controlplane/workerlist.go
+++ b/internal/controlplane/workerlist.go
@@ -23,9 +23,16 @@
 	workerFetchTimeout = time.Second
 	idleConnections    = 5 * time.Second
 
-	methodWorkers = "control.workers" // empty -> cluster.WorkerList, at the primary
+	methodWorkers = "control.workers" // cluster.WorkerVersion -> workersAnswer, at the primary
 )
 
+// workersAnswer leads from the version that the caller holds to the newest list of workers: by changes where they are
+// known, else as a whole.
+type workersAnswer struct {
+	Changes []cluster.WorkerChange `json:"changes,omitempty"`
+	List    *cluster.WorkerList    `json:"list,omitempty"`
+}
+
 // workerNews is what the primary tells its backups of the list of workers with each heartbeat.
 type workerNews struct {
 	Epoch    uint64 `json:"epoch"`
@@ -38,6 +45,7 @@
 type workerCache struct {
 	mutex   sync.Mutex
 	list    *cluster.WorkerList
+	history workerHistory
 	readAt  time.Time
 	changed broadcast
 }
@@ -49,6 +57,19 @@
 	return c.list, c.readAt
 }
 
+// since returns the changes that lead from a version to the newest list, and false where they are not known.
+func (c *workerCache) since(version cluster.WorkerVersion) ([]cluster.WorkerChange, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.history.since(version)
+}
+
+// replace puts a newer list in the place of the one held. The caller holds the lock.
+func (c *workerCache) replace(next *cluster.WorkerList) {
+	c.history.add(c.list, next)
+	c.list = next
+}
+
 // noteRead takes in what the platform's list held. It gets a new revision only where something has changed that
 // matters for a choice between workers.
 func (c *workerCache) noteRead(epoch uint64, workers []cluster.Worker, now time.Time) {
@@ -63,7 +84,7 @@
 	if known != nil && known.Epoch == epoch {
 		next.Revision = known.Revision + 1
 	}
-	c.list = next
+	c.replace(next)
 	c.mutex.Unlock()
 	c.changed.fire()
 }
@@ -82,7 +103,8 @@
 		return
 	}
 	list.ReadAt = readAt
-	c.list, c.readAt = list, readAt
+	c.replace(list)
+	c.readAt = readAt
 	c.mutex.Unlock()
 	c.changed.fire()
 }
@@ -191,19 +213,34 @@
 	defer r.fetching.unlock()
 	ctx, cancel := context.WithTimeout(r.plane.lifetime, workerFetchTimeout)
 	defer cancel()
-	var list cluster.WorkerList
-	if _, err := r.plane.options.Pool.Get(address).Call(ctx, methodWorkers, struct{}{}, nil, &list); err != nil {
+	held, _ := r.plane.workers.load()
+	var answer workersAnswer
+	_, err := r.plane.options.Pool.Get(address).Call(ctx, methodWorkers, held.Version(), nil, &answer)
+	if err != nil {
 		r.plane.logger.Debug("list of workers not fetched", zap.Error(trace.Wrap(err)))
 		return
 	}
-	r.plane.workers.store(&list, readAt)
+	list := answer.List
+	if list == nil {
+		list, _ = held.ApplyAll(answer.Changes)
+	}
+	if list != nil {
+		r.plane.workers.store(list, readAt)
+	}
 }
 
 // handleWorkers gives the list to another member.
-func (r *workerReader) handleWorkers(context.Context, *rpc.Call) (any, []byte, error) {
+func (r *workerReader) handleWorkers(_ context.Context, call *rpc.Call) (any, []byte, error) {
+	var held cluster.WorkerVersion
+	if err := call.Decode(&held); err != nil {
+		return nil, nil, err
+	}
+	if changes, known := r.plane.workers.since(held); known {
+		return workersAnswer{Changes: changes}, nil, nil
+	}
 	list, _ := r.plane.workers.load()
 	if list == nil {
 		return nil, nil, unavailable("no list of workers yet")
 	}
-	return list, nil, nil
+	return workersAnswer{List: list}, nil, nil
 }
