--- a/internal/capacity/control_bench_test.go
+++ b/internal/capacity/control_bench_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 
@@ -63,6 +64,30 @@
 	b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(b.N)/count, "cpu-ns/worker")
 }
 
+// BenchmarkWorkerChange takes in a change of one entry in lists of several sizes.
+func BenchmarkWorkerChange(b *testing.B) {
+	for _, count := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("workers=%d", count), func(b *testing.B) {
+			list := workersOf(count)
+			next := *list
+			next.Revision++
+			next.Workers = slices.Clone(list.Workers)
+			next.Workers[count/2].Draining = true
+			change := cluster.DiffWorkers(list, &next, func(a, b cluster.Worker) bool { return a == b })
+			encoded := encode(b, change)
+			before := processorTime()
+			b.ResetTimer()
+			for range b.N {
+				received := decode[cluster.WorkerChange](b, encoded)
+				_, applied := list.Apply(received)
+				assert.Assert(b, applied)
+			}
+			b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(b.N)/float64(count), "cpu-ns/worker")
+			b.ReportMetric(float64(len(encoded)), "bytes")
+		})
+	}
+}
+
 // BenchmarkConfigurationUpdate applies an update of one route to configurations of several sizes.
 func BenchmarkConfigurationUpdate(b *testing.B) {
 	for _, routes := range []int{100, 1000, 10_000} {
--- a/internal/capacity/formulas.go
+++ b/internal/capacity/formulas.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "math"
+
 const (
 	eventsEach  = eventsPerSecond / dispatchers
 	backlogEach = backlog / dispatchers
@@ -40,15 +42,20 @@
 	const part = "Retries"
 	c.add(Row{Part: part, Quantity: "heap entries of messages of destinations that are down", Unit: bytes, Limit: storeMemory,
 		Need: backlogEach * c.of("queue.memory"), Mechanism: "`delivery/lane.go`"})
-	c.add(Row{Part: part, Quantity: "attempts at destinations that are down, of a dispatcher that holds messages of all", Unit: perSecond,
-		Limit: eventsEach, Need: destinations * downPart / longestRetryPause, Mechanism: "`delivery/window.go`"})
-	c.add(Row{Part: part, Quantity: "turns of the loop, three an event, over all services", Unit: percentOfCore, Limit: storeCore,
-		Need:      eventsEach * turnsPerEvent * c.of("turn.service") * nano * destinations / workersPerService * toPercent,
-		Mechanism: "`delivery/loop.go`"})
+	c.add(Row{Part: part, Quantity: "attempts at destinations that have been down for an hour, of a dispatcher that holds messages of all",
+		Unit: perSecond, Limit: eventsEach, Need: destinations * downPart / pauseAfterAnHour, Mechanism: "`delivery/window.go`"})
+	c.add(Row{Part: part, Quantity: "turns of the loop, three an event, with 10,000 services", Unit: percentOfCore, Limit: storeCore,
+		Need: eventsEach * turnsPerEvent * c.of("turn.event") * nano * toPercent, Mechanism: "`delivery/agenda.go`"})
+	c.add(Row{Part: part, Quantity: "looks at all 71,000 services, four a second", Unit: percentOfCore, Limit: storeCore,
+		Need: fullLooksPerSecond * c.of("look.service") * nano * destinations / workersPerService * toPercent, Mechanism: "`delivery/agenda.go`"})
 }
 
-// longestRetryPause is for how long a service that is down is left alone at most, in seconds; internal/delivery/window.go.
-const longestRetryPause = 0.08
+// pauseAfterAnHour is for how long a service is left alone that has been down for an hour, in seconds: a hundredth of it;
+// internal/delivery/window.go.
+const pauseAfterAnHour = 36
+
+// fullLooksPerSecond is how often the loop looks at all services; internal/delivery/agenda.go.
+const fullLooksPerSecond = 4
 
 // turnsPerEvent: a message is submitted, started and ended.
 const turnsPerEvent = 3
@@ -59,16 +66,25 @@
 		Need: destinations / listPageEntries, Mechanism: "`controlplane/workerread.go`"})
 	c.add(Row{Part: part, Quantity: "time to read it", Unit: seconds, Limit: listFreshSeconds,
 		Need: destinations / listPageEntries / listPagesPerSecond, Mechanism: "`controlplane/workerread.go`"})
-	c.add(Row{Part: part, Quantity: "sent to a dispatcher, one list a second as today", Unit: bytesPerSecond, Limit: controlBytesLimit,
-		Need: destinations * c.of("workers.bytes"), Mechanism: "`controlplane/sync.go`"})
-	c.add(Row{Part: part, Quantity: "the same as changes only, to everyone", Unit: bytesPerSecond, Limit: controlBytesLimit,
-		Need: workerChangesPerDay / secondsPerDay * c.of("workers.bytes"), Mechanism: "(not built)"})
+	c.add(Row{Part: part, Quantity: "its changes, to every dispatcher", Unit: bytesPerSecond, Limit: controlBytesLimit,
+		Need: workerChangesPerDay / secondsPerDay * c.of("workers.bytes"), Mechanism: "`cluster/workerchange.go`, `controlplane/workerhistory.go`"})
+	c.add(Row{Part: part, Quantity: "the whole list, to those that start", Unit: bytesPerSecond, Limit: memberLink,
+		Need:      (restartsPerDay + failuresPerDay) / secondsPerDay * destinations * c.of("workers.bytes"),
+		Mechanism: "`controlplane/sync.go`"})
 	c.add(Row{Part: part, Quantity: "in memory, of a dispatcher", Unit: bytes, Limit: controlMemoryLimit,
 		Need: destinations * c.of("workers.memory"), Mechanism: "`cluster/types.go`"})
-	c.add(Row{Part: part, Quantity: "reading one version, of a dispatcher", Unit: seconds, Limit: controlCoreLimit / toPercent,
+	c.add(Row{Part: part, Quantity: "taking in its changes, two versions a second, of a dispatcher", Unit: percentOfCore, Limit: controlCoreLimit,
+		Need: listVersionsPerSecond * destinations * c.of("workers.change") * nano * toPercent, Mechanism: "`cluster/workerchange.go`"})
+	c.add(Row{Part: part, Quantity: "the same in the delivery engine, for all services", Unit: percentOfCore, Limit: storeCore,
+		Need: listVersionsPerSecond * destinations * c.of("workers.take") * nano * toPercent, Mechanism: "`delivery/apply.go`"})
+	c.add(Row{Part: part, Quantity: "reading the whole list at a start", Unit: seconds, Limit: recoverSeconds,
 		Need: destinations * c.of("workers.decode") * nano, Mechanism: "`cluster/agent_sync.go`"})
 }
 
+// listVersionsPerSecond is how often the list of workers is read at most, and so how often it changes;
+// internal/controlplane/workerlist.go.
+const listVersionsPerSecond = 2
+
 func (c *calculation) leases() {
 	const part = "Leases"
 	c.add(Row{Part: part, Quantity: "bytes, of a dispatcher", Unit: bytesPerSecond, Limit: controlBytesLimit,
@@ -121,7 +137,7 @@
 
 func (c *calculation) placement() {
 	const part = "Placement"
-	c.add(Row{Part: part, Quantity: "dispatchers that can lead a partition", Unit: plain, Limit: partitionsOfToday,
+	c.add(Row{Part: part, Quantity: "dispatchers that can lead a partition", Unit: plain, Limit: partitionsAtTarget,
 		Need: dispatchers, Mechanism: "`controlplane/placement.go`"})
 	c.add(Row{Part: part, Quantity: "table of 32,500 partitions in memory", Unit: bytes, Limit: controlMemoryLimit,
 		Need: wanted*c.of("table.memory") + dispatchers*storeEntryBytes, Mechanism: "`cluster/types.go`"})
@@ -144,10 +160,15 @@
 		Need: c.of("declared.max") / millisecondsPerSecond, Mechanism: "`controlplane/leases.go`"})
 	c.add(Row{Part: "A zone lost", Quantity: "one plan of the primary, 32,500 partitions", Unit: seconds, Limit: leaseSeconds,
 		Need: c.of("zone.plan") * nano, Mechanism: "`controlplane/repair.go`"})
+	c.add(Row{Part: "A zone lost", Quantity: "all plans until every partition has its copies in the table", Unit: seconds, Limit: changeLimitSeconds,
+		Need: math.Ceil(wanted*copies/zones/repairsAtOnce) * c.of("zone.plan") * nano, Mechanism: "`controlplane/repair.go`"})
 	c.add(Row{Part: "A zone lost", Quantity: "backlog copied again by the rest within a day", Unit: bytesPerSecond, Limit: storeDiskRate,
 		Need: heldEach * c.of("keep.disk") / (zones - 1) / secondsPerDay, Mechanism: "`messagestore/resync.go`"})
 }
 
+// repairsAtOnce is how many views one plan changes at most; internal/controlplane/repair.go.
+const repairsAtOnce = 512
+
 // leaseSeconds is how long a lease runs: a primary that plans for longer loses its own.
 const leaseSeconds = 1.5
 
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -44,5 +44,5 @@
 	storeEntryBytes     = 200.0            // of a store in the cluster table
 	managerStepsPerSec  = 10.0             // internal/controlplane/manager.go
 	inventorySeconds    = 1.0              // internal/messagestore/limits.go
-	partitionsOfToday   = 64.0             // internal/controlplane/placement.go
+	partitionsAtTarget  = 32_768.0         // of a system founded with 6,500 stores; internal/controlplane/placement.go
 )
