Go through the control group's protocol exhaustively, and check the operators' calls for linearizability

The protocol was played over random schedules only, and histories of the configuration by single rules.

One violation on the way was the model's own: it let a candidate's copies go out before its majority.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 # Packages that run in bubbles of testing/synctest go twice: under the race detector on one processor, and without it on all.
 # In a bubble the runtime gives the callbacks of all timer channels one context of the race detector, and two goroutines
 # that receive from expired timers at the same moment corrupt it (SIGSEGV in its stack depot; eight
-# goroutines that each make a timer of 0 s and receive without waiting end so within a second). The detector finds races by their order, so one processor is enough for it.
+# goroutines that each make a timer of 0 s and receive without waiting end so within a second). The detector finds races by
+# their order, so one processor is enough for it.
 SYNCTEST_PACKAGES = $$(grep -rl --include=*_test.go '"testing/synctest"' . | xargs -n 1 dirname | sort -u | grep -v -e /internal/faults)
 OTHER_PACKAGES = $$(go list ./... | grep -v -e /internal/faults -e /internal/lease -e /internal/replica | \
 	grep -v -x -F "$$(go list $(SYNCTEST_PACKAGES))")
@@ -79,6 +80,13 @@
 leases:
 	LEASE_STATES=$(LEASE_STATES) LEASE_WALKS=$(LEASE_WALKS) go test ./internal/lease -count=1 -v -timeout 60m
 
+# The protocol of the control group, all of it within some bounds; docs/replication.md has the table.
+.PHONY: explore
+EXPLORE_STATES ?= 2500000
+EXPLORE_WALKS ?= 20000
+explore:
+	EXPLORE_STATES=$(EXPLORE_STATES) EXPLORE_WALKS=$(EXPLORE_WALKS) go test ./internal/controlplane/replication -run 'TestExplore|TestRandomWalks|TestMutations' -count=1 -v -timeout 60m
+
 # Capacity: `make capacity` computes the tables of docs/CAPACITY.md anew from internal/capacity/slopes.json, and
 # `make capacity-bench` measures again what benchmarks can. `make scale` runs hollow dispatchers beside a control group.
 .PHONY: capacity capacity-bench scale
--- /dev/null
+++ b/internal/controlplane/replication/explorer_model_test.go
@@ -0,0 +1,580 @@
+//go:build !race
+
+package replication
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// The model is the group's protocol without time, disks and connections: what processes do upon calls, in any order.
+// A call may be handled at any later moment or never, and its answer may be lost. An answer that is late adds nothing:
+// its receiver's steps are all optional, so it may as well have come early. Leases only make elections rarer; the model
+// has none, and so allows more than the group does. The rules of quorums and witnesses are the group's own code.
+
+// modelDisks is the most disks that a model has, a replacement among them.
+const modelDisks = 5
+
+// diskSet is a set of disks by number.
+type diskSet uint8
+
+func (s diskSet) has(disk int) bool         { return s&(1<<disk) != 0 }
+func (s diskSet) with(disk int) diskSet     { return s | 1<<disk }
+func (s diskSet) without(disk int) diskSet  { return s &^ (1 << disk) }
+func (s diskSet) union(o diskSet) diskSet   { return s | o }
+func (s diskSet) contains(o diskSet) bool   { return o&^s == 0 }
+func setOf(count int) diskSet               { return 1<<count - 1 }
+func diskName(disk int) string              { return string(rune('a' + disk)) }
+func (s diskSet) isMember(name string) bool { return s.has(int(name[0] - 'a')) }
+
+func (s diskSet) disks() []int {
+	var all []int
+	for disk := range modelDisks {
+		if s.has(disk) {
+			all = append(all, disk)
+		}
+	}
+	return all
+}
+
+func (s diskSet) members() []Member {
+	var all []Member
+	for _, disk := range s.disks() {
+		all = append(all, Member{Name: diskName(disk), DiskID: diskName(disk)})
+	}
+	return all
+}
+
+// modelView is a View with sets in place of lists.
+type modelView struct {
+	epoch    uint8
+	primary  int8
+	inSync   diskSet
+	members  diskSet
+	previous diskSet
+}
+
+func (v modelView) view() View {
+	view := View{Epoch: uint64(v.epoch), Primary: diskName(int(v.primary)), Members: v.members.members(), Previous: v.previous.members()}
+	for _, disk := range v.inSync.disks() {
+		view.InSync = append(view.InSync, diskName(disk))
+	}
+	return view
+}
+
+func (v modelView) everyone() diskSet { return v.members.union(v.previous) }
+
+// modelEntry is a change in a log: the epoch in which it was made, and which change it is.
+type modelEntry struct{ epoch, change uint8 }
+
+// modelLog is a log, as a string of pairs, so that states can be compared.
+type modelLog string
+
+func (l modelLog) len() int { return len(l) / 2 }
+
+func (l modelLog) at(index int) modelEntry { return modelEntry{l[2*index], l[2*index+1]} }
+
+func (l modelLog) append(added modelEntry) modelLog {
+	return l + modelLog([]byte{added.epoch, added.change})
+}
+
+func (l modelLog) prefix(length int) modelLog { return l[:2*length] }
+
+func (l modelLog) extends(other modelLog) bool { return strings.HasPrefix(string(l), string(other)) }
+
+// last is the position of the end.
+func (l modelLog) last() position {
+	if l.len() == 0 {
+		return position{}
+	}
+	return position{Epoch: uint64(l.at(l.len() - 1).epoch), Index: uint64(l.len())}
+}
+
+// modelDisk is what one disk holds, and what its process has in memory.
+type modelDisk struct {
+	promised   uint8
+	promisedTo int8
+	accepted   modelView
+	log        modelLog
+	lost       bool
+
+	follows  uint8 // the epoch whose primary's log this process follows; 0 after a restart
+	phase    modelPhase
+	epoch    uint8 // that it stands or leads in
+	granted  diskSet
+	newest   modelView // of those that have come with promises
+	making   modelView
+	taken    diskSet // disks that have been aligned, then those that have accepted
+	acks     [maxChanges]diskSet
+	learners diskSet // taught, to become members
+}
+
+// modelPhase is how far a process has got in making a view.
+type modelPhase uint8
+
+const (
+	following modelPhase = iota
+	collecting
+	aligning
+	accepting
+	primary
+)
+
+// maxChanges bounds the entries of a log.
+const maxChanges = 3
+
+// candidacy is what a process has sent out in an epoch: calls that may still be handled.
+type candidacy struct {
+	stood bool
+	asked bool // to follow its log, once it had a majority's promises
+	base  modelView
+	log   modelLog // at the start of the epoch
+	wrote modelLog // with what was proposed since
+	view  modelView
+}
+
+// modelState is a state of the whole group.
+type modelState struct {
+	disks       [modelDisks]modelDisk
+	candidacies [modelDisks][maxEpochs + 1]candidacy
+	acked       modelLog // what was acknowledged, in order
+	crashes     uint8
+	losses      uint8
+	joined      uint8
+	proposed    uint8
+	led         uint8 // the highest epoch that anyone has led in
+}
+
+// maxEpochs bounds the epochs.
+const maxEpochs = 4
+
+// modelRules are the rules that mutations change.
+type modelRules struct {
+	quorum       func(view modelView, has diskSet) bool
+	allows       func(disk *modelDisk, epoch uint8, candidate int) bool
+	mayAppend    func(disk *modelDisk, epoch uint8, from int) bool
+	maySucceed   func(newest modelView, candidate int) bool
+	committed    func(view modelView, acks diskSet) bool
+	restart      func(disk *modelDisk)
+	vote         func(disk *modelDisk, voter int, base modelView) bool
+	wipedReturns bool // a wiped disk comes back under its old name
+}
+
+// groupRules are the group's own.
+func groupRules() modelRules {
+	type question struct{ members, previous, has diskSet }
+	answers := map[question]bool{}
+	return modelRules{
+		quorum: func(view modelView, has diskSet) bool {
+			asked := question{view.members, view.previous, has}
+			answer, known := answers[asked]
+			if !known {
+				answer = view.view().quorum(has.isMember)
+				answers[asked] = answer
+			}
+			return answer
+		},
+		allows: func(disk *modelDisk, epoch uint8, candidate int) bool {
+			record := witnessRecord{Promised: uint64(disk.promised), PromisedTo: diskName(int(disk.promisedTo))}
+			return record.allows(uint64(epoch), diskName(candidate))
+		},
+		mayAppend:  func(disk *modelDisk, epoch uint8, _ int) bool { return disk.follows == epoch },
+		maySucceed: func(newest modelView, candidate int) bool { return newest.inSync.has(candidate) },
+		committed:  func(view modelView, acks diskSet) bool { return acks.contains(view.inSync) },
+		restart:    func(*modelDisk) {},
+		vote: func(disk *modelDisk, voter int, base modelView) bool {
+			view := disk.accepted
+			if base.epoch > view.epoch {
+				view = base
+			}
+			return view.everyone().has(voter)
+		},
+	}
+}
+
+// modelLimits bound what may happen in a play.
+type modelLimits struct {
+	disks   int // members at the founding
+	copies  int
+	epochs  uint8
+	changes uint8
+	crashes uint8
+	losses  uint8
+	joins   uint8 // replacements of lost disks
+	stands  int   // so many of the first disks stand in elections; 0 for all
+}
+
+// founded is the state after the founding: the first disk leads all others.
+func founded(limits modelLimits) modelState {
+	var state modelState
+	all := setOf(limits.disks)
+	view := modelView{epoch: 1, inSync: all, members: all}
+	for disk := range limits.disks {
+		state.disks[disk] = modelDisk{promised: 1, accepted: view, follows: 1}
+	}
+	state.disks[0].phase, state.disks[0].epoch, state.disks[0].making = primary, 1, view
+	state.candidacies[0][1] = candidacy{stood: true, asked: true, base: view, view: view}
+	state.led = 1
+	return state
+}
+
+// modelStep is a state that may follow another, and how.
+type modelStep struct {
+	name  string
+	state modelState
+}
+
+// model plays the protocol.
+type model struct {
+	rules  modelRules
+	limits modelLimits
+	named  bool // steps get names
+}
+
+// next returns all states that may follow a state.
+func (m *model) next(state *modelState) []modelStep {
+	var steps []modelStep
+	add := func(next modelState, format string, args ...any) {
+		if next == *state {
+			return
+		}
+		step := modelStep{state: next}
+		if m.named {
+			step.name = fmt.Sprintf(format, args...)
+		}
+		steps = append(steps, step)
+	}
+	for disk := range modelDisks {
+		if state.disks[disk].lost || state.disks[disk].promised == 0 && !state.isSpare(disk) {
+			continue
+		}
+		m.ownSteps(state, disk, add)
+		m.faults(state, disk, add)
+		for other := range modelDisks {
+			if other != disk {
+				m.calls(state, other, disk, add)
+			}
+		}
+	}
+	return steps
+}
+
+// isSpare tells whether a disk is a blank replacement.
+func (s *modelState) isSpare(disk int) bool { return s.joined > 0 && disk == modelDisks-1 }
+
+type addStep func(next modelState, format string, args ...any)
+
+// ownSteps are what a process does by itself.
+func (m *model) ownSteps(state *modelState, disk int, add addStep) {
+	d := &state.disks[disk]
+	m.stand(state, disk, add)
+	switch d.phase {
+	case collecting:
+		m.beginAligning(state, disk, add)
+	case aligning:
+		m.beginAccepting(state, disk, add)
+	case accepting:
+		m.enterView(state, disk, add)
+	case primary:
+		m.propose(state, disk, add)
+	}
+}
+
+// stand takes an epoch for a process: in an election, or as the primary for another view.
+func (m *model) stand(state *modelState, disk int, add addStep) {
+	d := &state.disks[disk]
+	base := d.accepted
+	if base.epoch == 0 || !m.maySucceed(base, disk) || m.limits.stands > 0 && disk >= m.limits.stands {
+		return
+	}
+	for epoch := d.promised + 1; epoch <= m.limits.epochs; epoch++ {
+		if state.candidacies[disk][epoch].stood {
+			continue
+		}
+		next := *state
+		c := &next.disks[disk]
+		c.promised, c.promisedTo, c.follows = epoch, int8(disk), epoch
+		c.phase, c.epoch, c.granted, c.newest = collecting, epoch, diskSet(0).with(disk), base
+		c.making, c.taken, c.acks = modelView{}, 0, [maxChanges]diskSet{}
+		next.candidacies[disk][epoch] = candidacy{stood: true, base: base, log: c.log, wrote: c.log}
+		add(next, "%s stands in %d", diskName(disk), epoch)
+	}
+}
+
+func (m *model) maySucceed(newest modelView, disk int) bool {
+	return newest.everyone().has(disk) && m.rules.maySucceed(newest, disk)
+}
+
+// beginAligning derives the new view, once a majority has promised.
+func (m *model) beginAligning(state *modelState, disk int, add addStep) {
+	d := &state.disks[disk]
+	if d.newest.epoch >= d.epoch || !m.rules.quorum(d.newest, d.granted) || !m.maySucceed(d.newest, disk) {
+		return
+	}
+	begin := func(members, previous diskSet, what string) {
+		next := *state
+		c := &next.disks[disk]
+		c.phase = aligning
+		c.making = modelView{epoch: d.epoch, primary: int8(disk), members: members, previous: previous}
+		c.taken = diskSet(0).with(disk)
+		next.candidacies[disk][d.epoch].asked = true
+		add(next, "%s aligns in %d%s", diskName(disk), d.epoch, what)
+	}
+	begin(d.newest.members, d.newest.previous, "")
+	if int(d.newest.primary) != disk {
+		return
+	}
+	if d.newest.previous != 0 && d.newest == d.accepted {
+		begin(d.newest.members, 0, " without the former members")
+	}
+	for _, learner := range d.learners.disks() {
+		for _, removed := range d.newest.members.without(disk).disks() {
+			if d.newest.previous == 0 && !d.newest.members.has(learner) && state.disks[removed].lost {
+				begin(d.newest.members.without(removed).with(learner), d.newest.members, " with a replacement")
+			}
+		}
+	}
+}
+
+// beginAccepting fixes the in-sync set, once enough disks are aligned.
+func (m *model) beginAccepting(state *modelState, disk int, add addStep) {
+	d := &state.disks[disk]
+	view := d.making
+	view.inSync = d.taken & view.members
+	if len(view.inSync.disks()) < view.view().leastInSync(m.limits.copies) {
+		return
+	}
+	if added := view.members &^ view.previous; view.previous != 0 && !view.inSync.contains(added) {
+		return // a new member must be in sync
+	}
+	if !m.allowsNow(state, disk, view.epoch) {
+		return
+	}
+	next := *state
+	c := &next.disks[disk]
+	c.phase, c.making, c.taken = accepting, view, diskSet(0).with(disk)
+	c.accepted = view
+	next.candidacies[disk][view.epoch].view = view
+	add(next, "%s accepts its view %d with %v in sync", diskName(disk), view.epoch, view.inSync.disks())
+}
+
+func (m *model) allowsNow(state *modelState, disk int, epoch uint8) bool {
+	return m.rules.allows(&state.disks[disk], epoch, disk)
+}
+
+// enterView begins to lead, once a majority has accepted. The whole log is committed then.
+func (m *model) enterView(state *modelState, disk int, add addStep) {
+	d := &state.disks[disk]
+	if !m.rules.quorum(d.making, d.taken) || d.promised != d.epoch {
+		return
+	}
+	next := *state
+	c := &next.disks[disk]
+	c.phase, c.acks = primary, [maxChanges]diskSet{}
+	next.led = max(next.led, c.epoch)
+	if c.log.len() > next.acked.len() && c.log.extends(next.acked) {
+		next.acked = c.log
+	}
+	add(next, "%s leads in %d", diskName(disk), d.epoch)
+}
+
+// propose logs a change at the primary.
+func (m *model) propose(state *modelState, disk int, add addStep) {
+	d := &state.disks[disk]
+	if state.proposed >= m.limits.changes || d.log.len() >= maxChanges || d.promised != d.epoch {
+		return
+	}
+	next := *state
+	c := &next.disks[disk]
+	next.proposed++
+	c.log = c.log.append(modelEntry{d.epoch, next.proposed})
+	c.acks[c.log.len()-1] = diskSet(0).with(disk)
+	next.candidacies[disk][d.epoch].wrote = c.log
+	next.acknowledge(m, disk)
+	add(next, "%s proposes change %d", diskName(disk), next.proposed)
+}
+
+// acknowledge notes the changes that the primary may acknowledge, in the order of its log.
+func (s *modelState) acknowledge(m *model, disk int) {
+	d := &s.disks[disk]
+	for index := s.acked.len(); index < d.log.len(); index++ {
+		if d.phase != primary || !m.rules.committed(d.making, d.acks[index]) || !d.log.extends(s.acked) {
+			return
+		}
+		s.acked = s.acked.append(d.log.at(index))
+	}
+}
+
+// faults are crashes, lost disks and their replacement.
+func (m *model) faults(state *modelState, disk int, add addStep) {
+	if state.crashes < m.limits.crashes {
+		next := *state
+		next.crashes++
+		next.disks[disk].restart()
+		m.rules.restart(&next.disks[disk])
+		add(next, "%s restarts", diskName(disk))
+	}
+	if state.losses < m.limits.losses && !state.isSpare(disk) {
+		next := *state
+		next.losses++
+		next.disks[disk] = modelDisk{lost: !m.rules.wipedReturns}
+		if m.rules.wipedReturns {
+			next.disks[disk].accepted = state.disks[disk].accepted
+			next.disks[disk].promised = 1 // it votes as if it had never promised anything later
+		}
+		add(next, "%s loses its disk", diskName(disk))
+	}
+	if state.joined < m.limits.joins && state.losses > 0 {
+		next := *state
+		next.joined++
+		add(next, "a replacement starts")
+	}
+}
+
+// restart forgets what is in memory.
+func (d *modelDisk) restart() {
+	*d = modelDisk{promised: d.promised, promisedTo: d.promisedTo, accepted: d.accepted, log: d.log}
+}
+
+// calls are what one process does upon calls that another has made in any epoch.
+func (m *model) calls(state *modelState, from, to int, add addStep) {
+	for epoch := uint8(1); epoch <= m.limits.epochs; epoch++ {
+		sent := &state.candidacies[from][epoch]
+		if !sent.stood {
+			continue
+		}
+		m.promise(state, from, to, epoch, add)
+		m.attach(state, from, to, epoch, add)
+		m.accept(state, from, to, epoch, add)
+		m.appendEntry(state, from, to, epoch, add)
+	}
+}
+
+// promise handles a call for a promise.
+func (m *model) promise(state *modelState, from, to int, epoch uint8, add addStep) {
+	sent := &state.candidacies[from][epoch]
+	w := &state.disks[to]
+	if !sent.base.everyone().has(to) || !m.rules.allows(w, epoch, from) || !m.rules.vote(w, to, sent.base) {
+		return
+	}
+	next := *state
+	next.disks[to].promiseTo(epoch, from)
+	add(next, "%s promises %d to %s", diskName(to), epoch, diskName(from))
+	if c := &next.disks[from]; c.phase == collecting && c.epoch == epoch {
+		c.granted = c.granted.with(to)
+		if w.accepted.epoch > c.newest.epoch {
+			c.newest = w.accepted
+		}
+		add(next, "%s promises %d to %s, which hears of it", diskName(to), epoch, diskName(from))
+	}
+}
+
+// promiseTo records a promise; a leadership or candidacy in a lower epoch ends.
+func (d *modelDisk) promiseTo(epoch uint8, candidate int) {
+	if d.phase != following && d.epoch < epoch {
+		d.phase, d.making, d.taken, d.granted, d.newest = following, modelView{}, 0, 0, modelView{}
+		d.acks, d.learners = [maxChanges]diskSet{}, 0
+	}
+	d.promised, d.promisedTo = epoch, int8(candidate)
+}
+
+// attach makes a process follow another's log: where both logs end alike, or by a copy of the whole.
+func (m *model) attach(state *modelState, from, to int, epoch uint8, add addStep) {
+	sent := &state.candidacies[from][epoch]
+	w := &state.disks[to]
+	if !sent.asked || !m.rules.allows(w, epoch, from) || epoch < w.follows {
+		return
+	}
+	attached := func(log modelLog, what string) {
+		next := *state
+		next.disks[to].promiseTo(epoch, from)
+		next.disks[to].follows, next.disks[to].log = epoch, log
+		add(next, "%s follows %s in %d%s", diskName(to), diskName(from), epoch, what)
+		if c := &next.disks[from]; c.epoch == epoch && c.log == log {
+			switch {
+			case c.phase == aligning:
+				c.taken = c.taken.with(to)
+			case c.phase == primary && state.isSpare(to):
+				c.learners = c.learners.with(to)
+			default:
+				return
+			}
+			add(next, "%s follows %s in %d%s, which hears of it", diskName(to), diskName(from), epoch, what)
+		}
+	}
+	if sent.base.everyone().has(to) && w.log.last() == sent.log.last() {
+		attached(w.log, "")
+	}
+	for length := sent.log.len(); length <= sent.wrote.len(); length++ {
+		ahead := w.log.len() > length && w.log.last().Epoch == uint64(epoch)
+		if !ahead {
+			attached(sent.wrote.prefix(length), " by a copy")
+		}
+	}
+}
+
+// accept handles a call to accept a view.
+func (m *model) accept(state *modelState, from, to int, epoch uint8, add addStep) {
+	view := state.candidacies[from][epoch].view
+	if view.epoch == 0 || !view.everyone().has(to) || !m.rules.allows(&state.disks[to], epoch, from) {
+		return
+	}
+	next := *state
+	next.disks[to].promiseTo(epoch, from)
+	next.disks[to].accepted = view
+	add(next, "%s accepts the view %d of %s", diskName(to), epoch, diskName(from))
+	if c := &next.disks[from]; c.phase == accepting && c.epoch == epoch {
+		c.taken = c.taken.with(to)
+		add(next, "%s accepts the view %d of %s, which hears of it", diskName(to), epoch, diskName(from))
+	}
+}
+
+// appendEntry handles a call with an entry.
+func (m *model) appendEntry(state *modelState, from, to int, epoch uint8, add addStep) {
+	sent := &state.candidacies[from][epoch]
+	w := &state.disks[to]
+	if !sent.view.inSync.has(to) || !m.rules.allows(w, epoch, from) || !m.rules.mayAppend(w, epoch, from) {
+		return
+	}
+	for index := sent.log.len(); index < sent.wrote.len(); index++ {
+		follows := w.log.last() == sent.wrote.prefix(index).last()
+		repeated := w.log.len() > index && w.log.last() == sent.wrote.prefix(w.log.len()).last()
+		if !follows && !repeated {
+			continue
+		}
+		next := *state
+		if follows {
+			next.disks[to].log = w.log.append(sent.wrote.at(index))
+		}
+		add(next, "%s logs entry %d of %s", diskName(to), index+1, diskName(from))
+		if c := &next.disks[from]; c.phase == primary && c.epoch == epoch && c.promised == epoch {
+			c.acks[index] = c.acks[index].with(to)
+			next.acknowledge(m, from)
+			add(next, "%s logs entry %d of %s, which hears of it", diskName(to), index+1, diskName(from))
+		}
+	}
+}
+
+// violation says which invariant a state breaks; "" stands for none.
+func (s *modelState) violation() string {
+	for disk := range modelDisks {
+		d := &s.disks[disk]
+		if d.phase != primary {
+			continue
+		}
+		// The primary of a lower epoch acknowledges nothing any more.
+		if !d.log.extends(s.acked) && d.epoch >= s.led {
+			return fmt.Sprintf("%s leads in %d without what was acknowledged", diskName(disk), d.epoch)
+		}
+		for other := disk + 1; other < modelDisks; other++ {
+			if o := &s.disks[other]; o.phase == primary && o.epoch == d.epoch {
+				return fmt.Sprintf("two primaries in epoch %d", d.epoch)
+			}
+		}
+	}
+	if s.acked.len() > 0 && !slices.ContainsFunc(s.disks[:], func(d modelDisk) bool { return d.log.extends(s.acked) }) {
+		return "what was acknowledged is nowhere"
+	}
+	return ""
+}
--- a/internal/simcluster/audit.go
+++ b/internal/simcluster/audit.go
@@ -65,6 +65,7 @@
 	a.missingRoutes()
 	a.acknowledgements()
 	a.readBack()
+	a.linearizable()
 	return a.violations
 }
 
--- a/internal/simcluster/audit_test.go
+++ b/internal/simcluster/audit_test.go
@@ -24,7 +24,7 @@
 			{Operator: "a", Base: 1, Configuration: moved, SentAt: 20 * second, AnsweredAt: 21 * second, Status: http.StatusOK},
 			{Operator: "b", Base: 1, Configuration: first, SentAt: 20 * second, AnsweredAt: 21 * second, Status: http.StatusPreconditionFailed},
 		},
-		Reads:    []ConfigurationRead{{At: 58 * second, Configuration: moved}},
+		Reads:    []ConfigurationRead{{From: 57 * second, At: 58 * second, Configuration: moved}},
 		Services: []Service{{Name: "orders", RatePerSecond: 1}},
 	}
 	history.send("1", "orders", 2*second)
@@ -216,3 +216,42 @@
 		})
 	}
 }
+
+// Calls that no single rule forbids by itself may still have no order.
+func TestConfigurationHistoriesAreLinearizable(t *testing.T) {
+	one := Configuration{Version: 1, Routes: []Route{{Name: "r", Service: "one"}}}
+	two := Configuration{Version: 2, Routes: []Route{{Name: "r", Service: "two"}}}
+	other := Configuration{Version: 2, Routes: []Route{{Name: "r", Service: "other"}}}
+	order := func(base uint64, next Configuration, from, until time.Duration, status int) Order {
+		return Order{Base: base, Configuration: next, SentAt: from * second, AnsweredAt: until * second, Status: status}
+	}
+	read := func(seen Configuration, from, until time.Duration) ConfigurationRead {
+		return ConfigurationRead{Configuration: seen, From: from * second, At: until * second}
+	}
+	first := order(0, one, 0, 1, http.StatusOK)
+	cases := map[string]struct {
+		orders []Order
+		reads  []ConfigurationRead
+		legal  bool
+	}{
+		"one writer wins":    {[]Order{first, order(1, two, 2, 4, http.StatusOK), order(1, other, 2, 4, http.StatusPreconditionFailed)}, []ConfigurationRead{read(two, 5, 6)}, true},
+		"both writers win":   {[]Order{first, order(1, two, 2, 4, http.StatusOK), order(1, other, 2, 4, http.StatusOK)}, nil, false},
+		"nobody wins":        {[]Order{first, order(1, two, 2, 4, http.StatusPreconditionFailed), order(1, other, 2, 4, http.StatusPreconditionFailed)}, nil, false},
+		"unknown, taken":     {[]Order{first, order(1, two, 2, 4, statusNoAnswer)}, []ConfigurationRead{read(one, 5, 6), read(two, 7, 8)}, true},
+		"unknown, not taken": {[]Order{first, order(1, two, 2, 4, statusNoAnswer), order(1, other, 5, 6, http.StatusOK)}, nil, true},
+		"a reading goes back": {
+			[]Order{first, order(1, two, 2, 4, statusNoAnswer)}, []ConfigurationRead{read(two, 5, 6), read(one, 7, 8)}, false,
+		},
+		"a refused one is read": {
+			[]Order{first, order(1, two, 2, 4, http.StatusOK), order(1, other, 2, 4, http.StatusPreconditionFailed)},
+			[]ConfigurationRead{read(other, 5, 6)}, false,
+		},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			a := newAudit(&History{Orders: test.orders, Reads: test.reads, End: 10 * second})
+			a.linearizable()
+			assert.Equal(t, len(a.violations) == 0, test.legal)
+		})
+	}
+}
--- a/internal/simcluster/history.go
+++ b/internal/simcluster/history.go
@@ -103,6 +103,7 @@
 
 // ConfigurationRead is the configuration as read back.
 type ConfigurationRead struct {
+	From          time.Duration // when it was first asked for
 	At            time.Duration
 	Configuration Configuration
 }
--- a/internal/simcluster/operator.go
+++ b/internal/simcluster/operator.go
@@ -149,9 +149,10 @@
 func (o *Operator) readBack() {
 	deadline := time.Now().Add(readBackFor)
 	for time.Now().Before(deadline) {
+		from := o.cluster.recorder.now()
 		if read, ok := o.Read(time.Until(deadline)); ok {
 			o.cluster.recorder.write(func(history *History) {
-				answer := ConfigurationRead{At: o.cluster.recorder.now(), Configuration: read}
+				answer := ConfigurationRead{From: from, At: o.cluster.recorder.now(), Configuration: read}
 				history.Reads = append(history.Reads, answer)
 			})
 		}
