--- a/internal/controlplane/placement.go
+++ b/internal/controlplane/placement.go
@@ -93,24 +93,28 @@
 	return ordered
 }
 
+// spreadOver is in how many zones the copies of a partition stand, so that the loss of one loses none. Further copies
+// stand in the primary's zone, where their bytes cross no border.
+const spreadOver = 2
+
 // replacement returns the active store that is the best place for one more copy beside the given ones, or nil: one in
-// a zone that holds none yet, then the one with the fewest copies, then the first by name. One store may be excluded.
+// a zone that suits the spread, then the one with the fewest copies, then the first by name. One store may be excluded.
 func (d *draft) replacement(replicas []cluster.Replica, exclude string) *cluster.StoreEntry {
 	load := d.replicaCounts()
-	taken := d.zonesOf(replicas)
+	suits := zoneForCopy(d.zonesOf(replicas))
 	var best *cluster.StoreEntry
-	bestShared := false
+	bestSuits := false
 	for i := range d.stores {
 		candidate := &d.stores[i]
 		if candidate.State != cluster.StoreActive || candidate.Name == exclude || holds(replicas, candidate.Name) {
 			continue
 		}
-		shared := slices.Contains(taken, candidate.Zone)
+		suitable := suits(candidate.Zone)
 		switch {
 		case best == nil,
-			bestShared && !shared,
-			bestShared == shared && load[candidate.Name] < load[best.Name]:
-			best, bestShared = candidate, shared
+			suitable && !bestSuits,
+			suitable == bestSuits && load[candidate.Name] < load[best.Name]:
+			best, bestSuits = candidate, suitable
 		}
 	}
 	return best
@@ -120,6 +124,15 @@
 	return slices.ContainsFunc(replicas, func(replica cluster.Replica) bool { return replica.Store == store })
 }
 
+// zoneForCopy tells which zones suit one more copy beside those in the given zones, the primary's first.
+func zoneForCopy(taken []string) func(zone string) bool {
+	distinct := slices.Compact(slices.Sorted(slices.Values(taken)))
+	if len(distinct) < spreadOver {
+		return func(zone string) bool { return !slices.Contains(distinct, zone) }
+	}
+	return func(zone string) bool { return zone == taken[0] }
+}
+
 // zonesOf returns the zones that replicas stand in.
 func (d *draft) zonesOf(replicas []cluster.Replica) []string {
 	zones := make([]string, 0, len(replicas))
--- a/internal/controlplane/placement_test.go
+++ b/internal/controlplane/placement_test.go
@@ -429,3 +429,35 @@
 		assert.Equal(t, len(partition.Replicas), 2)
 	}
 }
+
+// Three copies stand in two zones: a lost zone loses no message, and one copy costs no bytes between zones.
+func TestThreeCopiesStandInTwoZones(t *testing.T) {
+	var stores []string
+	for i := range 12 {
+		stores = append(stores, fmt.Sprintf("store-%02d", i))
+	}
+	world := newPlacementWorld(t, 3, stores...)
+	assert.NilError(t, world.plan())
+	check := func() {
+		for _, partition := range world.current.table.Partitions {
+			zones := map[string]int{}
+			for _, replica := range partition.Replicas {
+				zones[world.nodes[replica.Store].info.Zone]++
+			}
+			assert.Equal(t, len(partition.Replicas), 3)
+			assert.Equal(t, len(zones), 2, "partition %d", partition.ID)
+			assert.Equal(t, zones[world.nodes[partition.Replicas[0].Store].info.Zone], 2, "partition %d", partition.ID)
+		}
+	}
+	check()
+	for _, store := range stores {
+		copies := 0
+		for _, partition := range world.current.table.Partitions {
+			if partition.Find(store) >= 0 {
+				copies++
+			}
+		}
+		even := 3 * LeastPartitions / len(stores)
+		assert.Assert(t, copies >= even-4 && copies <= even+4, "%s holds %d copies", store, copies)
+	}
+}
