--- a/internal/architecture/planes_test.go
+++ b/internal/architecture/planes_test.go
@@ -25,6 +25,7 @@
 	"internal/cluster":                       planePlumbing,
 	"internal/configuration":                 planePlumbing,
 	"internal/configuration/configurationpb": planePlumbing,
+	"internal/ctxtime":                       planePlumbing,
 	"internal/journal":                       planePlumbing,
 	"internal/message":                       planePlumbing,
 	"internal/network":                       planePlumbing,
@@ -95,13 +96,14 @@
 var mayImportPackages = map[string][]string{
 	"internal/configuration":                 {"internal/configuration/configurationpb"},
 	"internal/configuration/configurationpb": {},
+	"internal/ctxtime":                       {},
 	"internal/journal":                       {},
 	"internal/message":                       {},
 	"internal/network":                       {},
 	"internal/network/simulated":             {"internal/network"},
 	"internal/rpc":                           {"internal/network"},
 	"internal/settings":                      {},
-	"internal/controlplane/replication":      {"internal/journal", "internal/rpc"},
+	"internal/controlplane/replication":      {"internal/ctxtime", "internal/journal", "internal/rpc"},
 }
 
 // majorityLog is the library that replicates a log by majority. The control state has another form of replication,
--- a/internal/cluster/agent_calls.go
+++ b/internal/cluster/agent_calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"ivyfold/internal/ctxtime"
 	"ivyfold/internal/rpc"
 )
 
@@ -55,7 +56,7 @@
 	for ctx.Err() == nil {
 		address, found := search.next()
 		if !found {
-			sleep(ctx, primaryPause)
+			ctxtime.Sleep(ctx, primaryPause)
 			continue
 		}
 		tryContext, cancelTry := context.WithTimeout(ctx, primaryTryTimeout+extra)
--- a/internal/cluster/agent_discovery.go
+++ b/internal/cluster/agent_discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"ivyfold/internal/ctxtime"
 	"slices"
 	"sync"
 	"time"
@@ -17,7 +18,7 @@
 func (a *Agent) discover(ctx context.Context) {
 	for ctx.Err() == nil && len(a.Core()) == 0 {
 		if !a.askSeeds(ctx) {
-			sleep(ctx, seedInterval)
+			ctxtime.Sleep(ctx, seedInterval)
 		}
 	}
 }
@@ -106,13 +107,3 @@
 	sum := hash.Sum32()
 	return uint16(sum) ^ uint16(sum>>16)
 }
-
-// sleep waits for a duration or until the context ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/cluster/agent_sync.go
+++ b/internal/cluster/agent_sync.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ivyfold/internal/configuration"
+	"ivyfold/internal/ctxtime"
 )
 
 const (
@@ -35,7 +36,7 @@
 			failed = ""
 			a.patience.Store(min(2*a.patience.Load(), int64(longestSyncTimeout)))
 			a.askSeeds(ctx)
-			sleep(ctx, roundPause)
+			ctxtime.Sleep(ctx, roundPause)
 			continue
 		}
 		failed = ""
--- a/internal/controlplane/replication/batch.go
+++ b/internal/controlplane/replication/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"ivyfold/internal/ctxtime"
 	"slices"
 
 	"github.com/gravitational/trace"
@@ -99,7 +100,7 @@
 			return nil
 		}
 		failed = nil
-		pause(l.ctx, reshapeRetry)
+		ctxtime.Sleep(l.ctx, reshapeRetry)
 	}
 	return trace.Wrap(errOvertaken)
 }
@@ -155,7 +156,7 @@
 	answer, err := l.appendAt(ctx, to, epoch, after, records)
 	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		if isRefused(err) {
-			pause(ctx, g.timing.RefusedDropAfter)
+			ctxtime.Sleep(ctx, g.timing.RefusedDropAfter)
 		}
 		answer, err = l.appendAt(ctx, to, epoch, after, records)
 	}
--- a/internal/controlplane/replication/election.go
+++ b/internal/controlplane/replication/election.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"ivyfold/internal/ctxtime"
 	"ivyfold/internal/rpc"
 )
 
@@ -24,7 +25,7 @@
 
 // monitor watches the primary's life and stands for its place when it is gone, until the group is closed.
 func (g *Group) monitor() {
-	for pause(g.ctx, g.supervise()) {
+	for ctxtime.Sleep(g.ctx, g.supervise()) {
 	}
 }
 
@@ -65,7 +66,7 @@
 
 // standWhenGone holds an election after a random pause, unless another process has by then.
 func (g *Group) standWhenGone() time.Duration {
-	if !pause(g.ctx, g.randomPause(electionSpread)) {
+	if !ctxtime.Sleep(g.ctx, g.randomPause(electionSpread)) {
 		return 0
 	}
 	if g.presence.heldBack(time.Now()) > 0 || !g.primaryGone(g.ctx) {
--- a/internal/controlplane/replication/group.go
+++ b/internal/controlplane/replication/group.go
@@ -178,15 +178,3 @@
 	defer cancel()
 	return g.options.Pool.Get(to.Address).Call(ctx, method, params, body, result)
 }
-
-// pause waits, and tells false when the context has ended.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/ingress/front.go
+++ b/internal/ingress/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"ivyfold/internal/ctxtime"
 	"net"
 	"net/http"
 	"sync"
@@ -104,7 +105,7 @@
 // without a request, and waits until the others have got their answers or the context ends.
 func (f *Front) Drain(ctx context.Context) error {
 	f.draining.Store(true)
-	waitAtMost(ctx, f.options.DrainAccept)
+	ctxtime.Sleep(ctx, f.options.DrainAccept)
 	f.closeListener()
 
 	ticker := time.NewTicker(drainPollInterval)
@@ -118,15 +119,3 @@
 	}
 	return nil
 }
-
-func waitAtMost(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/messagestore/client.go
+++ b/internal/messagestore/client.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"ivyfold/internal/cluster"
+	"ivyfold/internal/ctxtime"
 	"ivyfold/internal/message"
 	"ivyfold/internal/rpc"
 )
@@ -145,7 +146,7 @@
 	if limited && time.Until(deadline) < retryPause+answerReserve {
 		return false
 	}
-	wait(ctx, retryPause)
+	ctxtime.Sleep(ctx, retryPause)
 	return ctx.Err() == nil
 }
 
--- a/internal/messagestore/drain.go
+++ b/internal/messagestore/drain.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
 	"ivyfold/internal/cluster"
+	"ivyfold/internal/ctxtime"
 )
 
 // Drain hands every partition that the store leads to another store: deliveries stop, those that are out end, their
@@ -28,20 +28,11 @@
 			}
 		}
 		if !handed {
-			wait(ctx, handoverPoll)
+			ctxtime.Sleep(ctx, handoverPoll)
 		}
 	}
 }
 
-func wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (s *Store) ledPartitions() []int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,7 +137,7 @@
 			moved = s.handOver(ctx, p.id)
 		}
 		if !moved {
-			wait(ctx, handoverPoll)
+			ctxtime.Sleep(ctx, handoverPoll)
 		}
 	}
 	s.mu.Lock()
--- a/internal/operatorcli/client.go
+++ b/internal/operatorcli/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"ivyfold/internal/ctxtime"
 )
 
 const (
@@ -47,7 +49,7 @@
 	return &Client{
 		addresses: addresses,
 		http:      &http.Client{Transport: transport, Timeout: tryTimeout, CheckRedirect: limitRedirects},
-		pause:     pause,
+		pause:     func(ctx context.Context, duration time.Duration) { ctxtime.Sleep(ctx, duration) },
 	}
 }
 
@@ -177,12 +179,3 @@
 	var refused *RefusedError
 	return errors.As(err, &refused)
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"ivyfold/internal/cluster"
+	"ivyfold/internal/ctxtime"
 	"ivyfold/internal/network"
 	"ivyfold/internal/rpc"
 )
@@ -85,7 +86,7 @@
 				return err
 			}
 		}
-		pause(ctx, startPause)
+		ctxtime.Sleep(ctx, startPause)
 	}
 	return ctx.Err()
 }
@@ -106,7 +107,7 @@
 		if ctx.Err() != nil {
 			return trace.LimitExceeded("%d dispatchers lack the newest configuration", f.tracker.behind(f.operator.version))
 		}
-		pause(ctx, awaitInterval)
+		ctxtime.Sleep(ctx, awaitInterval)
 	}
 	return nil
 }
@@ -117,7 +118,7 @@
 		if ctx.Err() != nil {
 			return trace.LimitExceeded("losses were not declared: %s", f.tracker.describeUndeclared(f.operator.agent.Table()))
 		}
-		pause(ctx, awaitInterval)
+		ctxtime.Sleep(ctx, awaitInterval)
 	}
 	return nil
 }
@@ -134,7 +135,7 @@
 		if time.Since(since) >= restAfter {
 			return true
 		}
-		pause(ctx, awaitInterval)
+		ctxtime.Sleep(ctx, awaitInterval)
 	}
 	return false
 }
@@ -166,7 +167,7 @@
 	for _, each := range chosen {
 		each.kill()
 	}
-	pause(ctx, restartAbsence)
+	ctxtime.Sleep(ctx, restartAbsence)
 	for _, each := range chosen {
 		if err := each.start(); err != nil {
 			return trace.Wrap(err)
--- a/internal/scale/operator.go
+++ b/internal/scale/operator.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"ivyfold/internal/cluster"
+	"ivyfold/internal/ctxtime"
 )
 
 const (
@@ -55,7 +56,7 @@
 			return err
 		}
 		o.repeated++
-		pause(ctx, orderPause)
+		ctxtime.Sleep(ctx, orderPause)
 	}
 }
 
@@ -88,13 +89,3 @@
 		`"timeout-ms":%d,"target-latency-ms":80.0,"priority":1,"service":"service-%d","max-attempts":6,"ordered":false,`+
 		`"retention-s":45.0,"callback-url":false,"target-start-ms":700}`, number, number, 500+version%1000, number)
 }
-
-// pause waits for a duration or until the context ends.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/scale/platform.go
+++ b/internal/scale/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"ivyfold/internal/ctxtime"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,7 +44,7 @@
 
 func (p *Platform) change(ctx context.Context, interval time.Duration) {
 	for ctx.Err() == nil {
-		pause(ctx, interval)
+		ctxtime.Sleep(ctx, interval)
 		p.turn.Add(1)
 	}
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"ivyfold/internal/ctxtime"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -142,7 +143,7 @@
 
 func (r *run) calm(ctx context.Context, result *Result) (err error) {
 	result.Calm, err = r.rates(func() error {
-		pause(ctx, r.options.Calm)
+		ctxtime.Sleep(ctx, r.options.Calm)
 		return ctx.Err()
 	})
 	return err
@@ -174,7 +175,7 @@
 				result.Changes++
 				err = r.fleet.operator.change(ctx)
 			default:
-				pause(ctx, scheduleLook)
+				ctxtime.Sleep(ctx, scheduleLook)
 			}
 			if err != nil {
 				return err
@@ -200,7 +201,7 @@
 		if err := r.fleet.operator.change(ctx); err != nil {
 			return err
 		}
-		pause(ctx, stormInterval)
+		ctxtime.Sleep(ctx, stormInterval)
 	}
 	if err := <-restarted; err != nil {
 		return err
@@ -220,7 +221,7 @@
 		if err := r.fleet.awaitCurrent(ctx); err != nil {
 			return err
 		}
-		pause(ctx, restartAbsence)
+		ctxtime.Sleep(ctx, restartAbsence)
 	}
 	result.Declared = append(result.Declared, r.fleet.tracker.take().losses...)
 	return nil
@@ -279,7 +280,7 @@
 	}
 	limit := int64(float64(machine) * r.options.MemoryPart)
 	for ctx.Err() == nil {
-		pause(ctx, memoryLook)
+		ctxtime.Sleep(ctx, memoryLook)
 		own, err := ownUsage()
 		if err != nil {
 			continue
