Hand a partition over only to backups that surely hold how every message has ended

Reading the handover showed two: a backup that the control plane had marked as synced, which its primary did not know yet and so did not wait for, could be promoted; and a batch with an end could fail after the look for lacking backups, while the flush behind it succeeded.

Change: the ask for a handover names the backups that were waited for, and one of them is promoted; after the flush the primary looks again. Both tests fail without their part of the mend.

--- a/internal/cluster/types.go
+++ b/internal/cluster/types.go
@@ -211,6 +211,9 @@
 	Synced string `json:"synced,omitempty"`
 	// Handover asks for another synced replica to become primary; the asker has stopped delivering.
 	Handover bool `json:"handover,omitempty"`
+	// Ready names the backups that may take over: they surely hold how every message has ended. A backup that the
+	// control plane knows as synced may still lack the latest ends. Empty stands for any.
+	Ready []string `json:"ready,omitempty"`
 }
 
 // OperatorCall is a request to the operator's API, passed on to the control group's primary.
--- a/internal/controlplane/ask.go
+++ b/internal/controlplane/ask.go
@@ -83,7 +83,7 @@
 	if !ask.Handover {
 		return nil
 	}
-	position := d.successor(partition)
+	position := d.successor(partition, ask.Ready)
 	if position < 0 || d.store(partition.Replicas[position].Store).State != cluster.StoreActive {
 		return unavailable("no other synced replica is alive")
 	}
--- a/internal/controlplane/placement_test.go
+++ b/internal/controlplane/placement_test.go
@@ -461,3 +461,16 @@
 		assert.Assert(t, copies >= even-4 && copies <= even+4, "%s holds %d copies", store, copies)
 	}
 }
+
+func TestHandoverGoesToABackupThatIsReady(t *testing.T) {
+	world := newPlacementWorld(t, 3, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	ready := partition.Replicas[2].Store
+	world.ask(cluster.PartitionAsk{Handover: true, Ready: []string{ready}}, 0)
+	assert.Equal(t, world.current.table.Partitions[0].Replicas[0].Store, ready)
+	err := world.tryAsk(cluster.PartitionAsk{Handover: true, Ready: []string{"d"}}, 0)
+	if world.current.table.Partitions[0].Find("d") < 0 {
+		assert.Assert(t, err != nil, "it holds no copy")
+	}
+}
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -76,7 +76,7 @@
 	if d.alive(primary) {
 		return d.recent(primary) || d.allAlive(partition.Replicas)
 	}
-	successor := d.successor(partition)
+	successor := d.successor(partition, nil)
 	if successor < 0 {
 		return false
 	}
@@ -91,13 +91,13 @@
 }
 
 // successor returns the position of the backup that is to lead next, or -1: the wanted one, else the first that stays,
-// else the first that is still alive.
-func (d *draft) successor(partition *cluster.Partition) int {
+// else the first that is still alive. Where some are named, it is one of them.
+func (d *draft) successor(partition *cluster.Partition, among []string) int {
 	fallback := -1
 	best := -1
 	for i := 1; i < len(partition.Replicas); i++ {
 		replica := partition.Replicas[i]
-		if !replica.Synced || !d.recent(replica) {
+		if !replica.Synced || !d.recent(replica) || len(among) > 0 && !slices.Contains(among, replica.Store) {
 			continue
 		}
 		if d.store(replica.Store).State != cluster.StoreActive {
--- a/internal/messagestore/drain.go
+++ b/internal/messagestore/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -68,27 +69,15 @@
 
 // handOver brings the backups up to date and asks for a new primary. Deliveries of the partition have stopped.
 func (s *Store) handOver(ctx context.Context, id int) bool {
-	s.mu.Lock()
-	p := s.partitions[id]
-	if p == nil || !p.leading {
-		s.mu.Unlock()
+	p, epoch := s.ledBy(id)
+	if p == nil {
 		return true
 	}
-	epoch := p.epoch
-	var backups []*peer
-	lacking := false
-	for _, replica := range p.backups() {
-		if p.resync[replica.DiskID] == nil {
-			backups = append(backups, s.peer(replica))
-		} else if replica.Synced {
-			lacking = true // it could be promoted, and would run again what has ended
-		}
-	}
-	s.mu.Unlock()
-	if lacking {
+	ready, complete := s.readyBackups(p, epoch)
+	if !complete || len(ready) == 0 {
 		return false
 	}
-	for _, backup := range backups {
+	for _, backup := range ready {
 		flushed, cancel := context.WithTimeout(ctx, replicateTimeout)
 		err := backup.flush(flushed, p)
 		cancel()
@@ -97,22 +86,57 @@
 			return false
 		}
 	}
-	if len(backups) == 0 {
+	// What was on its way to a backup before the flush may have failed meanwhile.
+	if still, complete := s.readyBackups(p, epoch); !complete || !slices.Equal(still, ready) {
 		return false
 	}
-	if err := s.ask(cluster.PartitionAsk{Partition: id, Epoch: epoch, Handover: true}); err != nil {
+	ask := cluster.PartitionAsk{Partition: id, Epoch: epoch, Handover: true}
+	for _, backup := range ready {
+		ask.Ready = append(ask.Ready, backup.replica.Store)
+	}
+	if err := s.ask(ask); err != nil {
 		s.logger.Info("handing a partition over", zap.Int("partition", id), zap.Error(err))
 		return false
 	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if p.leading && p.epoch == epoch {
 		s.stepDown(p)
 		p.epoch = epoch + 1
 	}
-	s.mu.Unlock()
 	return true
 }
 
+// ledBy returns a partition that this store leads and its epoch, or nil.
+func (s *Store) ledBy(id int) (*partition, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partitions[id]
+	if p == nil || !p.leading {
+		return nil, 0
+	}
+	return p, p.epoch
+}
+
+// readyBackups returns the backups that lack nothing but what is on its way to them. It tells false where one that may be
+// promoted lacks more: it would run again what has ended; and where the partition has another view by now.
+func (s *Store) readyBackups(p *partition, epoch uint64) (ready []*peer, complete bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.leading || p.epoch != epoch {
+		return nil, false
+	}
+	complete = true
+	for _, replica := range p.backups() {
+		if p.resync[replica.DiskID] == nil {
+			ready = append(ready, s.peer(replica))
+		} else if replica.Synced {
+			complete = false
+		}
+	}
+	return ready, complete
+}
+
 // followWish hands a partition over when the control plane wishes for another primary that is synced. The caller holds
 // the lock.
 func (s *Store) followWish(p *partition) {
--- a/internal/messagestore/harness_test.go
+++ b/internal/messagestore/harness_test.go
@@ -84,6 +84,7 @@
 	table    *cluster.Table
 	leases   atomic.Bool
 	refusing bool // asks are refused
+	asks     []cluster.PartitionAsk
 }
 
 func newHarness(t *testing.T, names ...string) *harness {
@@ -206,6 +207,7 @@
 // PartitionAsk implements Control as the control plane does.
 func (h *harness) PartitionAsk(_ context.Context, ask cluster.PartitionAsk) error {
 	h.mu.Lock()
+	h.asks = append(h.asks, ask)
 	view := h.table.Partitions[ask.Partition]
 	refusing := h.refusing
 	h.mu.Unlock()
--- a/internal/messagestore/store_test.go
+++ b/internal/messagestore/store_test.go
@@ -412,3 +412,58 @@
 		}
 	})
 }
+
+// handovers returns the asks for a handover that the control plane has had.
+func (h *harness) handovers() []cluster.PartitionAsk {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(h.asks), func(ask cluster.PartitionAsk) bool { return !ask.Handover })
+}
+
+// A backup may be synced by the word of the control plane before its primary knows. What the primary did not wait for may
+// still be on its way there: it must not be promoted.
+func TestHandoverNamesTheBackupsThatAreReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		h.update(func(table *cluster.Table) {
+			unsynced := h.replica("c")
+			unsynced.Synced = false
+			table.Partitions[0].Epoch++
+			table.Partitions[0].Replicas = []cluster.Replica{h.replica("a"), h.replica("b"), unsynced}
+		})
+		h.mu.Lock()
+		h.refusing = true // the backup stays unsynced
+		h.mu.Unlock()
+		time.Sleep(time.Second)
+		h.mu.Lock()
+		h.refusing = false
+		h.mu.Unlock()
+		store := h.machines["a"].store
+		store.mu.Lock()
+		store.partition(0).resync["disk-c"] = &resyncState{running: true}
+		store.mu.Unlock()
+		assert.Assert(t, store.handOver(t.Context(), 0))
+		asked := h.handovers()
+		assert.Equal(t, len(asked), 1)
+		assert.DeepEqual(t, asked[0].Ready, []string{"b"})
+	})
+}
+
+// The end of a message may be lost on its way to a backup while the handover waits behind it.
+func TestHandoverLooksAgainAfterTheFlush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		id := h.mustPut("r", "key", "x")
+		leader := h.leader(id)
+		ended := h.messageOf(id)
+		backup := h.machines[h.currentTable().Partitions[ended.Partition].Replicas[1].Store]
+		h.network.Cut(leader.ip, backup.ip)
+		leader.store.Ended(ended, message.Outcome{State: message.Completed, Stamp: "s"})
+		time.Sleep(20 * time.Millisecond)
+		time.AfterFunc(replicateTimeout-10*time.Millisecond, func() { h.network.Heal(leader.ip, backup.ip) })
+		assert.Assert(t, !leader.store.handOver(t.Context(), ended.Partition))
+		assert.Equal(t, len(h.handovers()), 0)
+	})
+}
