Count freshness and stores' leases from what the primary is known to know

Cause, found by review and brought about by two new tests: - A heartbeat that a cut had held up made a backup of the control group fresh when it came, with a state as old as the cut had lasted; the backup then served polls, and granted leases, for 0.9 s. - A backup that was cut off with a store beside it went on granting the store's lease while it counted as fresh. The primary knew nothing of these renewals, and promoted another store up to 0.9 s before the first one's lease ran out.

Change: each answer to a heartbeat has a number, and each heartbeat repeats the number of the newest answer that its primary has. A backup's state counts as known since that answer was given, and a heartbeat that can't be dated proves nothing. The lease of a store begins with the newest renewal that the primary is known to have, by the same echo; renewals that went with a lost answer are passed again.

--- a/internal/cluster/agent_sync.go
+++ b/internal/cluster/agent_sync.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	syncWait    = 400 * time.Millisecond // how long a member may hold back its answer
-	syncTimeout = 350 * time.Millisecond // how long an answer may take beyond that
-	roundPause  = 100 * time.Millisecond // after every known member has failed
+	syncWait     = 400 * time.Millisecond // how long a member may hold back its answer
+	syncTimeout  = 350 * time.Millisecond // how long an answer may take beyond that
+	unleasedWait = 100 * time.Millisecond // the same while no lease runs: it begins when the primary knows of a renewal
+	roundPause   = 100 * time.Millisecond // after every known member has failed
 	// A large configuration takes a while to pass: while no member serves, answers get more and more time.
 	longestSyncTimeout = 4 * time.Second
 	// After so long with a member that is not the preferred one, the preferred one is tried again.
@@ -75,6 +76,9 @@
 		}
 		served = true
 		wait = syncWait
+		if !a.LeaseValid() {
+			wait = unleasedWait
+		}
 		a.patience.Store(int64(syncTimeout))
 		a.member.Store(&address)
 		if time.Since(begin) > preferenceInterval {
@@ -124,7 +128,7 @@
 	return request
 }
 
-// accept takes over an answer. The lease counts from the sending of the request.
+// accept takes over an answer. The lease counts from the sending of this request or of an earlier one.
 func (a *Agent) accept(request *SyncRequest, response *SyncResponse, body []byte, sent time.Time) error {
 	body, err := unpackIfPacked(response, body)
 	if err != nil {
@@ -142,8 +146,8 @@
 		a.read.Store(&read)
 		a.count.Store(int64(response.WorkerCount))
 	}
-	if err == nil {
-		a.noteRenewal(sent)
+	if err == nil && response.LeaseAgeMS != NoLease {
+		a.noteRenewal(sent.Add(-time.Duration(response.LeaseAgeMS) * time.Millisecond))
 	}
 	if changed {
 		a.notify()
--- a/internal/cluster/types.go
+++ b/internal/cluster/types.go
@@ -182,9 +182,14 @@
 	Packed        bool           `json:"packed,omitempty"`      // the body is compressed, see Pack
 	WorkerCount   int            `json:"workerCount,omitempty"` // entries of the list of workers, which only stores get
 	WorkersAgeMS  int64          `json:"workersAgeMs"`          // how long ago the list of workers was last read; -1 where it never was
-	Lease         int64          `json:"leaseMs"`               // the lease runs for so long, counted from the sending of the request
+	// LeaseAgeMS tells how long before the request's arrival the lease began, or is NoLease. The control group counts the
+	// lease from a renewal that its primary knows; of the request that this is the answer to it may not know yet.
+	LeaseAgeMS int64 `json:"leaseAgeMs"`
 }
 
+// NoLease stands in the place of a lease's age where the caller has none.
+const NoLease = -1
+
 // Names of the control plane's calls. See the package controlplane.
 const (
 	MethodSync         = "control.sync"          // SyncRequest -> SyncResponse, at any fresh core member
--- a/internal/controlplane/capacity_bench_test.go
+++ b/internal/controlplane/capacity_bench_test.go
@@ -25,7 +25,7 @@
 				for _, info := range infos {
 					leases.renew(info, time.Now())
 				}
-				bytes += len(leases.pass(time.Now()))
+				bytes += len(leases.pass(1, time.Now()))
 			}
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(stores), "ns/lease")
 			b.ReportMetric(float64(bytes)/float64(b.N)/float64(stores), "bytes/lease")
@@ -38,7 +38,7 @@
 				for _, info := range infos {
 					from.renew(info, time.Now())
 				}
-				payload := from.pass(time.Now())
+				payload := from.pass(1, time.Now())
 				b.StartTimer()
 				before := processorTime(b)
 				if err := to.take(payload, time.Now()); err != nil {
--- a/internal/controlplane/faults_test.go
+++ b/internal/controlplane/faults_test.go
@@ -220,3 +220,63 @@
 		}
 	}
 }
+
+// TestStoreBesideACutOffMemberLosesItsLeaseInTime has a store renew its lease at a backup of the group that is cut off
+// together with it. The backup counts as fresh for a while longer; the store's lease must not outlast what the primary
+// knows of it, or two stores would deliver the same messages.
+func TestStoreBesideACutOffMemberLosesItsLeaseInTime(t *testing.T) {
+	for seed := range 6 {
+		run(t, 5, 4, func(t *testing.T, w *world) {
+			w.awaitPlacement()
+			store := w.machine("store-0")
+			member := w.backupOf()
+			for _, other := range w.machines {
+				if other != member && other != store && other.core {
+					w.network.Cut(store.ip, other.ip)
+				}
+			}
+			time.Sleep(3*time.Second + time.Duration(seed)*70*time.Millisecond)
+			assert.Assert(t, store.agent().LeaseValid(), "the store renews at the member that it reaches")
+			for _, other := range w.machines {
+				if other != member && other != store {
+					w.network.Cut(store.ip, other.ip)
+					w.network.Cut(member.ip, other.ip)
+				}
+			}
+			w.eventually(5*time.Second, "another store leads", func() bool {
+				leads := w.leads(store.name)
+				valid := store.agent().LeaseValid()
+				assert.Assert(t, leads || !valid, "another store leads while the lease runs")
+				return !leads
+			})
+		})
+	}
+}
+
+// backupOf returns a member of the control group that is not its primary.
+func (w *world) backupOf() *machine {
+	primary := w.primary()
+	for _, m := range w.machines {
+		if m.core && m != primary {
+			return m
+		}
+	}
+	w.t.Fatal("no backup")
+	return nil
+}
+
+// leads tells whether a store leads a partition according to the newest table of any process.
+func (w *world) leads(store string) bool {
+	var newest *cluster.Table
+	for _, m := range w.running() {
+		if table := m.agent().Table(); table != nil && (newest == nil || table.Revision > newest.Revision) {
+			newest = table
+		}
+	}
+	for _, partition := range newest.Partitions {
+		if primary, found := partition.Primary(); found && primary.Store == store {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/controlplane/founding.go
+++ b/internal/controlplane/founding.go
@@ -124,7 +124,7 @@
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
-		if f.plane.fresh() {
+		if _, fresh := f.plane.freshRole(); fresh {
 			f.announceOnce(ctx)
 		}
 		select {
--- a/internal/controlplane/leases.go
+++ b/internal/controlplane/leases.go
@@ -29,13 +29,18 @@
 	renewed time.Time // when the newest renewal arrived; zero where there was none
 	expires time.Time
 	refused time.Time // when the process was last found dead; renewals from before do not count
-	passed  passedRenewal
+	// confirmed is when the newest renewal arrived that the primary is known to have; zero where there was none. Whoever
+	// must not act after the end of its lease counts it from here: the primary may not know of later renewals.
+	confirmed time.Time
+	passed    passedRenewal
 }
 
 // passedRenewal is what this member has told the primary of a lease.
 type passedRenewal struct {
-	pending bool // renewed since the last answer to the primary
-	full    bool // info as it is now has been passed in whole
+	pending bool      // renewed since the last answer to the primary
+	full    bool      // info as it is now has been passed in whole
+	number  uint64    // of the answer that is not known to have arrived; 0 where there is none
+	renewed time.Time // the renewal that went with that answer
 	count   int
 }
 
@@ -73,6 +78,9 @@
 	if known.info != info {
 		known.passed.full = false
 	}
+	if known.info.Incarnation != info.Incarnation {
+		known.confirmed, known.passed.number = time.Time{}, 0
+	}
 	known.info = info
 	known.renewed = at
 	if expires := at.Add(cluster.LeaseDuration); expires.After(known.expires) {
@@ -172,8 +180,9 @@
 	AgeMS       int64             `json:"ageMs"`
 }
 
-// pass returns the renewals since the last call, for the primary. Only stores and members of the core matter to it.
-func (t *leaseTable) pass(now time.Time) []byte {
+// pass returns the renewals since the last call, for the primary, as a part of the answer with a number. Only stores and
+// members of the core matter to it.
+func (t *leaseTable) pass(number uint64, now time.Time) []byte {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	var renewals []passedLease
@@ -183,7 +192,7 @@
 		}
 		known.passed.pending = false
 		if known.info.Store || known.info.Core {
-			renewals = append(renewals, known.pass(now))
+			renewals = append(renewals, known.pass(number, now))
 		}
 	}
 	if len(renewals) == 0 {
@@ -197,7 +206,8 @@
 	return payload
 }
 
-func (l *lease) pass(now time.Time) passedLease {
+func (l *lease) pass(number uint64, now time.Time) passedLease {
+	l.passed.number, l.passed.renewed = number, l.renewed
 	passed := passedLease{Name: l.info.Name, AgeMS: now.Sub(l.renewed).Milliseconds()}
 	l.passed.count++
 	if l.passed.full && l.passed.count%fullRenewalInterval != 0 {
@@ -210,6 +220,45 @@
 	return passed
 }
 
+// confirm records that an answer with passed renewals has reached the primary. What went with earlier answers that were
+// not confirmed may have been lost, and is passed again.
+func (t *leaseTable) confirm(number uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, known := range t.leases {
+		passed := &known.passed
+		if passed.number == 0 || passed.number > number {
+			continue
+		}
+		if passed.number == number {
+			known.confirmed = passed.renewed
+		} else {
+			passed.pending, passed.full = true, false
+		}
+		passed.number = 0
+	}
+}
+
+// confirmHere records that the newest renewal of a process is known to the primary, which is this process.
+func (t *leaseTable) confirmHere(name string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known, found := t.leases[name]; found {
+		known.confirmed = known.renewed
+	}
+}
+
+// confirmedAt returns when the newest renewal of a process arrived that the primary is known to have.
+func (t *leaseTable) confirmedAt(name, incarnation string) (time.Time, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, found := t.leases[name]
+	if !found || known.info.Incarnation != incarnation || known.confirmed.IsZero() {
+		return time.Time{}, false
+	}
+	return known.confirmed, true
+}
+
 // take takes in the renewals that a backup has passed on.
 func (t *leaseTable) take(payload []byte, now time.Time) error {
 	var renewals []passedLease
--- a/internal/controlplane/leases_test.go
+++ b/internal/controlplane/leases_test.go
@@ -9,6 +9,13 @@
 	"ivyfold/internal/cluster"
 )
 
+// Numbers of answers to heartbeats.
+const (
+	firstAnswer  = 1
+	secondAnswer = 2
+	thirdAnswer  = 3
+)
+
 func storeInfo(name, incarnation string) cluster.NodeInfo {
 	return cluster.NodeInfo{Name: name, Incarnation: incarnation, Store: true, DiskID: "disk-" + name}
 }
@@ -81,17 +88,17 @@
 func TestLeasesArePassedToThePrimary(t *testing.T) {
 	begin := time.Now()
 	backup, primary := newLeaseTable(func() {}), newLeaseTable(func() {})
-	assert.Assert(t, backup.pass(begin) == nil)
+	assert.Assert(t, backup.pass(firstAnswer, begin) == nil)
 	for i := range 10 {
 		now := begin.Add(time.Duration(i) * 400 * time.Millisecond)
 		backup.renew(storeInfo("a", "1"), now)
 		backup.renew(cluster.NodeInfo{Name: "front", Incarnation: "1"}, now)
-		payload := backup.pass(now.Add(100 * time.Millisecond))
+		payload := backup.pass(firstAnswer, now.Add(100*time.Millisecond))
 		assert.NilError(t, primary.take(payload, now.Add(100*time.Millisecond)))
 		status := primary.statuses(now.Add(100 * time.Millisecond))["a"]
 		assert.Equal(t, status.info, storeInfo("a", "1"))
 		assert.Equal(t, status.expires, now.Add(cluster.LeaseDuration))
-		assert.Assert(t, backup.pass(now.Add(200*time.Millisecond)) == nil)
+		assert.Assert(t, backup.pass(secondAnswer, now.Add(200*time.Millisecond)) == nil)
 	}
 	_, found := primary.find("front")
 	assert.Assert(t, !found)
@@ -101,11 +108,11 @@
 	now := time.Now()
 	backup, primary := newLeaseTable(func() {}), newLeaseTable(func() {})
 	backup.renew(storeInfo("a", "1"), now)
-	backup.pass(now) // lost
+	backup.pass(firstAnswer, now) // lost
 	for range fullRenewalInterval {
 		now = now.Add(100 * time.Millisecond)
 		backup.renew(storeInfo("a", "1"), now)
-		assert.NilError(t, primary.take(backup.pass(now), now))
+		assert.NilError(t, primary.take(backup.pass(firstAnswer, now), now))
 	}
 	info, found := primary.find("a")
 	assert.Assert(t, found)
@@ -124,3 +131,42 @@
 	leases.renew(leaving, now.Add(2*time.Millisecond))
 	assert.Equal(t, news, 2)
 }
+
+func TestLeaseBeginsWithARenewalThatThePrimaryKnows(t *testing.T) {
+	begin := time.Now()
+	backup := newLeaseTable(func() {})
+	backup.renew(storeInfo("a", "1"), begin)
+	_, found := backup.confirmedAt("a", "1")
+	assert.Assert(t, !found, "nothing has been passed yet")
+	backup.pass(firstAnswer, begin.Add(50*time.Millisecond))
+	later := begin.Add(100 * time.Millisecond)
+	backup.renew(storeInfo("a", "1"), later)
+	backup.confirm(firstAnswer)
+	confirmed, found := backup.confirmedAt("a", "1")
+	assert.Assert(t, found)
+	assert.Equal(t, confirmed, begin, "the renewal after the answer is not confirmed by it")
+	backup.pass(secondAnswer, later)
+	backup.confirm(secondAnswer)
+	confirmed, _ = backup.confirmedAt("a", "1")
+	assert.Equal(t, confirmed, later)
+	backup.renew(storeInfo("a", "2"), later.Add(time.Millisecond))
+	_, found = backup.confirmedAt("a", "2")
+	assert.Assert(t, !found, "another process of the store has renewed nothing yet")
+}
+
+func TestRenewalIsPassedAgainWhereItsAnswerWasLost(t *testing.T) {
+	begin := time.Now()
+	backup, primary := newLeaseTable(func() {}), newLeaseTable(func() {})
+	backup.renew(storeInfo("a", "1"), begin)
+	assert.Assert(t, backup.pass(firstAnswer, begin) != nil) // lost
+	assert.Assert(t, backup.pass(secondAnswer, begin) == nil)
+	backup.confirm(secondAnswer)
+	_, found := backup.confirmedAt("a", "1")
+	assert.Assert(t, !found)
+	assert.NilError(t, primary.take(backup.pass(thirdAnswer, begin.Add(time.Millisecond)), begin.Add(time.Millisecond)))
+	assert.Assert(t, primary.statuses(begin.Add(time.Millisecond))["a"].live)
+	backup.confirm(thirdAnswer)
+	confirmed, found := backup.confirmedAt("a", "1")
+	assert.Assert(t, found)
+	assert.Equal(t, confirmed, begin)
+}
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -121,7 +121,8 @@
 		Seed:             p.options.Seed,
 		HeartbeatPayload: p.reader.heartbeatPayload,
 		OnHeartbeat:      p.reader.onHeartbeat,
-		AnswerPayload:    func() []byte { return p.leases.pass(time.Now()) },
+		AnswerPayload:    func(number uint64) []byte { return p.leases.pass(number, time.Now()) },
+		OnEcho:           p.leases.confirm,
 		OnAnswer:         p.onAnswer,
 	}
 }
@@ -190,10 +191,10 @@
 
 func (p *Plane) copies() int { return p.options.Tolerated + 1 }
 
-// fresh tells whether the state here may be passed on.
-func (p *Plane) fresh() bool {
+// freshRole returns the role of this process in the group, and whether the state here may be passed on.
+func (p *Plane) freshRole() (replication.Role, bool) {
 	role := p.group.Role()
-	return role.Fresh && slices.Contains(role.View.InSync, p.options.Info.DiskID)
+	return role, role.Fresh && slices.Contains(role.View.InSync, p.options.Info.DiskID)
 }
 
 // document returns the configuration of a version where it is the current one here, or nil.
--- a/internal/controlplane/replication/backup.go
+++ b/internal/controlplane/replication/backup.go
@@ -103,14 +103,31 @@
 	}
 	attached, complete := g.replica.commit(request.Epoch, request.Commit)
 	answer.Attached = attached
-	if complete && request.Leading {
-		g.presence.markCurrent(time.Now())
+	// A heartbeat that can't be dated may have been on its way for as long as a cut lasted.
+	sentAfter, dated := g.presence.answeredAt(request.Echo)
+	if complete && dated && request.Leading {
+		g.presence.markCurrent(sentAfter)
 	}
-	if len(body) > 0 && g.options.OnHeartbeat != nil {
-		g.options.OnHeartbeat(body)
+	if dated {
+		g.takeNews(request, body, sentAfter)
 	}
 	g.notify()
-	return answer, payload(g.options.AnswerPayload), nil
+	answer.Number = g.presence.numberAnswer(time.Now())
+	if g.options.AnswerPayload == nil {
+		return answer, nil, nil
+	}
+	return answer, g.options.AnswerPayload(answer.Number), nil
+}
+
+// takeNews hands on what a heartbeat carries: the payload, and that an answer of this process has reached a primary that
+// led after it.
+func (g *Group) takeNews(request heartbeatRequest, body []byte, sentAfter time.Time) {
+	if request.Leading && g.options.OnEcho != nil {
+		g.options.OnEcho(request.Echo)
+	}
+	if len(body) > 0 && g.options.OnHeartbeat != nil {
+		g.options.OnHeartbeat(body, sentAfter)
+	}
 }
 
 // standsBy tells whether a witness still takes the sender of a heartbeat for the primary. One that is making its next
@@ -122,13 +139,6 @@
 	return record.allows(request.Epoch, request.Primary) || record.PromisedTo == request.Primary
 }
 
-func payload(source func() []byte) []byte {
-	if source == nil {
-		return nil
-	}
-	return source()
-}
-
 // giveWay ends this process's leadership where another process leads or stands in a higher epoch.
 func (g *Group) giveWay(epoch uint64, primary string) {
 	l := g.leading.Load()
--- a/internal/controlplane/replication/group_test.go
+++ b/internal/controlplane/replication/group_test.go
@@ -273,8 +273,8 @@
 			added := c.addNode()
 			added.options = func(options *Options) {
 				options.HeartbeatPayload = func() []byte { return []byte("down") }
-				options.OnHeartbeat = func(payload []byte) { down <- string(payload) }
-				options.AnswerPayload = func() []byte { return []byte(added.member.Name) }
+				options.OnHeartbeat = func(payload []byte, _ time.Time) { down <- string(payload) }
+				options.AnswerPayload = func(uint64) []byte { return []byte(added.member.Name) }
 				options.OnAnswer = func(from Member, payload []byte) { up <- from.Name + "=" + string(payload) }
 			}
 			added.start()
@@ -297,3 +297,41 @@
 		assert.Assert(c.t, seen.Epoch >= 1)
 	})
 }
+
+// TestHeartbeatThatWasLongOnItsWayMakesNothingFresh replays a heartbeat of the primary at a backup that was cut off, as
+// the network does with what a cut has held up. The backup lacks what was committed meanwhile and must not pass for
+// current, however lately the heartbeat has come.
+func TestHeartbeatThatWasLongOnItsWayMakesNothingFresh(t *testing.T) {
+	inCluster(t, 3, 2, 1, func(c *cluster) {
+		primary := c.awaitPrimary(time.Second)
+		primary.mustPropose("a")
+		c.awaitInSync(time.Second, 3)
+		backup := c.nodes[1]
+		if backup == primary {
+			backup = c.nodes[2]
+		}
+		c.await(time.Second, "the backup is fresh", func() bool { return backup.run().group.Role().Fresh })
+		group := backup.run().group
+		group.presence.mu.Lock()
+		echo := group.presence.answers.last
+		group.presence.mu.Unlock()
+		held := heartbeatRequest{
+			Target: backup.member.DiskID, Epoch: primary.run().group.Role().Epoch, Primary: primary.member.DiskID,
+			Commit: 1, Leading: true, Echo: echo,
+		}
+		c.isolate(backup)
+		time.Sleep(20 * time.Second)
+		primary.mustPropose("b")
+		assert.Assert(t, !group.Role().Fresh)
+		for _, echo := range []uint64{held.Echo, 0, held.Echo + 1000} {
+			held.Echo = echo
+			answer, _, err := group.serveHeartbeat(t.Context(), held, nil)
+			assert.NilError(t, err)
+			assert.Assert(t, answer.(heartbeatAnswer).Heard, "it knows of no other primary")
+			assert.Assert(t, !group.Role().Fresh, "its state is 20 s old")
+		}
+		c.rejoin(backup)
+		c.await(3*time.Second, "the backup is fresh again", func() bool { return group.Role().Fresh })
+		assert.DeepEqual(t, backup.run().machine.list(), []string{"a", "b"})
+	})
+}
--- a/internal/controlplane/replication/messages.go
+++ b/internal/controlplane/replication/messages.go
@@ -73,6 +73,9 @@
 	Primary string `json:"primary"`
 	Commit  uint64 `json:"commit"`
 	Leading bool   `json:"leading"` // the primary's lease runs
+	// Echo is the number of the member's newest answer that the primary has received; 0 where it has none. It tells the
+	// member that this heartbeat was sent after that answer, however long it was on its way.
+	Echo uint64 `json:"echo,omitempty"`
 }
 
 type heartbeatAnswer struct {
@@ -80,6 +83,7 @@
 	Promised uint64 `json:"promised"` // the highest epoch it has promised
 	Accepted uint64 `json:"accepted"` // the epoch of the newest view it has accepted
 	Attached bool   `json:"attached"` // it follows the primary's log
+	Number   uint64 `json:"number"`   // of this answer; no other answer of any process of this member has it
 }
 
 type statusAnswer struct {
--- a/internal/controlplane/replication/peer.go
+++ b/internal/controlplane/replication/peer.go
@@ -11,6 +11,10 @@
 // alignRetry is the pause after a failed attempt to bring a peer up to date.
 const alignRetry = 400 * time.Millisecond
 
+// firstEchoAfter is the pause after a first heartbeat: the second one echoes the peer's answer, which makes its state
+// fresh.
+const firstEchoAfter = 10 * time.Millisecond
+
 // peer is another member as the primary sees it. A goroutine of its own sends it heartbeats.
 type peer struct {
 	member Member
@@ -27,6 +31,7 @@
 	aligned      bool      // it follows the primary's log
 	aligning     bool      // it is being brought to do so
 	nextAligning time.Time // not before then, after a failure
+	answered     uint64    // the number of its newest answer to a heartbeat; 0 while there is none
 }
 
 // dead tells whether the peer has been silent for so long that it must leave the in-sync set.
@@ -98,6 +103,20 @@
 	p.refusedSince = time.Time{}
 }
 
+// noteNumber remembers the number of the peer's newest answer.
+func (p *peer) noteNumber(number uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = number
+}
+
+// newestAnswer returns the number of the peer's newest answer, or 0.
+func (p *peer) newestAnswer() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered
+}
+
 func (p *peer) markRefused(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -165,7 +184,7 @@
 	committed, own := g.replica.committedIn(view.Epoch)
 	request := heartbeatRequest{
 		Target: to.member.DiskID, Epoch: view.Epoch, Primary: g.self.DiskID,
-		Commit: committed, Leading: own && l.leaseRuns(sent),
+		Commit: committed, Leading: own && l.leaseRuns(sent), Echo: to.newestAnswer(),
 	}
 	var answer heartbeatAnswer
 	body, err := g.call(
@@ -176,6 +195,7 @@
 	}
 	if answer.Heard {
 		to.markHeard(sent)
+		to.noteNumber(answer.Number)
 	}
 	if answer.Heard && request.Leading && answer.Accepted >= view.Epoch {
 		to.markRenewed(sent)
@@ -185,6 +205,9 @@
 		g.options.OnAnswer(to.member, body)
 	}
 	g.notify()
+	if request.Echo == 0 {
+		return firstEchoAfter
+	}
 	return g.timing.HeartbeatInterval
 }
 
--- a/internal/controlplane/replication/presence.go
+++ b/internal/controlplane/replication/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -21,8 +22,9 @@
 	// pledgedTo is the candidate that this witness has promised an epoch to, and does not abandon until pledgedUntil.
 	pledgedTo    string
 	pledgedUntil time.Time
-	// current is when this process last knew all that was committed.
+	// current is a time at which the primary led and this process has known since all that was committed then.
 	current time.Time
+	answers answerLog
 }
 
 func (p *presence) heardFromPrimary(now time.Time) {
@@ -78,10 +80,27 @@
 	return p.pledgedTo != candidate && now.Before(p.pledgedUntil)
 }
 
-func (p *presence) markCurrent(now time.Time) {
+// markCurrent records that this process knows all that was committed at a moment.
+func (p *presence) markCurrent(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.current = now
+	if at.After(p.current) {
+		p.current = at
+	}
+}
+
+// numberAnswer returns the number of an answer to a heartbeat that is given now.
+func (p *presence) numberAnswer(now time.Time) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answers.add(now)
+}
+
+// answeredAt returns when an answer was given, and false where that is not known.
+func (p *presence) answeredAt(number uint64) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answers.at(number)
 }
 
 func (p *presence) forgetCurrent() {
@@ -96,6 +115,33 @@
 	return !p.current.IsZero() && now.Sub(p.current) < limit
 }
 
+// answersRemembered bounds the answers to heartbeats whose times are kept. A primary repeats the number of the newest one
+// that it has; while it gets none, more are given than the one that it comes to repeat.
+const answersRemembered = 64
+
+// answerLog numbers the answers to heartbeats and remembers when the last of them were given. Numbers of a process begin
+// at random, so that a heartbeat to an earlier process of the member repeats none of them.
+type answerLog struct {
+	last  uint64
+	times map[uint64]time.Time
+}
+
+func (l *answerLog) add(now time.Time) uint64 {
+	if l.times == nil {
+		l.last = rand.Uint64() >> 1
+		l.times = make(map[uint64]time.Time, answersRemembered)
+	}
+	l.last++
+	l.times[l.last] = now
+	delete(l.times, l.last-answersRemembered)
+	return l.last
+}
+
+func (l *answerLog) at(number uint64) (time.Time, bool) {
+	at, known := l.times[number]
+	return at, known
+}
+
 // isRefused tells whether a call failed because nothing listens at the address.
 func isRefused(err error) bool {
 	return errors.Is(err, rpc.ErrNotSent) &&
--- a/internal/controlplane/replication/types.go
+++ b/internal/controlplane/replication/types.go
@@ -95,10 +95,14 @@
 
 	// HeartbeatPayload is asked at the primary for what each heartbeat carries to a backup. It may be nil.
 	HeartbeatPayload func() []byte
-	// OnHeartbeat gets a heartbeat's payload at the backup. It may be nil.
-	OnHeartbeat func(payload []byte)
-	// AnswerPayload is asked at the backup for what the answer to a heartbeat carries. It may be nil.
-	AnswerPayload func() []byte
+	// OnHeartbeat gets a heartbeat's payload at the backup, and a moment after which it was sent. It may be nil.
+	OnHeartbeat func(payload []byte, sentAfter time.Time)
+	// AnswerPayload is asked at the backup for what the answer to a heartbeat carries; it gets the answer's number, which
+	// grows with each answer. It may be nil.
+	AnswerPayload func(number uint64) []byte
+	// OnEcho is called at the backup when it learns that an answer has reached a primary that led after that. It may be
+	// nil.
+	OnEcho func(number uint64)
 	// OnAnswer gets the answer's payload at the primary. It may be nil.
 	OnAnswer func(from Member, payload []byte)
 }
@@ -120,6 +124,13 @@
 	return o
 }
 
+func payload(source func() []byte) []byte {
+	if source == nil {
+		return nil
+	}
+	return source()
+}
+
 func setDefault(value *time.Duration, fallback time.Duration) {
 	if *value <= 0 {
 		*value = fallback
--- a/internal/controlplane/sync.go
+++ b/internal/controlplane/sync.go
@@ -21,10 +21,16 @@
 	if err := call.Decode(&request); err != nil {
 		return nil, nil, err
 	}
-	if !p.fresh() {
+	// A renewal counts from before the look at the role: a primary that leads after it knows of it, or begins later.
+	arrived := time.Now()
+	role, fresh := p.freshRole()
+	if !fresh {
 		return nil, nil, unavailable("not in touch with the primary")
 	}
-	p.leases.renew(request.Node, time.Now())
+	p.leases.renew(request.Node, arrived)
+	if role.Primary {
+		p.leases.confirmHere(request.Node.Name)
+	}
 	wait := min(time.Duration(request.WaitMS)*time.Millisecond, longestSyncWait)
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
@@ -35,6 +41,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		response.LeaseAgeMS = p.leaseAge(&request.Node, arrived)
 		if packed, pays := p.packBody(&request, response, body); pays {
 			response.Packed = true
 			body = packed
@@ -53,6 +60,19 @@
 	}
 }
 
+// leaseAge returns how long before an arrival the lease of a process began that the primary surely knows of, or -1 where
+// there is none. Only a store must not act after its end.
+func (p *Plane) leaseAge(node *cluster.NodeInfo, arrived time.Time) int64 {
+	if !node.Store {
+		return 0
+	}
+	confirmed, found := p.leases.confirmedAt(node.Name, node.Incarnation)
+	if !found {
+		return cluster.NoLease
+	}
+	return max(0, arrived.Sub(confirmed).Milliseconds()+1)
+}
+
 // packBody compresses the body of an answer: a configuration of many routes takes long over the links of small machines,
 // and all processes ask for it at once.
 func (p *Plane) packBody(request *cluster.SyncRequest, response *syncNews, body []byte) ([]byte, bool) {
@@ -139,7 +159,6 @@
 func (p *Plane) news(request *cluster.SyncRequest) (*syncNews, []byte, error) {
 	current := p.state.current.Load()
 	response := &syncNews{}
-	response.Lease = cluster.LeaseDuration.Milliseconds()
 	if err := p.addTable(response, current, request.TableRevision); err != nil {
 		return nil, nil, err
 	}
--- a/internal/controlplane/workerlist.go
+++ b/internal/controlplane/workerlist.go
@@ -189,8 +189,8 @@
 	return payload
 }
 
-// onHeartbeat fetches the list where the primary has a newer one.
-func (r *workerReader) onHeartbeat(payload []byte) {
+// onHeartbeat fetches the list where the primary has a newer one. The heartbeat was sent after the given moment.
+func (r *workerReader) onHeartbeat(payload []byte, sentAfter time.Time) {
 	if len(payload) == 0 {
 		return
 	}
@@ -198,7 +198,7 @@
 	if err := json.Unmarshal(payload, &news); err != nil {
 		return
 	}
-	readAt := time.Now().Add(-time.Duration(news.AgeMS) * time.Millisecond)
+	readAt := sentAfter.Add(-time.Duration(news.AgeMS) * time.Millisecond)
 	if r.plane.workers.confirm(&news, readAt) {
 		return
 	}
