Fence former primaries of partitions by their backups' word, and call no incomplete copy synced

A promoted backup delivered at once, although it had given its word to the former primary less than a second before. - A copy to a new backup was called synced when its last call was answered, also where an earlier one had failed. Until the copy was repeated the backup could have been promoted without a part of the messages. - A store that came back with an empty disk at its old address confirmed records in the name of the lost disk, until its primary learnt of it. - A primary that may have been replaced answered that it knew no such message (404 to the asker).

Change: a primary asks for its backups' word, for each partition, when its lease is nearly over; a backup that is promoted waits for the end of the word it gave. A refusal stops deliveries at once. Calls name the disk they are meant for. A copy counts only where every part of it was taken. Only a primary that surely leads denies a message.

--- a/internal/capacity/keep_bench_test.go
+++ b/internal/capacity/keep_bench_test.go
@@ -226,7 +226,7 @@
 
 func (steadyControl) PartitionAsk(context.Context, cluster.PartitionAsk) error { return nil }
 func (steadyControl) Report(context.Context, cluster.Report) error             { return nil }
-func (steadyControl) LeaseValid() bool                                         { return true }
+func (steadyControl) LeaseRemaining() time.Duration                            { return time.Second }
 
 // idleOwner is never asked.
 type idleOwner struct{}
--- a/internal/cluster/agent.go
+++ b/internal/cluster/agent.go
@@ -93,9 +93,15 @@
 func (a *Agent) WorkersReadAt() time.Time { return loadTime(&a.read) }
 
 // LeaseValid tells whether the lease of this process surely still runs.
-func (a *Agent) LeaseValid() bool {
+func (a *Agent) LeaseValid() bool { return a.LeaseRemaining() > 0 }
+
+// LeaseRemaining returns for how long the lease of this process surely still runs; 0 where it does not.
+func (a *Agent) LeaseRemaining() time.Duration {
 	renewed := loadTime(&a.renewed)
-	return !renewed.IsZero() && time.Since(renewed) < LeaseDuration
+	if renewed.IsZero() {
+		return 0
+	}
+	return max(0, LeaseDuration-time.Since(renewed))
 }
 
 // Fresh tells whether the snapshots were confirmed as current within the duration of a lease.
--- a/internal/messagestore/harness_test.go
+++ b/internal/messagestore/harness_test.go
@@ -63,7 +63,9 @@
 type machine struct {
 	name    string
 	ip      string
+	diskID  string
 	stopped atomic.Bool
+	noLease atomic.Bool
 
 	disk   *journal.Memory
 	store  *Store
@@ -85,6 +87,7 @@
 	leases   atomic.Bool
 	refusing bool // asks are refused
 	asks     []cluster.PartitionAsk
+	onAsk    func(ask cluster.PartitionAsk) // called with each ask; may be nil
 }
 
 func newHarness(t *testing.T, names ...string) *harness {
@@ -93,7 +96,7 @@
 	h.clients = rpc.NewPool(h.network.Host("10.0.1.1"))
 	for i, name := range names {
 		h.machines[name] = &machine{
-			name: name, ip: fmt.Sprintf("10.0.0.%d", i+1), disk: journal.NewMemory(uint64(i)),
+			name: name, ip: fmt.Sprintf("10.0.0.%d", i+1), disk: journal.NewMemory(uint64(i)), diskID: "disk-" + name,
 		}
 	}
 	table := &cluster.Table{Revision: 1, Copies: testCopies, Deliverers: len(names)}
@@ -130,8 +133,9 @@
 	host := h.network.Host(m.ip)
 	m.server, m.pool, m.engine = rpc.NewServer(zap.NewNop()), rpc.NewPool(host), &testEngine{}
 	opened, err := Open(Options{
-		Name: name, DiskID: "disk-" + name, FS: m.disk.Mount(), Pool: m.pool, Server: m.server, Control: h,
-		Logger: zap.NewNop(), Copies: testCopies, StatusFor: time.Minute, DiskBytes: 64 << 20, CacheBytes: 1 << 20,
+		Name: name, DiskID: m.diskID, FS: m.disk.Mount(), Pool: m.pool, Server: m.server,
+		Control: &machineControl{harness: h, machine: m},
+		Logger:  zap.NewNop(), Copies: testCopies, StatusFor: time.Minute, DiskBytes: 64 << 20, CacheBytes: 1 << 20,
 	})
 	assert.NilError(h.t, err)
 	m.store = opened
@@ -209,8 +213,11 @@
 	h.mu.Lock()
 	h.asks = append(h.asks, ask)
 	view := h.table.Partitions[ask.Partition]
-	refusing := h.refusing
+	refusing, onAsk := h.refusing, h.onAsk
 	h.mu.Unlock()
+	if onAsk != nil {
+		onAsk(ask)
+	}
 	if refusing || view.Epoch != ask.Epoch || view.Replicas[0].Store != ask.Store {
 		return &rpc.Error{Code: rpc.CodeConflict}
 	}
@@ -251,7 +258,19 @@
 }
 
 func (h *harness) Report(context.Context, cluster.Report) error { return nil }
-func (h *harness) LeaseValid() bool                             { return h.leases.Load() }
+
+// machineControl is the control plane as one machine sees it.
+type machineControl struct {
+	*harness
+	machine *machine
+}
+
+func (c *machineControl) LeaseRemaining() time.Duration {
+	if c.leases.Load() && !c.machine.noLease.Load() {
+		return cluster.LeaseDuration
+	}
+	return 0
+}
 
 func (h *harness) client() *Client {
 	return NewClient("z0", h.clients, h.currentTable, func(cluster.Report) {})
--- a/internal/messagestore/index.go
+++ b/internal/messagestore/index.go
@@ -34,6 +34,7 @@
 	view    cluster.Partition
 	held    bool // the newest view lists this store's disk
 	leading bool
+	fenced  bool // a backup knows a newer epoch: another store may lead
 	paused  bool // deliveries are being handed over
 	moving  bool // a wished handover is under way
 	entries map[string]*entry
--- a/internal/messagestore/maintain.go
+++ b/internal/messagestore/maintain.go
@@ -32,7 +32,7 @@
 		case <-ticker.C:
 		}
 		s.repair()
-		if !s.options.Control.LeaseValid() && time.Since(beaten) >= heartbeatInterval {
+		if s.options.Control.LeaseRemaining() < relyBefore && time.Since(beaten) >= heartbeatInterval {
 			beaten = time.Now()
 			s.heartbeat()
 		}
@@ -55,24 +55,20 @@
 	}
 }
 
-// heartbeat asks the backups to confirm the epoch while the control plane can't.
+// heartbeat asks the backups of every partition for their word while the control plane does not renew the lease.
 func (s *Store) heartbeat() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	asked := make(map[string]bool)
 	for _, p := range s.partitions {
-		if !p.leading {
+		if !p.leading || p.fenced {
+			continue
+		}
+		line, err := (&record{Kind: recordEpoch, Partition: p.id, Epoch: p.epoch}).encode()
+		if err != nil {
 			continue
 		}
 		for _, replica := range p.backups() {
-			if asked[replica.DiskID] {
-				continue
-			}
-			asked[replica.DiskID] = true
-			line, err := (&record{Kind: recordEpoch, Partition: p.id, Epoch: p.epoch}).encode()
-			if err == nil {
-				s.sendTo(p, replica, line, nil)
-			}
+			s.sendTo(p, replica, line, nil)
 		}
 	}
 }
--- a/internal/messagestore/messages.go
+++ b/internal/messagestore/messages.go
@@ -26,7 +26,11 @@
 // replicateRequest sends records to a backup; their bytes follow one another in the body.
 type replicateRequest struct {
 	From    string          `json:"from"`
+	Target  string          `json:"target"` // the disk that the records are for
 	Records []replicateItem `json:"records"`
+	// Relying tells that the sender goes on delivering for backupLease on the word of the answer alone: its lease is over,
+	// or soon will be.
+	Relying bool `json:"relying,omitempty"`
 }
 
 // replicateItem tells a record's place in the body and the epoch under which its primary sends it.
@@ -43,6 +47,7 @@
 
 // inventoryRequest asks a backup what it holds of a partition.
 type inventoryRequest struct {
+	Target    string `json:"target"` // the disk that is asked
 	Partition int    `json:"partition"`
 	Epoch     uint64 `json:"epoch"`
 }
--- a/internal/messagestore/query.go
+++ b/internal/messagestore/query.go
@@ -45,14 +45,15 @@
 	return nil, body, nil
 }
 
-// find returns a message's entry. Only the primary's word that there is none counts. The caller holds the lock.
+// find returns a message's entry. Only the word of a primary that nobody can have replaced counts that there is none. The
+// caller holds the lock.
 func (s *Store) find(request *queryRequest) (*entry, error) {
 	p := s.partitions[request.Partition]
 	if p == nil || !p.held {
 		return nil, &rpc.Error{Code: rpc.CodeUnavailable, Message: "not a replica"}
 	}
 	found := p.entries[request.ID]
-	if found == nil && p.leading {
+	if found == nil && s.leadsForSure(p) {
 		return nil, &rpc.Error{Code: rpc.CodeNotFound}
 	}
 	if found == nil || found.message == nil && found.outcome.State == message.Queued {
--- a/internal/messagestore/replicate.go
+++ b/internal/messagestore/replicate.go
@@ -15,12 +15,12 @@
 
 // peer sends records to one backup's disk, in order, one call at a time; what gathers meanwhile goes in the next.
 type peer struct {
-	store    *Store
-	replica  cluster.Replica
-	wake     chan struct{}
-	queue    []outgoing
-	answered atomic.Pointer[time.Time] // when it last answered, counted from the call's start
-	calling  time.Time                 // when the call that is out began; zero while none is
+	store   *Store
+	replica cluster.Replica
+	wake    chan struct{}
+	queue   []outgoing
+	ended   atomic.Pointer[time.Time] // when its process was last found to have ended; it remembers no word from before
+	calling time.Time                 // when the call that is out began; zero while none is
 }
 
 // outgoing is a record on its way to a backup.
@@ -97,7 +97,10 @@
 
 // send makes one call of a batch and takes its answer in.
 func (d *peer) send(batch []outgoing) {
-	request := replicateRequest{From: d.store.options.Name}
+	request := replicateRequest{
+		From: d.store.options.Name, Target: d.replica.DiskID,
+		Relying: d.store.options.Control.LeaseRemaining() < relyBefore,
+	}
 	var body []byte
 	for i := range batch {
 		body = append(append(body, batch[i].line...), batch[i].body...)
@@ -111,7 +114,11 @@
 	if err != nil {
 		d.store.logger.Debug("replicating", zap.String("backup", d.replica.Store), zap.Error(err))
 	}
-	d.finish(batch, started, response.Refused, err)
+	outcome := sendOutcome{refused: response.Refused, err: err}
+	if request.Relying && err == nil {
+		outcome.word = started
+	}
+	d.finish(batch, outcome)
 }
 
 // noteCall notes when a call began.
@@ -137,6 +144,10 @@
 	defer cancel()
 	_, err := d.store.options.Pool.Get(entry.Address).Call(ctx, method, request, body, response)
 	if errors.Is(err, rpc.ErrNotSent) || errors.Is(err, rpc.ErrLost) {
+		if ctx.Err() == nil {
+			ended := time.Now()
+			d.ended.Store(&ended)
+		}
 		d.store.report(d.replica.Store, entry.Address, ctx.Err() == nil)
 	}
 	return err
@@ -168,35 +179,54 @@
 	return true
 }
 
+// sendOutcome is what came of sending a batch.
+type sendOutcome struct {
+	refused []int     // partitions whose records were refused
+	word    time.Time // when the backup was asked for its word, where it gave it
+	err     error
+}
+
 // finish takes the answer to a batch in.
-func (d *peer) finish(batch []outgoing, started time.Time, refused []int, err error) {
+func (d *peer) finish(batch []outgoing, outcome sendOutcome) {
 	s := d.store
 	s.mu.Lock()
 	d.calling = time.Time{}
-	if err == nil {
-		d.answered.Store(&started)
-	}
 	for i := range batch {
-		out := &batch[i]
-		p := s.partition(out.partition)
-		switch {
-		case err == nil && !slices.Contains(refused, out.partition):
-			if out.write != nil {
-				out.write.synced[d.replica.DiskID] = true
-				s.commitIfSynced(p, out.write)
-			}
-		case p.leading && p.view.Find(d.replica.Store) > 0:
-			if out.write != nil {
-				delete(out.write.sent, d.replica.DiskID)
-			}
-			s.backupFailed(p, d.replica)
-		}
+		d.finishRecord(&batch[i], outcome)
 	}
 	s.mu.Unlock()
 	for i := range batch {
 		if batch[i].done != nil {
-			batch[i].done(err)
+			batch[i].done(outcome.err)
+		}
+	}
+}
+
+// finishRecord takes in what became of one record. The caller holds the store's lock.
+func (d *peer) finishRecord(out *outgoing, outcome sendOutcome) {
+	s := d.store
+	p := s.partition(out.partition)
+	current := p.leading && out.epoch == p.epoch
+	isRefused := slices.Contains(outcome.refused, out.partition)
+	if outcome.err == nil && !isRefused {
+		if out.write != nil {
+			out.write.synced[d.replica.DiskID] = true
+			s.commitIfSynced(p, out.write)
+		}
+		if current && !outcome.word.IsZero() {
+			s.gate(p.id).noteWord(d.replica.DiskID, outcome.word)
+		}
+		return
+	}
+	if isRefused && current {
+		p.fenced = true
+		s.setGate(p)
+	}
+	if p.leading && p.view.Find(d.replica.Store) > 0 {
+		if out.write != nil {
+			delete(out.write.sent, d.replica.DiskID)
 		}
+		s.backupFailed(p, d.replica)
 	}
 }
 
@@ -242,6 +272,12 @@
 func (s *Store) takeRecords(request *replicateRequest, body []byte) (*replicateResponse, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.checkTarget(request.Target); err != nil {
+		return nil, err
+	}
+	if request.Relying {
+		s.words[request.From] = time.Now().Add(backupLease)
+	}
 	response := &replicateResponse{}
 	for _, item := range request.Records {
 		if item.Length < 0 || item.Length > len(body) {
@@ -260,6 +296,14 @@
 	return response, nil
 }
 
+// checkTarget refuses a call that is meant for another disk at this address.
+func (s *Store) checkTarget(diskID string) error {
+	if diskID == s.options.DiskID {
+		return nil
+	}
+	return &rpc.Error{Code: rpc.CodeConflict, Message: "another disk is here: " + s.options.DiskID}
+}
+
 // mayFollow tells whether records of an epoch may be taken from a primary, and adopts a newer one.
 func (s *Store) mayFollow(id int, epoch uint64) bool {
 	p := s.partition(id)
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,9 @@
 	"ivyfold/internal/rpc"
 )
 
+// errCopyIncomplete means that a part of a copy did not reach the backup.
+var errCopyIncomplete = errors.New("a part of the copy was not taken")
+
 // resyncState is the primary's note that a backup may lack records.
 type resyncState struct {
 	running   bool
@@ -88,7 +92,7 @@
 	backup := s.peer(replica)
 	s.mu.Unlock()
 	var held inventoryResponse
-	request := inventoryRequest{Partition: p.id, Epoch: epoch}
+	request := inventoryRequest{Target: replica.DiskID, Partition: p.id, Epoch: epoch}
 	if err := backup.call(methodInventory, inventoryTimeout, request, nil, &held); err != nil {
 		return err
 	}
@@ -98,12 +102,23 @@
 	if err := s.copyMissing(ctx, p, backup, s.missing(p, &held)); err != nil {
 		return err
 	}
+	if s.copyFailed(p, replica) {
+		return errCopyIncomplete
+	}
 	if replica.Synced {
 		return nil
 	}
 	return s.ask(cluster.PartitionAsk{Partition: p.id, Epoch: epoch, Synced: replica.Store})
 }
 
+// copyFailed tells whether a record was not taken since the copy to a backup began. The last one may have been.
+func (s *Store) copyFailed(p *partition, replica cluster.Replica) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := p.resync[replica.DiskID]
+	return state == nil || state.again
+}
+
 // resendPending sends waiting writes again to backups that failed to take them.
 func (s *Store) resendPending(p *partition) {
 	s.mu.Lock()
@@ -244,6 +259,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.checkTarget(request.Target); err != nil {
+		return nil, nil, err
+	}
 	if !s.mayFollow(request.Partition, request.Epoch) {
 		return nil, nil, &rpc.Error{Code: rpc.CodeConflict, Message: "the epoch is not the newest"}
 	}
--- a/internal/messagestore/roles.go
+++ b/internal/messagestore/roles.go
@@ -46,6 +46,8 @@
 	}
 	place := view.Find(s.options.Name)
 	p.held = place >= 0 && view.Replicas[place].DiskID == s.options.DiskID
+	former := p.view
+	p.fenced = p.fenced && view.Epoch == p.epoch
 	p.epoch, p.view = view.Epoch, view
 	switch {
 	case !p.held:
@@ -56,6 +58,7 @@
 	case p.leading:
 		s.adjustBackups(p)
 	default:
+		s.waitForFormer(p, former)
 		s.lead(p)
 	}
 	if p.leading {
@@ -115,7 +118,7 @@
 	if !p.leading {
 		return
 	}
-	p.leading, p.paused = false, false
+	p.leading, p.fenced, p.paused = false, false, false
 	s.changes.lost++
 	s.setGate(p)
 	s.engine.Release(p.id)
--- a/internal/messagestore/roles_test.go
+++ b/internal/messagestore/roles_test.go
@@ -30,7 +30,7 @@
 		core, logs := observer.New(zapcore.InfoLevel)
 		store, err := Open(Options{
 			Name: "a", DiskID: "disk-a", FS: journal.NewMemory(1).Mount(), Server: rpc.NewServer(zap.NewNop()),
-			Control: &harness{}, Logger: zap.New(core), Copies: 1,
+			Control: &machineControl{harness: &harness{}, machine: &machine{}}, Logger: zap.New(core), Copies: 1,
 		})
 		assert.NilError(t, err)
 		store.Start(&testEngine{})
--- a/internal/messagestore/store.go
+++ b/internal/messagestore/store.go
@@ -34,8 +34,8 @@
 	PartitionAsk(ctx context.Context, ask cluster.PartitionAsk) error
 	// Report tells that a process can't be reached.
 	Report(ctx context.Context, report cluster.Report) error
-	// LeaseValid tells whether this process's lease still runs.
-	LeaseValid() bool
+	// LeaseRemaining returns for how long this process's lease surely still runs; 0 where it does not.
+	LeaseRemaining() time.Duration
 }
 
 // Options configure a Store.
@@ -67,6 +67,7 @@
 	gates      sync.Map             // by partition ID: *gate
 	peers      map[string]*peer     // by disk id
 	reported   map[string]time.Time // by store: when it was last reported
+	words      map[string]time.Time // by store: until when it may deliver on this store's word alone
 	cached     int64                // bytes of bodies in memory
 	wake       chan struct{}
 	context    context.Context
@@ -82,6 +83,7 @@
 		partitions: make(map[int]*partition),
 		peers:      make(map[string]*peer),
 		reported:   make(map[string]time.Time),
+		words:      make(map[string]time.Time),
 		wake:       make(chan struct{}, 1),
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
