Keep second losses and orders sent again safe in the control plane

Cause, found by review; each has a test that failed without the change: - A store that lost its disk while it was being emptied lost the retire order with it. It was given copies again, while the operator was told that the order was completed, and would take the machine away with them. - A silent member was removed down to a group of three whatever may be lost: with two tolerated losses a group of five kept no majority after two more. A process that took a lost machine's place joined beside the silent member instead of in its place. - An order that was sent again was acknowledged from memory, also where its first copy was in force on too few disks to be acknowledged, and without contact with the group. - An order whose digest had been forgotten, after 2,000 later ones, was refused although it had been taken.

Change: a retire order goes on for the disk that the store comes back with. Groups are not shrunk below twice the tolerated losses and one, and a joining process replaces a silent member. Every answer to an order that changes nothing follows a round in which enough disks answer. Orders older than all that are remembered get no clear answer.

--- a/internal/controlplane/change.go
+++ b/internal/controlplane/change.go
@@ -33,7 +33,8 @@
 	Jobs []retireJob `json:"jobs,omitempty"`
 }
 
-// retireJob is an operator's order to empty a store. It holds for the disk that the store had.
+// retireJob is an operator's order to empty a store. It holds for one disk; where the store comes back with another one
+// before the order is carried out, a further job holds for that one.
 type retireJob struct {
 	Store     string `json:"store"`
 	DiskID    string `json:"diskId"`
--- a/internal/controlplane/group.go
+++ b/internal/controlplane/group.go
@@ -19,6 +19,7 @@
 	Found(ctx context.Context, members []replication.Member) error
 	Propose(ctx context.Context, change []byte) error
 	Confirm(ctx context.Context) error
+	ConfirmDurable(ctx context.Context) error
 	AddMember(ctx context.Context, member replication.Member) error
 	RemoveMember(ctx context.Context, diskID string) error
 	ReplaceMember(ctx context.Context, oldDiskID string, member replication.Member) error
--- /dev/null
+++ b/internal/controlplane/hardening_test.go
@@ -0,0 +1,216 @@
+package controlplane
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"ivyfold/internal/cluster"
+	"ivyfold/internal/controlplane/replication"
+)
+
+// standInGroup is a replicated group of one: what is proposed is in force at once.
+type standInGroup struct {
+	group
+	state   *stateMachine
+	durable error // what ConfirmDurable says
+	asked   int   // how often it was asked
+}
+
+func (g *standInGroup) Propose(_ context.Context, change []byte) error { return g.state.Apply(change) }
+
+func (g *standInGroup) Confirm(context.Context) error { return nil }
+
+func (g *standInGroup) ConfirmDurable(context.Context) error {
+	g.asked++
+	return g.durable
+}
+
+func planeOfOne() (*Plane, *standInGroup) {
+	state := newStateMachine()
+	alone := &standInGroup{state: state}
+	return &Plane{state: state, group: alone, orders: newSemaphore(), logger: zap.NewNop()}, alone
+}
+
+// replaceOrder is an order that replaces version `base` by the version after it.
+func (p *Plane) replaceOrder(t *testing.T, base int) int {
+	t.Helper()
+	call := cluster.OperatorCall{Method: http.MethodPost, Path: pathReplace, Base: fmt.Sprint(base)}
+	result, err := p.takeOrder(t.Context(), call, false, []byte(configurationOf(base+1)))
+	if err != nil {
+		result, err = p.failedOrder(err)
+		assert.NilError(t, err)
+	}
+	return result.status
+}
+
+// TestOrderSentAgainIsAcknowledgedOnlyWhereEnoughDisksHoldIt resends an order whose first copy is in force but was not
+// acknowledged, as too few disks held it.
+func TestOrderSentAgainIsAcknowledgedOnlyWhereEnoughDisksHoldIt(t *testing.T) {
+	plane, alone := planeOfOne()
+	assert.Equal(t, plane.replaceOrder(t, 0), http.StatusOK)
+	alone.durable = errors.New("too few disks")
+	assert.Equal(t, plane.replaceOrder(t, 0), http.StatusServiceUnavailable)
+	alone.durable = nil
+	assert.Equal(t, plane.replaceOrder(t, 0), http.StatusOK)
+	assert.Equal(t, alone.asked, 2)
+}
+
+// TestOrderThatMayBeForgottenIsNotRefused sends the first of very many orders again, across a snapshot.
+func TestOrderThatMayBeForgottenIsNotRefused(t *testing.T) {
+	plane, _ := planeOfOne()
+	for base := range ordersRemembered + 1 {
+		assert.Equal(t, plane.replaceOrder(t, base), http.StatusOK)
+	}
+	for range 2 {
+		assert.Equal(t, plane.replaceOrder(t, 0), http.StatusServiceUnavailable, "it was taken, and is forgotten")
+		assert.Equal(t, plane.replaceOrder(t, 1), http.StatusOK, "the oldest that is remembered")
+		assert.Equal(t, plane.replaceOrder(t, ordersRemembered), http.StatusOK)
+		rival := cluster.OperatorCall{Method: http.MethodPost, Path: pathReplace, Base: fmt.Sprint(ordersRemembered)}
+		result, err := plane.takeOrder(t.Context(), rival, false, []byte(configurationOf(ordersRemembered+7)))
+		assert.NilError(t, err)
+		assert.Equal(t, result.status, http.StatusPreconditionFailed)
+		snapshot, err := plane.state.Snapshot()
+		assert.NilError(t, err)
+		assert.NilError(t, plane.state.Restore(snapshot))
+	}
+}
+
+// TestSnapshotWithoutBasesForgetsNothingWrongly reads a snapshot of a version that kept no bases of the orders.
+func TestSnapshotWithoutBasesForgetsNothingWrongly(t *testing.T) {
+	plane, _ := planeOfOne()
+	for base := range ordersRemembered {
+		assert.Equal(t, plane.replaceOrder(t, base), http.StatusOK)
+	}
+	current := *plane.state.current.Load()
+	current.bases = nil
+	plane.state.current.Store(&current)
+	snapshot, err := plane.state.Snapshot()
+	assert.NilError(t, err)
+	assert.NilError(t, plane.state.Restore(snapshot))
+	assert.Equal(t, plane.replaceOrder(t, ordersRemembered), http.StatusOK)
+	assert.Equal(t, plane.replaceOrder(t, 0), http.StatusServiceUnavailable)
+}
+
+// TestRetiringStoreThatLosesItsDiskIsEmptiedAllTheSame has a store come back with an empty disk while it is emptied: when
+// the operator reads that this is completed, the machine may be taken away whichever disk it has.
+func TestRetiringStoreThatLosesItsDiskIsEmptiedAllTheSame(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	assert.NilError(t, world.plan(func(draft *draft) error {
+		assert.Equal(t, draft.startRetire("a", 3).status, http.StatusOK)
+		return nil
+	}))
+	for _, disk := range []string{"second-disk", "third-disk"} {
+		assert.Assert(t, !newestJob(world.current.jobs, "a").Completed)
+		world.start("a", "zone-0", disk)
+		assert.NilError(t, world.plan())
+		assert.Equal(t, newestJob(world.current.jobs, "a").DiskID, disk)
+	}
+	world.settle()
+	world.requireWhole()
+	assert.Assert(t, newestJob(world.current.jobs, "a").Completed)
+	for _, partition := range world.current.table.Partitions {
+		assert.Equal(t, partition.Find("a"), -1)
+	}
+	assert.NilError(t, world.plan(func(draft *draft) error {
+		assert.Equal(t, draft.startRetire("a", 3).status, http.StatusOK, "sent again")
+		return nil
+	}))
+}
+
+// TestEmptiedStoreThatReturnsIsEmptiedAgainForAWaitingOperator has a store be given copies after it was emptied and before
+// its operator has heard of that.
+func TestEmptiedStoreThatReturnsIsEmptiedAgainForAWaitingOperator(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	assert.NilError(t, world.plan(func(draft *draft) error {
+		assert.Equal(t, draft.startRetire("a", 3).status, http.StatusOK)
+		return nil
+	}))
+	world.settle()
+	assert.Assert(t, newestJob(world.current.jobs, "a").Completed)
+	assert.Assert(t, !outdatedJob(newestJob(world.current.jobs, "a"), world.current.table.Store("a")))
+	world.start("a", "zone-0", "another-disk")
+	world.settle()
+	assert.Assert(t, world.leads("a") > 0)
+	assert.Assert(t, outdatedJob(newestJob(world.current.jobs, "a"), world.current.table.Store("a")))
+	assert.NilError(t, world.plan(func(draft *draft) error { return draft.resumeRetire("a") }))
+	assert.Assert(t, !newestJob(world.current.jobs, "a").Completed)
+	world.settle()
+	assert.Assert(t, newestJob(world.current.jobs, "a").Completed)
+	for _, partition := range world.current.table.Partitions {
+		assert.Equal(t, partition.Find("a"), -1)
+	}
+}
+
+func silentManager(tolerated int, begin time.Time) *memberManager {
+	return &memberManager{
+		plane:     &Plane{options: Options{Info: cluster.NodeInfo{DiskID: "d-m-0"}, Tolerated: tolerated}},
+		lastAlive: map[string]time.Time{}, leadingSince: begin,
+	}
+}
+
+// TestJoiningProcessTakesThePlaceOfASilentMember replaces a machine by an empty one at another address: the group must
+// not grow by a member that is gone.
+func TestJoiningProcessTakesThePlaceOfASilentMember(t *testing.T) {
+	members, nodes := membersOf(5)
+	begin := time.Now()
+	manager := silentManager(2, begin)
+	manager.noteAlive(members, nodes, begin)
+	view := replication.View{Members: members}
+	nodes["successor"] = coreNode("successor", "new")
+	change := manager.plan(view, nodes, begin)
+	assert.Equal(t, change.remove, "", "all members are alive")
+	delete(nodes, "m-3")
+	soon := begin.Add(replaceableAfter / 2)
+	manager.noteAlive(members, nodes, soon)
+	assert.Assert(t, manager.plan(view, nodes, soon) == nil, "the member may be back at once")
+	late := begin.Add(replaceableAfter)
+	manager.noteAlive(members, nodes, late)
+	change = manager.plan(view, nodes, late)
+	assert.Equal(t, change.remove, "d-m-3")
+	assert.Equal(t, change.add.DiskID, "new")
+	assert.Equal(t, manager.plan(replication.View{Members: members[:4]}, nodes, late).remove, "", "the group is too small")
+}
+
+// TestGroupKeepsAMajorityAfterToleratedLosses checks every size of a group and every number of tolerated losses: members
+// are never removed so far that further losses could leave no majority.
+func TestGroupKeepsAMajorityAfterToleratedLosses(t *testing.T) {
+	for tolerated := range 4 {
+		for size := 3; size <= memberCountLimit; size++ {
+			members, nodes := membersOf(size)
+			begin := time.Now()
+			manager := silentManager(tolerated, begin)
+			for lost := range min(tolerated, size-1) {
+				delete(nodes, members[size-1-lost].Name)
+			}
+			now := begin.Add(memberSilenceLimit + time.Second)
+			for {
+				manager.noteAlive(members, nodes, now)
+				change := manager.planRemoval(replication.View{Members: members}, now)
+				if change == nil {
+					break
+				}
+				members = membersWithout(members, change.remove)
+			}
+			assert.Assert(t, len(members) >= min(size, 2*tolerated+1), "%d left of %d, %d may be lost", len(members), size, tolerated)
+		}
+	}
+}
+
+func membersWithout(members []replication.Member, diskID string) []replication.Member {
+	var left []replication.Member
+	for _, member := range members {
+		if member.DiskID != diskID {
+			left = append(left, member)
+		}
+	}
+	return left
+}
--- a/internal/controlplane/members.go
+++ b/internal/controlplane/members.go
@@ -12,11 +12,16 @@
 const (
 	memberInterval      = 300 * time.Millisecond // between two looks at the members
 	memberChangeTimeout = 6 * time.Second
-	memberSilenceLimit  = 6 * time.Second // after which a member is removed
+	memberSilenceLimit  = 5 * time.Second // after which a member is removed
+	replaceableAfter    = time.Second     // of silence a member's place may be given to a process that wants to join
 	memberCountLimit    = 9
 	smallestGroup       = 3 // no member is removed from a group of this size
 )
 
+// leastMembers is the size down to which members are removed. A smaller group would have no majority left after the
+// losses that the system must bear: members that are silent keep their places, and count again when they are back.
+func leastMembers(tolerated int) int { return max(smallestGroup, 2*tolerated+1) }
+
 // memberChange is one change of the group's members. Exactly one of the fields is set, or both to replace.
 type memberChange struct {
 	remove string              // disk id
@@ -75,11 +80,35 @@
 // plan returns the next change of the members, or nil.
 func (m *memberManager) plan(view replication.View, nodes map[string]nodeStatus, now time.Time) *memberChange {
 	if change := planJoin(view.Members, nodes); change != nil {
-		return change
+		return m.withSilentReplaced(change, view.Members, now)
 	}
 	return m.planRemoval(view, now)
 }
 
+// withSilentReplaced has a process that joins take the place of a member that is silent: beside it, the group would need
+// one more for its majority and have none for it. While a member has been silent for a moment only, nobody joins.
+func (m *memberManager) withSilentReplaced(
+	change *memberChange, members []replication.Member, now time.Time,
+) *memberChange {
+	if change.remove != "" || len(members) < leastMembers(m.plane.options.Tolerated) {
+		return change
+	}
+	longest := time.Duration(0)
+	silent := ""
+	for _, member := range members {
+		if silence := m.silence(member, now); silence > longest {
+			longest, silent = silence, member.DiskID
+		}
+	}
+	switch {
+	case silent == "":
+		return change
+	case longest < replaceableAfter:
+		return nil
+	}
+	return &memberChange{remove: silent, add: change.add}
+}
+
 // planJoin returns the change that takes in a process that may be a member and is not. One whose name is listed with
 // another disk takes that member's place.
 func planJoin(members []replication.Member, nodes map[string]nodeStatus) *memberChange {
@@ -110,7 +139,7 @@
 // planRemoval returns the change that removes a member that has been silent for long, while a majority of the others
 // is alive.
 func (m *memberManager) planRemoval(view replication.View, now time.Time) *memberChange {
-	if len(view.Members) <= smallestGroup {
+	if len(view.Members) <= leastMembers(m.plane.options.Tolerated) {
 		return nil
 	}
 	alive := 0
--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -48,8 +48,6 @@
 	body   []byte
 }
 
-func (a answer) refusal() bool { return a.status >= 400 && a.status < 500 }
-
 func emptyAnswer(status int) answer { return answer{status: status, body: []byte("{}")} }
 
 func errorAnswer(status int, text string, findings ...findingBody) answer {
--- a/internal/controlplane/order.go
+++ b/internal/controlplane/order.go
@@ -38,12 +38,13 @@
 	return p.decideOrder(ctx, &order{digest: digest, base: base, update: update, body: body})
 }
 
-// decideOrder checks an order and proposes it. A refusal is given only by a process that is the primary for sure: one
-// that has been replaced may lack the configuration on which the order builds.
+// decideOrder checks an order and proposes it. Any other answer is given only by a process that is the primary for sure,
+// on what enough disks hold: one that has been replaced may lack the configuration on which the order builds, and an
+// order that was sent again may have been taken while too few disks were there to acknowledge it.
 func (p *Plane) decideOrder(ctx context.Context, order *order) (answer, error) {
 	verdict, document := p.checkOrder(order)
-	if verdict.refusal() {
-		if err := p.group.Confirm(ctx); err != nil {
+	if document == nil {
+		if err := p.group.ConfirmDurable(ctx); err != nil {
 			return answer{}, err
 		}
 		verdict, document = p.checkOrder(order)
@@ -74,10 +75,14 @@
 }
 
 // checkOutdated answers an order that builds on another version than the current one: it is acknowledged where it
-// replaces the configuration by what is in force already.
+// replaces the configuration by what is in force already. One that is older than all orders that are remembered may have
+// been taken, and is not refused.
 func checkOutdated(current *content, order *order) answer {
-	conflict := errorAnswer(http.StatusPreconditionFailed, fmt.Sprintf("version %d is current", current.version()))
-	return checkRepeatedOr(current, order, conflict)
+	otherwise := errorAnswer(http.StatusPreconditionFailed, fmt.Sprintf("version %d is current", current.version()))
+	if order.base < current.forgot {
+		otherwise = errorAnswer(http.StatusServiceUnavailable, "too old to tell whether it was taken")
+	}
+	return checkRepeatedOr(current, order, otherwise)
 }
 
 // checkRepeated answers an order whose version is not above the current one.
--- a/internal/controlplane/replication/batch.go
+++ b/internal/controlplane/replication/batch.go
@@ -54,7 +54,7 @@
 		switch {
 		case !l.group.replica.isOwn(batch.epoch):
 			failAll(batch.requests, ErrUnknownOutcome)
-		case enough || !hasChanges(batch.requests):
+		case enough || !needsCopies(batch.requests):
 			l.answerBatch(batch.requests, batch.after.Index)
 		default:
 			l.parked = append(l.parked, batch)
@@ -62,9 +62,7 @@
 	}
 }
 
-func hasChanges(batch []*request) bool {
-	return slices.ContainsFunc(batch, func(waiting *request) bool { return waiting.kind == requestChange })
-}
+func needsCopies(batch []*request) bool { return slices.ContainsFunc(batch, (*request).needsCopies) }
 
 // failParked fails what is still parked when the leadership ends.
 func (l *leadership) failParked() {
--- a/internal/controlplane/replication/group_test.go
+++ b/internal/controlplane/replication/group_test.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -325,7 +326,7 @@
 		assert.Assert(t, !group.Role().Fresh)
 		for _, echo := range []uint64{held.Echo, 0, held.Echo + 1000} {
 			held.Echo = echo
-			answer, _, err := group.serveHeartbeat(t.Context(), held, nil)
+			answer, _, err := group.serveHeartbeat(c.t.Context(), held, nil)
 			assert.NilError(t, err)
 			assert.Assert(t, answer.(heartbeatAnswer).Heard, "it knows of no other primary")
 			assert.Assert(t, !group.Role().Fresh, "its state is 20 s old")
@@ -335,3 +336,27 @@
 		assert.DeepEqual(t, backup.run().machine.list(), []string{"a", "b"})
 	})
 }
+
+// TestDurableBarrierWaitsForEnoughDisks commits a change on fewer disks than an acknowledgement needs.
+func TestDurableBarrierWaitsForEnoughDisks(t *testing.T) {
+	inCluster(t, 3, 3, 1, func(c *cluster) {
+		primary := c.awaitPrimary(time.Second)
+		primary.mustPropose("a")
+		c.awaitInSync(time.Second, 3)
+		lost := c.nodes[2]
+		if lost == primary {
+			lost = c.nodes[1]
+		}
+		lost.powerOff()
+		proposed := make(chan error, 1)
+		go func() { proposed <- primary.propose("b", 20*time.Second) }()
+		c.awaitInSync(3*time.Second, 2)
+		assert.NilError(t, primary.confirm(time.Second))
+		ctx, cancel := context.WithTimeout(c.t.Context(), 2*time.Second)
+		defer cancel()
+		assert.Assert(t, primary.run().group.ConfirmDurable(ctx) != nil)
+		lost.back()
+		assert.NilError(t, <-proposed)
+		assert.NilError(t, primary.run().group.ConfirmDurable(c.t.Context()))
+	})
+}
--- a/internal/controlplane/replication/request.go
+++ b/internal/controlplane/replication/request.go
@@ -7,7 +7,7 @@
 	"github.com/gravitational/trace"
 )
 
-// request is a change, a read barrier or a change of membership that waits for the primary.
+// request is a change, a barrier or a change of membership that waits for the primary.
 type request struct {
 	kind       requestKind
 	change     []byte
@@ -16,11 +16,17 @@
 	done       chan error
 }
 
+// needsCopies tells whether the request is answered only while enough disks are in sync.
+func (r *request) needsCopies() bool {
+	return r.kind == requestChange || r.kind == requestDurableBarrier
+}
+
 type requestKind int
 
 const (
 	requestChange requestKind = iota
 	requestBarrier
+	requestDurableBarrier
 	requestMembership
 )
 
@@ -35,6 +41,12 @@
 	return g.submit(ctx, &request{kind: requestBarrier})
 }
 
+// ConfirmDurable is Confirm, and returns only when all that was committed before is on as many disks as a change needs to
+// be acknowledged.
+func (g *Group) ConfirmDurable(ctx context.Context) error {
+	return g.submit(ctx, &request{kind: requestDurableBarrier})
+}
+
 // submit queues a request and waits for its end.
 func (g *Group) submit(ctx context.Context, submitted *request) error {
 	submitted.done = make(chan error, 1)
@@ -83,7 +95,7 @@
 	defer l.mu.Unlock()
 	enough := len(l.view.InSync) >= l.group.options.Copies
 	return l.take(func(waiting *request) bool {
-		return waiting.kind == requestBarrier || (waiting.kind == requestChange && enough)
+		return waiting.kind == requestBarrier || (waiting.needsCopies() && enough)
 	})
 }
 
--- a/internal/controlplane/retire.go
+++ b/internal/controlplane/retire.go
@@ -62,6 +62,39 @@
 	return emptyAnswer(http.StatusOK)
 }
 
+// carryRetire goes on emptying a store that has come back with another disk before it was emptied.
+func (d *draft) carryRetire(store, diskID string) {
+	job := newestJob(d.jobs, store)
+	if job != nil && !job.Completed && job.DiskID != diskID {
+		d.jobs = append(d.jobs, retireJob{Store: store, DiskID: diskID})
+	}
+}
+
+// newestJob returns the newest retire job for a store, or nil.
+func newestJob(jobs []retireJob, store string) *retireJob {
+	for i := len(jobs) - 1; i >= 0; i-- {
+		if jobs[i].Store == store {
+			return &jobs[i]
+		}
+	}
+	return nil
+}
+
+// outdatedJob tells whether a store was emptied, and has come back with another disk since.
+func outdatedJob(job *retireJob, entry *cluster.StoreEntry) bool {
+	return job.Completed && entry != nil && entry.DiskID != job.DiskID
+}
+
+// resumeRetire empties a store again that has come back with another disk while its operator waits for its end: it would
+// be taken away with what it was given meanwhile.
+func (d *draft) resumeRetire(store string) error {
+	job, entry := newestJob(d.jobs, store), d.store(store)
+	if job != nil && outdatedJob(job, entry) {
+		d.jobs = append(d.jobs, retireJob{Store: store, DiskID: entry.DiskID})
+	}
+	return nil
+}
+
 func (d *draft) activeStoresBeside(store string) int {
 	count := 0
 	for _, entry := range d.stores {
@@ -78,20 +111,30 @@
 	if err := p.group.Confirm(ctx); err != nil {
 		return answer{}, err
 	}
-	jobs := p.state.current.Load().jobs
-	for i := len(jobs) - 1; i >= 0; i-- {
-		if jobs[i].Store == store {
-			return retireAnswer(jobs[i])
-		}
+	current := p.state.current.Load()
+	job := newestJob(current.jobs, store)
+	if job == nil {
+		return errorAnswer(http.StatusNotFound, "no such job"), nil
+	}
+	if outdatedJob(job, current.table.Store(store)) {
+		err := p.manager.edit(ctx, func(draft *draft) error { return draft.resumeRetire(store) })
+		return runningAnswer, err
+	}
+	if !job.Completed {
+		return runningAnswer, nil
 	}
-	return errorAnswer(http.StatusNotFound, "no such job"), nil
+	return completedAnswer, nil
 }
 
-func retireAnswer(job retireJob) (answer, error) {
-	state := retireState{State: retireRunning}
-	if job.Completed {
-		state.State = retireCompleted
+var (
+	runningAnswer   = retireAnswer(retireRunning)
+	completedAnswer = retireAnswer(retireCompleted)
+)
+
+func retireAnswer(state string) answer {
+	body, err := json.Marshal(retireState{State: state})
+	if err != nil {
+		panic(err) // a struct of one string
 	}
-	body, err := json.Marshal(state)
-	return answer{status: http.StatusOK, body: body}, err
+	return answer{status: http.StatusOK, body: body}
 }
--- a/internal/controlplane/snapshot.go
+++ b/internal/controlplane/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -13,6 +14,8 @@
 // snapshotHeader is the first line of a snapshot; the configuration follows it byte for byte.
 type snapshotHeader struct {
 	Orders        []string       `json:"orders,omitempty"`
+	Bases         []uint64       `json:"bases,omitempty"`  // of the orders; older snapshots have none
+	Forgot        uint64         `json:"forgot,omitempty"` // orders on lower versions may be missing
 	Table         *cluster.Table `json:"table"`
 	Jobs          []retireJob    `json:"jobs,omitempty"`
 	Configuration bool           `json:"configuration,omitempty"` // one follows
@@ -23,6 +26,8 @@
 	current := s.current.Load()
 	header := snapshotHeader{
 		Orders:        current.orders,
+		Bases:         current.bases,
+		Forgot:        current.forgot,
 		Table:         current.table,
 		Jobs:          current.jobs,
 		Configuration: current.document != nil,
@@ -50,7 +55,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	next := &content{orders: header.Orders, table: header.Table, jobs: header.Jobs}
+	next := &content{orders: header.Orders, bases: header.Bases, forgot: header.Forgot, table: header.Table, jobs: header.Jobs}
 	if next.table == nil {
 		next.table = &cluster.Table{}
 	}
@@ -61,6 +66,9 @@
 		}
 		next.document = document
 	}
+	if len(next.bases) != len(next.orders) {
+		next.bases = slices.Repeat([]uint64{next.version()}, len(next.orders)) // at most that
+	}
 	s.orders = make(map[string]struct{}, len(next.orders))
 	for _, digest := range next.orders {
 		s.orders[digest] = struct{}{}
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -23,6 +23,8 @@
 	document *configuration.Document // nil before the first configuration
 	updates  []appliedUpdate         // the newest updates, oldest first, without a gap up to the document
 	orders   []string                // digests of accepted orders, oldest first
+	bases    []uint64                // the versions that these orders built on, in the same order
+	forgot   uint64                  // orders that built on lower versions may have been accepted and forgotten
 	table    *cluster.Table
 	changes  []cluster.TableChange // the newest changes of the table, oldest first, without a gap up to the table
 	jobs     []retireJob
@@ -123,7 +125,7 @@
 		next.updates = nil
 	}
 	next.document = document
-	s.remember(next, order.Digest)
+	s.remember(next, order)
 	return nil
 }
 
@@ -144,15 +146,17 @@
 }
 
 // remember adds the digest of an accepted order, and forgets the oldest where there are many.
-func (s *stateMachine) remember(next *content, digest string) {
-	if _, found := s.orders[digest]; found {
+func (s *stateMachine) remember(next *content, order *orderChange) {
+	if _, found := s.orders[order.Digest]; found {
 		return
 	}
 	if len(next.orders) >= ordersRemembered {
 		delete(s.orders, next.orders[0])
+		next.forgot = next.bases[0] + 1
 	}
-	next.orders = appendBounded(next.orders, digest, ordersRemembered)
-	s.orders[digest] = struct{}{}
+	next.orders = appendBounded(next.orders, order.Digest, ordersRemembered)
+	next.bases = appendBounded(next.bases, order.Base, ordersRemembered)
+	s.orders[order.Digest] = struct{}{}
 }
 
 // appendBounded returns a list with one more value and at most limit ones, without changing the list given.
--- a/internal/controlplane/stores.go
+++ b/internal/controlplane/stores.go
@@ -23,6 +23,9 @@
 			d.stores = slices.Insert(d.stores, position, cluster.StoreEntry{Name: name})
 			entry = &d.stores[position]
 		}
+		if entry.DiskID != node.info.DiskID {
+			d.carryRetire(name, node.info.DiskID)
+		}
 		entry.Zone = node.info.Zone
 		entry.Address = node.info.Address
 		entry.DiskID = node.info.DiskID
