Take leases, operators' questions and changes of members into the model of the control group

The model that is gone through exhaustively had no leases, no readings or refusals, and one replacement. It has now: questions of operators, answered after a round (a reading, a refused order, an order that was taken before); leases that witnesses keep and primaries count, with time as explicit steps; additions, removals and replacements of members, several of them; and losses one after the other, each when the repair of the one before is over.

Two lie deeper than a search gets and are played as scripts, which the group's own rules stop at one step: a second change of members while the first is in doubt, and a member that counts before it has caught up.

--- a/internal/controlplane/replication/explorer_model_test.go
+++ b/internal/controlplane/replication/explorer_model_test.go
@@ -10,8 +10,12 @@
 
 // The model is the group's protocol without time, disks and connections: what processes do upon calls, in any order.
 // A call may be handled at any later moment or never, and its answer may be lost. An answer that is late adds nothing:
-// its receiver's steps are all optional, so it may as well have come early. Leases only make elections rarer; the model
-// has none, and so allows more than the group does. The rules of quorums and witnesses are the group's own code.
+// its receiver's steps are all optional, so it may as well have come early. The rules of quorums and witnesses are the
+// group's own code.
+//
+// Without leases the model allows more elections than the group does. With them (modelLimits.leases) a witness stands by a
+// primary that it has heard, and stops at any moment at which that primary does not count it any more: the primary counts
+// from the sending of a heartbeat, the witness from its arrival, and steady clocks run alike.
 
 // modelDisks is the most disks that a model has, a replacement among them.
 const modelDisks = 5
@@ -108,6 +112,14 @@
 	taken    diskSet // disks that have been aligned, then those that have accepted
 	acks     [maxChanges]diskSet
 	learners diskSet // taught, to become members
+
+	reading  bool    // a question of an operator is open here
+	floor    uint8   // how much was acknowledged when it came
+	answered diskSet // who has confirmed this primary since
+
+	standsBy int8    // the primary that this witness stands by, counted from 1; 0 for none
+	renewed  diskSet // whom this primary counts on
+	lapsed   bool    // its lease has run out in this view
 }
 
 // modelPhase is how far a process has got in making a view.
@@ -144,10 +156,13 @@
 	joined      uint8
 	proposed    uint8
 	led         uint8 // the highest epoch that anyone has led in
+	reads       uint8
+	changes     uint8 // of the members
+	misread     bool  // a question was answered by a process that lacked what was acknowledged before it came
 }
 
 // maxEpochs bounds the epochs.
-const maxEpochs = 4
+const maxEpochs = 6
 
 // modelRules are the rules that mutations change.
 type modelRules struct {
@@ -159,6 +174,14 @@
 	restart      func(disk *modelDisk)
 	vote         func(disk *modelDisk, voter int, base modelView) bool
 	wipedReturns bool // a wiped disk comes back under its old name
+
+	mayAnswer        func(view modelView, answered diskSet) bool          // a question of an operator
+	mayChange        func(newest modelView) bool                          // the members, again
+	joins            func(view modelView, aligned diskSet) diskSet        // the in-sync set of a new view
+	copied           func(log modelLog) modelLog                          // what a copy of the whole state holds
+	leaseRuns        func(view modelView, self int, counted diskSet) bool // in time terms: answers within the lease
+	abandonsEarly    bool                                                 // a witness may leave a primary that counts on it
+	standsRegardless bool                                                 // processes vote and stand while they stand by a primary
 }
 
 // groupRules are the group's own.
@@ -182,7 +205,15 @@
 		mayAppend:  func(disk *modelDisk, epoch uint8, _ int) bool { return disk.follows == epoch },
 		maySucceed: func(newest modelView, candidate int) bool { return newest.inSync.has(candidate) },
 		committed:  func(view modelView, acks diskSet) bool { return acks.contains(view.inSync) },
-		restart:    func(*modelDisk) {},
+		mayAnswer:  func(view modelView, answered diskSet) bool { return answered.contains(view.inSync) },
+		mayChange:  func(newest modelView) bool { return newest.previous == 0 },
+		joins:      func(view modelView, aligned diskSet) diskSet { return aligned & view.members },
+		copied:     func(log modelLog) modelLog { return log },
+		leaseRuns: func(view modelView, self int, counted diskSet) bool {
+			counted = counted.with(self)
+			return counted.contains(view.inSync) && view.view().quorum(counted.isMember)
+		},
+		restart: func(*modelDisk) {},
 		vote: func(disk *modelDisk, voter int, base modelView) bool {
 			view := disk.accepted
 			if base.epoch > view.epoch {
@@ -201,8 +232,13 @@
 	changes uint8
 	crashes uint8
 	losses  uint8
-	joins   uint8 // replacements of lost disks
+	joins   uint8 // disks that are added, as replacements of lost ones or beside the others
 	stands  int   // so many of the first disks stand in elections; 0 for all
+
+	reads         uint8 // questions of operators
+	leases        bool  // witnesses stand by primaries that they have heard
+	memberChanges uint8 // additions and removals of members that are not lost
+	repaired      bool  // a disk is lost only while the group has none to replace
 }
 
 // founded is the state after the founding: the first disk leads all others.
@@ -214,6 +250,12 @@
 		state.disks[disk] = modelDisk{promised: 1, accepted: view, follows: 1}
 	}
 	state.disks[0].phase, state.disks[0].epoch, state.disks[0].making = primary, 1, view
+	if limits.leases {
+		for disk := 1; disk < limits.disks; disk++ {
+			state.disks[disk].standsBy = 1
+		}
+		state.disks[0].renewed = all.without(0)
+	}
 	state.candidacies[0][1] = candidacy{stood: true, asked: true, base: view, view: view}
 	state.led = 1
 	return state
@@ -260,8 +302,8 @@
 	return steps
 }
 
-// isSpare tells whether a disk is a blank replacement.
-func (s *modelState) isSpare(disk int) bool { return s.joined > 0 && disk == modelDisks-1 }
+// isSpare tells whether a disk is one that was added: they are counted from the last one down.
+func (s *modelState) isSpare(disk int) bool { return disk >= modelDisks-int(s.joined) }
 
 type addStep func(next modelState, format string, args ...any)
 
@@ -278,6 +320,10 @@
 		m.enterView(state, disk, add)
 	case primary:
 		m.propose(state, disk, add)
+		m.answerOperator(state, disk, add)
+	}
+	if m.limits.leases {
+		m.passTime(state, disk, add)
 	}
 }
 
@@ -288,6 +334,9 @@
 	if base.epoch == 0 || !m.maySucceed(base, disk) || m.limits.stands > 0 && disk >= m.limits.stands {
 		return
 	}
+	if m.standsByOther(d, disk) {
+		return
+	}
 	for epoch := d.promised + 1; epoch <= m.limits.epochs; epoch++ {
 		if state.candidacies[disk][epoch].stood {
 			continue
@@ -297,6 +346,8 @@
 		c.promised, c.promisedTo, c.follows = epoch, int8(disk), epoch
 		c.phase, c.epoch, c.granted, c.newest = collecting, epoch, diskSet(0).with(disk), base
 		c.making, c.taken, c.acks = modelView{}, 0, [maxChanges]diskSet{}
+		c.reading, c.floor, c.answered = false, 0, 0
+		c.standsBy, c.renewed, c.lapsed = 0, 0, false
 		next.candidacies[disk][epoch] = candidacy{stood: true, base: base, log: c.log, wrote: c.log}
 		add(next, "%s stands in %d", diskName(disk), epoch)
 	}
@@ -319,6 +370,9 @@
 		c.making = modelView{epoch: d.epoch, primary: int8(disk), members: members, previous: previous}
 		c.taken = diskSet(0).with(disk)
 		next.candidacies[disk][d.epoch].asked = true
+		if previous != d.newest.previous && previous != 0 && !m.replacesLost(state, members, previous) {
+			next.changes++
+		}
 		add(next, "%s aligns in %d%s", diskName(disk), d.epoch, what)
 	}
 	begin(d.newest.members, d.newest.previous, "")
@@ -328,12 +382,44 @@
 	if d.newest.previous != 0 && d.newest == d.accepted {
 		begin(d.newest.members, 0, " without the former members")
 	}
+	if m.rules.mayChange(d.newest) {
+		m.changeMembers(state, disk, begin)
+	}
+}
+
+// replacesLost tells whether a change of members takes lost ones out and as many others in.
+func (m *model) replacesLost(state *modelState, members, previous diskSet) bool {
+	removed := (previous &^ members).disks()
+	for _, disk := range removed {
+		if !state.disks[disk].lost {
+			return false
+		}
+	}
+	return len(removed) > 0 && len(members.disks()) == len(previous.disks())
+}
+
+// changeMembers derives views with other members.
+func (m *model) changeMembers(state *modelState, disk int, begin func(members, previous diskSet, what string)) {
+	d := &state.disks[disk]
+	members := d.newest.members
 	for _, learner := range d.learners.disks() {
-		for _, removed := range d.newest.members.without(disk).disks() {
-			if d.newest.previous == 0 && !d.newest.members.has(learner) && state.disks[removed].lost {
-				begin(d.newest.members.without(removed).with(learner), d.newest.members, " with a replacement")
+		if members.has(learner) {
+			continue
+		}
+		for _, removed := range members.without(disk).disks() {
+			if state.disks[removed].lost || state.changes < m.limits.memberChanges {
+				begin(members.without(removed).with(learner), members, " with "+diskName(learner)+" for "+diskName(removed))
 			}
 		}
+		if state.changes < m.limits.memberChanges {
+			begin(members.with(learner), members, " with "+diskName(learner))
+		}
+	}
+	if state.changes >= m.limits.memberChanges || len(members.disks()) <= 2 {
+		return
+	}
+	for _, removed := range members.without(disk).disks() {
+		begin(members.without(removed), members, " without "+diskName(removed))
 	}
 }
 
@@ -341,7 +427,7 @@
 func (m *model) beginAccepting(state *modelState, disk int, add addStep) {
 	d := &state.disks[disk]
 	view := d.making
-	view.inSync = d.taken & view.members
+	view.inSync = m.rules.joins(view, d.taken)
 	if len(view.inSync.disks()) < view.view().leastInSync(m.limits.copies) {
 		return
 	}
@@ -372,6 +458,13 @@
 	next := *state
 	c := &next.disks[disk]
 	c.phase, c.acks = primary, [maxChanges]diskSet{}
+	c.lapsed = false
+	for _, member := range d.taken.without(disk).disks() {
+		if m.limits.leases && int(state.disks[member].standsBy) == disk+1 {
+			c.renewed = c.renewed.with(member)
+		}
+	}
+	c.lapsed = m.limits.leases && !m.rules.leaseRuns(c.making, disk, c.renewed)
 	next.led = max(next.led, c.epoch)
 	if c.log.len() > next.acked.len() && c.log.extends(next.acked) {
 		next.acked = c.log
@@ -395,6 +488,65 @@
 	add(next, "%s proposes change %d", diskName(disk), next.proposed)
 }
 
+// answerOperator begins and ends the answer to a question: a reading, or an order that is refused or was taken before.
+func (m *model) answerOperator(state *modelState, disk int, add addStep) {
+	d := &state.disks[disk]
+	if d.promised != d.epoch {
+		return
+	}
+	if !d.reading {
+		if state.reads >= m.limits.reads {
+			return
+		}
+		next := *state
+		next.reads++
+		c := &next.disks[disk]
+		c.reading, c.floor, c.answered = true, uint8(state.acked.len()), diskSet(0).with(disk)
+		add(next, "%s is asked", diskName(disk))
+		return
+	}
+	if !m.rules.mayAnswer(d.making, d.answered) {
+		return
+	}
+	next := *state
+	c := &next.disks[disk]
+	c.reading, c.floor, c.answered = false, 0, 0
+	next.misread = !d.log.extends(state.acked.prefix(int(d.floor)))
+	add(next, "%s answers", diskName(disk))
+}
+
+// passTime ends what holds for a time only: that a primary counts on a member, and that a witness stands by a primary.
+func (m *model) passTime(state *modelState, disk int, add addStep) {
+	d := &state.disks[disk]
+	for _, member := range d.renewed.disks() {
+		next := *state
+		c := &next.disks[disk]
+		c.renewed = c.renewed.without(member)
+		c.lapsed = d.lapsed || !m.rules.leaseRuns(d.making, disk, c.renewed)
+		add(next, "%s counts on %s no more", diskName(disk), diskName(member))
+	}
+	if d.standsBy == 0 {
+		return
+	}
+	leader := &state.disks[d.standsBy-1]
+	if leader.phase == primary && leader.renewed.has(disk) && !m.rules.abandonsEarly {
+		return
+	}
+	next := *state
+	next.disks[disk].standsBy = 0
+	add(next, "%s stands by %s no more", diskName(disk), diskName(int(d.standsBy-1)))
+}
+
+// standsByOther tells whether a witness stands by a primary other than a candidate.
+func (m *model) standsByOther(witness *modelDisk, candidate int) bool {
+	return m.limits.leases && !m.rules.standsRegardless && witness.standsBy != 0 && int(witness.standsBy) != candidate+1
+}
+
+// holdsLease tells whether a primary may answer from its own state.
+func (m *model) holdsLease(disk int, d *modelDisk) bool {
+	return m.limits.leases && d.phase == primary && !d.lapsed && m.rules.leaseRuns(d.making, disk, d.renewed)
+}
+
 // acknowledge notes the changes that the primary may acknowledge, in the order of its log.
 func (s *modelState) acknowledge(m *model, disk int) {
 	d := &s.disks[disk]
@@ -411,11 +563,11 @@
 	if state.crashes < m.limits.crashes {
 		next := *state
 		next.crashes++
-		next.disks[disk].restart()
+		next.disks[disk].restart(m.limits.leases)
 		m.rules.restart(&next.disks[disk])
 		add(next, "%s restarts", diskName(disk))
 	}
-	if state.losses < m.limits.losses && !state.isSpare(disk) {
+	if state.losses < m.limits.losses && m.mayLose(state, disk) {
 		next := *state
 		next.losses++
 		next.disks[disk] = modelDisk{lost: !m.rules.wipedReturns}
@@ -425,16 +577,40 @@
 		}
 		add(next, "%s loses its disk", diskName(disk))
 	}
-	if state.joined < m.limits.joins && state.losses > 0 {
+	if state.joined < m.limits.joins && (state.losses > 0 || m.limits.memberChanges > 0) {
 		next := *state
 		next.joined++
 		add(next, "a replacement starts")
 	}
 }
 
-// restart forgets what is in memory.
-func (d *modelDisk) restart() {
+// mayLose tells whether a disk may be lost now. Where losses are borne one after the other, the next one comes when the
+// newest view in force has no lost member, nor former ones.
+func (m *model) mayLose(state *modelState, disk int) bool {
+	if !m.limits.repaired {
+		return !state.isSpare(disk)
+	}
+	for leader := range modelDisks {
+		d := &state.disks[leader]
+		if d.phase != primary || d.epoch != state.led || d.making.previous != 0 {
+			continue
+		}
+		for _, member := range d.making.members.disks() {
+			if state.disks[member].lost {
+				return false
+			}
+		}
+		return true
+	}
+	return state.losses == 0
+}
+
+// restart forgets what is in memory. A process that starts stands by the primary of the view that its disk has.
+func (d *modelDisk) restart(leases bool) {
 	*d = modelDisk{promised: d.promised, promisedTo: d.promisedTo, accepted: d.accepted, log: d.log}
+	if leases && d.accepted.epoch > 0 {
+		d.standsBy = d.accepted.primary + 1
+	}
 }
 
 // calls are what one process does upon calls that another has made in any epoch.
@@ -448,9 +624,47 @@
 		m.attach(state, from, to, epoch, add)
 		m.accept(state, from, to, epoch, add)
 		m.appendEntry(state, from, to, epoch, add)
+		m.confirm(state, from, to, epoch, add)
+		if m.limits.leases {
+			m.heartbeat(state, from, to, epoch, add)
+		}
 	}
 }
 
+// confirm handles a call that asks whether an epoch still holds.
+func (m *model) confirm(state *modelState, from, to int, epoch uint8, add addStep) {
+	sent := &state.candidacies[from][epoch]
+	w := &state.disks[to]
+	asks := &state.disks[from]
+	if !asks.reading || asks.phase != primary || asks.epoch != epoch || !sent.view.inSync.has(to) {
+		return
+	}
+	if !m.rules.allows(w, epoch, from) || !m.rules.mayAppend(w, epoch, from) {
+		return
+	}
+	next := *state
+	next.disks[from].answered = asks.answered.with(to)
+	add(next, "%s confirms %d to %s", diskName(to), epoch, diskName(from))
+}
+
+// heartbeat handles a primary's sign of life, which may have been on its way for long.
+func (m *model) heartbeat(state *modelState, from, to int, epoch uint8, add addStep) {
+	sent := &state.candidacies[from][epoch]
+	w := &state.disks[to]
+	if sent.view.epoch == 0 || !sent.view.everyone().has(to) || !m.rules.allows(w, epoch, from) {
+		return
+	}
+	next := *state
+	next.disks[to].standsBy = int8(from + 1)
+	add(next, "%s hears %s in %d", diskName(to), diskName(from), epoch)
+	c := &next.disks[from]
+	if c.phase != primary || c.epoch != epoch || c.lapsed || w.accepted.epoch < epoch {
+		return
+	}
+	c.renewed = c.renewed.with(to)
+	add(next, "%s hears %s in %d, which counts on it", diskName(to), diskName(from), epoch)
+}
+
 // promise handles a call for a promise.
 func (m *model) promise(state *modelState, from, to int, epoch uint8, add addStep) {
 	sent := &state.candidacies[from][epoch]
@@ -458,6 +672,9 @@
 	if !sent.base.everyone().has(to) || !m.rules.allows(w, epoch, from) || !m.rules.vote(w, to, sent.base) {
 		return
 	}
+	if m.standsByOther(w, from) || !m.rules.standsRegardless && m.holdsLease(to, w) {
+		return
+	}
 	next := *state
 	next.disks[to].promiseTo(epoch, from)
 	add(next, "%s promises %d to %s", diskName(to), epoch, diskName(from))
@@ -475,6 +692,11 @@
 	if d.phase != following && d.epoch < epoch {
 		d.phase, d.making, d.taken, d.granted, d.newest = following, modelView{}, 0, 0, modelView{}
 		d.acks, d.learners = [maxChanges]diskSet{}, 0
+		d.reading, d.floor, d.answered = false, 0, 0
+		d.renewed, d.lapsed = 0, false
+	}
+	if int(d.standsBy) != candidate+1 && epoch > d.promised {
+		d.standsBy = 0
 	}
 	d.promised, d.promisedTo = epoch, int8(candidate)
 }
@@ -509,7 +731,7 @@
 	for length := sent.log.len(); length <= sent.wrote.len(); length++ {
 		ahead := w.log.len() > length && w.log.last().Epoch == uint64(epoch)
 		if !ahead {
-			attached(sent.wrote.prefix(length), " by a copy")
+			attached(m.rules.copied(sent.wrote.prefix(length)), " by a copy")
 		}
 	}
 }
@@ -523,6 +745,9 @@
 	next := *state
 	next.disks[to].promiseTo(epoch, from)
 	next.disks[to].accepted = view
+	if m.limits.leases {
+		next.disks[to].standsBy = int8(from + 1)
+	}
 	add(next, "%s accepts the view %d of %s", diskName(to), epoch, diskName(from))
 	if c := &next.disks[from]; c.phase == accepting && c.epoch == epoch {
 		c.taken = c.taken.with(to)
@@ -557,6 +782,19 @@
 }
 
 // violation says which invariant a state breaks; "" stands for none.
+func (m *model) violation(s *modelState) string {
+	if s.misread {
+		return "a question was answered without what had been acknowledged before it came"
+	}
+	for disk := range modelDisks {
+		if m.holdsLease(disk, &s.disks[disk]) && !s.disks[disk].log.extends(s.acked) {
+			return fmt.Sprintf("%s holds a lease without what was acknowledged", diskName(disk))
+		}
+	}
+	return s.violation()
+}
+
+// violation says which invariant of the log and of leaders a state breaks.
 func (s *modelState) violation() string {
 	for disk := range modelDisks {
 		d := &s.disks[disk]
--- a/internal/controlplane/replication/explorer_test.go
+++ b/internal/controlplane/replication/explorer_test.go
@@ -45,7 +45,7 @@
 				if _, seen := known[key]; seen {
 					continue
 				}
-				if found.violation = step.state.violation(); found.violation != "" {
+				if found.violation = m.violation(&step.state); found.violation != "" {
 					found.states = len(known)
 					found.trace = m.trace(append(stepsTo(known, parent), number))
 					return found
@@ -110,7 +110,7 @@
 		step := steps[random.IntN(len(steps))]
 		state = step.state
 		taken = append(taken, step.name)
-		if broken := state.violation(); broken != "" {
+		if broken := m.violation(&state); broken != "" {
 			return append(taken, broken)
 		}
 	}
@@ -134,6 +134,13 @@
 		"four disks, an election":                 {disks: 4, copies: 2, epochs: 2, changes: 1},
 		"three disks, a loss":                     {disks: 3, copies: 2, epochs: 3, changes: 1, losses: 1},
 		"three disks, a loss and its replacement": {disks: 3, copies: 2, epochs: 3, changes: 1, losses: 1, joins: 1, stands: 1},
+		"three disks, questions":                  {disks: 3, copies: 2, epochs: 3, changes: 1, reads: 2, stands: 2},
+		"four disks, a question":                  {disks: 4, copies: 2, epochs: 2, changes: 1, reads: 1, stands: 2},
+		"three disks, leases":                     {disks: 3, copies: 2, epochs: 3, changes: 1, leases: true, stands: 2},
+		"three disks, leases and a restart":       {disks: 3, copies: 2, epochs: 2, changes: 1, leases: true, crashes: 1},
+		"three disks, two changes of members":     {disks: 3, copies: 2, epochs: 5, changes: 1, joins: 1, memberChanges: 2, stands: 1},
+		"four disks, a removal":                   {disks: 4, copies: 2, epochs: 3, changes: 1, memberChanges: 1, stands: 2},
+		"three disks, two losses and repairs":     {disks: 3, copies: 2, epochs: 5, changes: 1, losses: 2, joins: 2, stands: 1, repaired: true},
 	}
 	for name, limits := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -194,6 +201,21 @@
 				return len((view.inSync &^ acks).disks()) <= 1
 			}
 		}},
+		"a question is answered without contact": {modelLimits{disks: 3, copies: 2, epochs: 2, changes: 1, reads: 1, stands: 2}, func(rules *modelRules) {
+			rules.mayAnswer = func(modelView, diskSet) bool { return true }
+		}},
+		"a copy of the state forgets the last entry": {modelLimits{disks: 3, copies: 2, epochs: 3, changes: 1}, func(rules *modelRules) {
+			rules.copied = func(log modelLog) modelLog { return log.prefix(max(0, log.len()-1)) }
+		}},
+		"a lease runs without answers": {modelLimits{disks: 3, copies: 2, epochs: 2, changes: 1, leases: true, stands: 2}, func(rules *modelRules) {
+			rules.leaseRuns = func(modelView, int, diskSet) bool { return true }
+		}},
+		"processes stand and vote while they stand by a primary": {modelLimits{disks: 3, copies: 2, epochs: 2, changes: 1, leases: true, stands: 2}, func(rules *modelRules) {
+			rules.standsRegardless = true
+		}},
+		"a witness leaves a primary that counts on it": {modelLimits{disks: 3, copies: 2, epochs: 2, changes: 1, leases: true, stands: 2}, func(rules *modelRules) {
+			rules.abandonsEarly = true
+		}},
 		"a wiped disk votes under its old name": {modelLimits{disks: 3, copies: 2, epochs: 3, changes: 1, losses: 1}, func(rules *modelRules) {
 			rules.wipedReturns = true
 		}},
@@ -209,3 +231,82 @@
 		})
 	}
 }
+
+// follow takes the steps with some names, and returns the state that they lead to, or the name that no step has.
+func (m *model) follow(names []string) (state modelState, missing string) {
+	m.named = true
+	defer func() { m.named = false }()
+	state = founded(m.limits)
+	for _, name := range names {
+		steps := m.next(&state)
+		found := slices.IndexFunc(steps, func(step modelStep) bool { return step.name == name })
+		if found < 0 {
+			return state, name
+		}
+		state = steps[found].state
+	}
+	return state, ""
+}
+
+// scriptedMutation is a broken rule whose consequence lies deeper than a search gets: the steps that lead to it.
+type scriptedMutation struct {
+	limits    modelLimits
+	mutate    func(rules *modelRules)
+	steps     []string
+	forbidden string // the step among them that the group's own rules don't allow
+}
+
+// TestScriptedMutations plays steps that a broken rule allows up to a violation, and checks that the group's own rules
+// stop them.
+func TestScriptedMutations(t *testing.T) {
+	mutations := map[string]scriptedMutation{
+		"a member counts before it has caught up": {
+			limits: modelLimits{disks: 3, copies: 2, epochs: 3, changes: 1, joins: 1, memberChanges: 1},
+			mutate: func(rules *modelRules) {
+				rules.joins = func(view modelView, aligned diskSet) diskSet {
+					return (aligned | view.members&^view.previous) & view.members
+				}
+			},
+			steps: []string{
+				"a replacement starts", "e follows a in 1 by a copy, which hears of it",
+				"a proposes change 1", "b logs entry 1 of a, which hears of it", "c logs entry 1 of a, which hears of it",
+				"a stands in 2", "b promises 2 to a, which hears of it", "a aligns in 2 with e",
+				"c follows a in 2 by a copy, which hears of it", "a accepts its view 2 with [0 2 4] in sync",
+				"c accepts the view 2 of a, which hears of it", "e accepts the view 2 of a, which hears of it", "a leads in 2",
+				"e stands in 3", "c promises 3 to e, which hears of it", "b promises 3 to e, which hears of it",
+				"e aligns in 3", "c follows e in 3 by a copy, which hears of it", "e accepts its view 3 with [2 4] in sync",
+				"b accepts the view 3 of e, which hears of it", "c accepts the view 3 of e, which hears of it", "e leads in 3",
+			},
+			forbidden: "a accepts its view 2 with [0 2 4] in sync",
+		},
+		"members change while a change is in doubt": {
+			limits: modelLimits{disks: 3, copies: 2, epochs: 4, changes: 1, joins: 2, memberChanges: 2},
+			mutate: func(rules *modelRules) { rules.mayChange = func(modelView) bool { return true } },
+			steps: []string{
+				"a replacement starts", "a replacement starts",
+				"e follows a in 1 by a copy, which hears of it", "d follows a in 1 by a copy, which hears of it",
+				"a stands in 2", "b promises 2 to a, which hears of it", "a aligns in 2 with d for c",
+				"d follows a in 2 by a copy, which hears of it", "a accepts its view 2 with [0 3] in sync",
+				"a stands in 3", "b promises 3 to a, which hears of it", "d promises 3 to a, which hears of it",
+				"a aligns in 3 with e for b", "e follows a in 3 by a copy, which hears of it",
+				"a accepts its view 3 with [0 4] in sync", "d accepts the view 3 of a, which hears of it", "a leads in 3",
+				"a proposes change 1", "e logs entry 1 of a, which hears of it",
+				"b stands in 4", "c promises 4 to b, which hears of it", "b aligns in 4",
+				"c follows b in 4, which hears of it", "b accepts its view 4 with [1 2] in sync",
+				"c accepts the view 4 of b, which hears of it", "b leads in 4",
+			},
+			forbidden: "a aligns in 3 with e for b",
+		},
+	}
+	for name, each := range mutations {
+		t.Run(name, func(t *testing.T) {
+			mutant := &model{rules: groupRules(), limits: each.limits}
+			each.mutate(&mutant.rules)
+			state, missing := mutant.follow(each.steps)
+			assert.Equal(t, missing, "")
+			assert.Assert(t, mutant.violation(&state) != "")
+			_, stopped := (&model{rules: groupRules(), limits: each.limits}).follow(each.steps)
+			assert.Equal(t, stopped, each.forbidden)
+		})
+	}
+}
