Tell the primary at once of a store's renewal where none is confirmed yet

Change: a member passes the renewal of a store without a confirmed lease to the primary by a call of its own. Copies that can't begin are logged at the debug level: there is one for each partition after such a start.

--- a/internal/controlplane/leases.go
+++ b/internal/controlplane/leases.go
@@ -231,7 +231,7 @@
 			continue
 		}
 		if passed.number == number {
-			known.confirmed = passed.renewed
+			known.confirmed = latest(known.confirmed, passed.renewed)
 		} else {
 			passed.pending, passed.full = true, false
 		}
@@ -239,12 +239,20 @@
 	}
 }
 
-// confirmHere records that the newest renewal of a process is known to the primary, which is this process.
-func (t *leaseTable) confirmHere(name string) {
+func latest(one, other time.Time) time.Time {
+	if other.After(one) {
+		return other
+	}
+	return one
+}
+
+// confirmAt records that the primary knows of a renewal that arrived at a moment.
+func (t *leaseTable) confirmAt(node *cluster.NodeInfo, arrived time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known, found := t.leases[name]; found {
-		known.confirmed = known.renewed
+	known, found := t.leases[node.Name]
+	if found && known.info.Incarnation == node.Incarnation && arrived.After(known.confirmed) {
+		known.confirmed = arrived
 	}
 }
 
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -136,6 +136,7 @@
 	})
 	server := p.options.Server
 	server.Handle(cluster.MethodSync, p.handleSync)
+	server.Handle(methodRenew, p.handleRenew)
 	server.Handle(cluster.MethodReport, p.handleReport)
 	server.Handle(cluster.MethodOperator, p.handleOperator)
 	server.Handle(cluster.MethodPartitionAsk, p.handlePartitionAsk)
--- a/internal/controlplane/sync.go
+++ b/internal/controlplane/sync.go
@@ -6,14 +6,24 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
 	"ivyfold/internal/cluster"
+	"ivyfold/internal/controlplane/replication"
 	"ivyfold/internal/rpc"
 )
 
 // longestSyncWait bounds how long the answer to a sync is held back.
 const longestSyncWait = 400 * time.Millisecond
 
+const (
+	methodRenew = "control.renew" // passedLease -> empty, at the primary
+
+	// directRenewalAfter is the age from which on a store's confirmed renewal is too old to wait for the next heartbeat.
+	directRenewalAfter   = 600 * time.Millisecond
+	directRenewalTimeout = 150 * time.Millisecond
+)
+
 // handleSync renews the caller's lease and answers with what is newer than what it holds, as soon as there is
 // something or the time has passed.
 func (p *Plane) handleSync(ctx context.Context, call *rpc.Call) (any, []byte, error) {
@@ -28,9 +38,7 @@
 		return nil, nil, unavailable("not in touch with the primary")
 	}
 	p.leases.renew(request.Node, arrived)
-	if role.Primary {
-		p.leases.confirmHere(request.Node.Name)
-	}
+	p.confirmLease(ctx, role, &request.Node, arrived)
 	wait := min(time.Duration(request.WaitMS)*time.Millisecond, longestSyncWait)
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
@@ -60,6 +68,48 @@
 	}
 }
 
+// confirmLease sees to it that the primary knows of a store's renewal. Most become known with the next answer to a
+// heartbeat; where the last one that did is missing or old, as after a start, the primary is told at once.
+func (p *Plane) confirmLease(ctx context.Context, role replication.Role, node *cluster.NodeInfo, arrived time.Time) {
+	if role.Primary {
+		p.leases.confirmAt(node, arrived)
+		return
+	}
+	confirmed, found := p.leases.confirmedAt(node.Name, node.Incarnation)
+	if !node.Store || found && arrived.Sub(confirmed) < directRenewalAfter {
+		return
+	}
+	primary, found := role.View.PrimaryMember()
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, directRenewalTimeout)
+	defer cancel()
+	renewal := passedLease{Node: node, AgeMS: time.Since(arrived).Milliseconds()}
+	if _, err := p.options.Pool.Get(primary.Address).Call(ctx, methodRenew, renewal, nil, nil); err != nil {
+		p.logger.Debug("renewal not passed on", zap.String("node", node.Name), zap.Error(err))
+		return
+	}
+	p.leases.confirmAt(node, arrived)
+}
+
+// handleRenew takes in a renewal that arrived at a backup. Where this succeeds, this process was the primary after that.
+func (p *Plane) handleRenew(_ context.Context, call *rpc.Call) (any, []byte, error) {
+	var renewal passedLease
+	if err := call.Decode(&renewal); err != nil {
+		return nil, nil, err
+	}
+	if renewal.Node == nil {
+		return nil, nil, &rpc.Error{Code: rpc.CodeInvalid, Message: "no process is named"}
+	}
+	at := time.Now().Add(-time.Duration(renewal.AgeMS) * time.Millisecond)
+	if err := p.requirePrimary(); err != nil {
+		return nil, nil, err
+	}
+	p.leases.renew(*renewal.Node, at)
+	return nil, nil, nil
+}
+
 // leaseAge returns how long before an arrival the lease of a process began that the primary surely knows of, or -1 where
 // there is none. Only a store must not act after its end.
 func (p *Plane) leaseAge(node *cluster.NodeInfo, arrived time.Time) int64 {
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -246,7 +246,7 @@
 	state.unwanted = err != nil && (len(p.pending) > 0 || time.Since(state.since) > resyncPatience)
 	state.notBefore = time.Now().Add(resyncPause)
 	if err != nil {
-		s.logger.Info("copying to a backup", zap.Int("partition", p.id),
+		s.logger.Debug("copying to a backup", zap.Int("partition", p.id),
 			zap.String("backup", replica.Store), zap.Error(err))
 	}
 }
