Search models by one package

The search through the states of the control group's model, its random walks and its scripts are internal/modelcheck now, so that the model of partitions uses the same.

--- a/internal/architecture/planes_test.go
+++ b/internal/architecture/planes_test.go
@@ -28,6 +28,7 @@
 	"internal/ctxtime":                       planePlumbing,
 	"internal/journal":                       planePlumbing,
 	"internal/message":                       planePlumbing,
+	"internal/modelcheck":                    planePlumbing,
 	"internal/network":                       planePlumbing,
 	"internal/network/simulated":             planePlumbing,
 	"internal/rpc":                           planePlumbing,
@@ -99,11 +100,12 @@
 	"internal/ctxtime":                       {},
 	"internal/journal":                       {},
 	"internal/message":                       {},
+	"internal/modelcheck":                    {},
 	"internal/network":                       {},
 	"internal/network/simulated":             {"internal/network"},
 	"internal/rpc":                           {"internal/network"},
 	"internal/settings":                      {},
-	"internal/controlplane/replication":      {"internal/ctxtime", "internal/journal", "internal/rpc"},
+	"internal/controlplane/replication":      {"internal/ctxtime", "internal/journal", "internal/modelcheck", "internal/rpc"},
 }
 
 // majorityLog is the library that replicates a log by majority. The control state has another form of replication,
--- a/internal/controlplane/replication/explorer_model_test.go
+++ b/internal/controlplane/replication/explorer_model_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"ivyfold/internal/modelcheck"
 )
 
 // The model is the group's protocol without time, disks and connections: what processes do upon calls, in any order.
@@ -262,10 +264,7 @@
 }
 
 // modelStep is a state that may follow another, and how.
-type modelStep struct {
-	name  string
-	state modelState
-}
+type modelStep = modelcheck.Step[modelState]
 
 // model plays the protocol.
 type model struct {
@@ -274,16 +273,20 @@
 	named  bool // steps get names
 }
 
-// next returns all states that may follow a state.
-func (m *model) next(state *modelState) []modelStep {
+// Start implements modelcheck.Model.
+func (m *model) Start() modelState { return founded(m.limits) }
+
+// Next implements modelcheck.Model.
+func (m *model) Next(state *modelState, named bool) []modelStep {
+	m.named = named
 	var steps []modelStep
 	add := func(next modelState, format string, args ...any) {
 		if next == *state {
 			return
 		}
-		step := modelStep{state: next}
+		step := modelStep{State: next}
 		if m.named {
-			step.name = fmt.Sprintf(format, args...)
+			step.Name = fmt.Sprintf(format, args...)
 		}
 		steps = append(steps, step)
 	}
@@ -781,8 +784,8 @@
 	}
 }
 
-// violation says which invariant a state breaks; "" stands for none.
-func (m *model) violation(s *modelState) string {
+// Violation implements modelcheck.Model.
+func (m *model) Violation(s *modelState) string {
 	if s.misread {
 		return "a question was answered without what had been acknowledged before it came"
 	}
--- a/internal/controlplane/replication/explorer_test.go
+++ b/internal/controlplane/replication/explorer_test.go
@@ -5,117 +5,14 @@
 // The model has no goroutines: it is gone through without the race detector, which would take ten times as long.
 
 import (
-	"hash/maphash"
-	"math/rand/v2"
 	"os"
-	"slices"
 	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
-)
-
-// exploration is what a search through the model's states has found.
-type exploration struct {
-	states    int
-	depth     int
-	complete  bool // no state within the limits is left out
-	violation string
-	trace     []string // the steps that lead to it
-}
-
-// origin is how a state was first reached.
-type origin struct {
-	parent uint64
-	step   int // its place among the steps that the parent allows
-}
-
-// explore goes through the states breadth first, up to a number of them.
-func (m *model) explore(most int) exploration {
-	seed := maphash.MakeSeed()
-	start := founded(m.limits)
-	known := map[uint64]origin{maphash.Comparable(seed, start): {}}
-	found := exploration{complete: true}
-	for level := []modelState{start}; len(level) > 0; found.depth++ {
-		var deeper []modelState
-		for i := range level {
-			parent := maphash.Comparable(seed, level[i])
-			for number, step := range m.next(&level[i]) {
-				key := maphash.Comparable(seed, step.state)
-				if _, seen := known[key]; seen {
-					continue
-				}
-				if found.violation = m.violation(&step.state); found.violation != "" {
-					found.states = len(known)
-					found.trace = m.trace(append(stepsTo(known, parent), number))
-					return found
-				}
-				if len(known) >= most {
-					found.complete = false
-					continue
-				}
-				known[key] = origin{parent, number}
-				deeper = append(deeper, step.state)
-			}
-		}
-		level = deeper
-	}
-	found.states = len(known)
-	return found
-}
-
-// stepsTo returns the numbers of the steps that lead to a state.
-func stepsTo(known map[uint64]origin, key uint64) []int {
-	var steps []int
-	for at := known[key]; at.parent != 0; at = known[at.parent] {
-		steps = append(steps, at.step)
-	}
-	slices.Reverse(steps)
-	return steps
-}
 
-// trace names steps.
-func (m *model) trace(steps []int) []string {
-	m.named = true
-	defer func() { m.named = false }()
-	state := founded(m.limits)
-	var names []string
-	for _, number := range steps {
-		step := m.next(&state)[number]
-		names = append(names, step.name)
-		state = step.state
-	}
-	return names
-}
-
-// walk takes random steps from the founding, and returns the steps up to a violation, or nil.
-func (m *model) walk(seed uint64, length int) []string {
-	if m.tryWalk(seed, length) == nil {
-		return nil
-	}
-	m.named = true
-	defer func() { m.named = false }()
-	return m.tryWalk(seed, length)
-}
-
-func (m *model) tryWalk(seed uint64, length int) []string {
-	random := rand.New(rand.NewPCG(seed, seed))
-	state := founded(m.limits)
-	var taken []string
-	for range length {
-		steps := m.next(&state)
-		if len(steps) == 0 {
-			return nil
-		}
-		step := steps[random.IntN(len(steps))]
-		state = step.state
-		taken = append(taken, step.name)
-		if broken := m.violation(&state); broken != "" {
-			return append(taken, broken)
-		}
-	}
-	return nil
-}
+	"ivyfold/internal/modelcheck"
+)
 
 // number reads a bound from the environment, for longer searches than CI has time for.
 func number(name string, fallback int) int {
@@ -146,9 +43,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			searched := &model{rules: groupRules(), limits: limits}
-			found := searched.explore(number("EXPLORE_STATES", 90_000))
-			t.Logf("%d states, depth %d, complete: %v", found.states, found.depth, found.complete)
-			assert.Equal(t, found.violation, "", "%q", found.trace)
+			found := modelcheck.Explore(searched, number("EXPLORE_STATES", 90_000))
+			t.Logf("%d states, depth %d, complete: %v", found.States, found.Depth, found.Complete)
+			assert.Equal(t, found.Violation, "", "%q", found.Trace)
 		})
 	}
 }
@@ -158,7 +55,7 @@
 	limits := modelLimits{disks: 4, copies: 2, epochs: maxEpochs, changes: maxChanges, crashes: 2, losses: 1, joins: 1}
 	walked := &model{rules: groupRules(), limits: limits}
 	for walk := range number("EXPLORE_WALKS", 300) {
-		if steps := walked.walk(uint64(walk), 80); steps != nil {
+		if steps := modelcheck.Walk(walked, uint64(walk), 80); steps != nil {
 			t.Fatalf("%q", steps)
 		}
 	}
@@ -225,29 +122,13 @@
 			t.Parallel()
 			mutant := &model{rules: groupRules(), limits: each.limits}
 			each.mutate(&mutant.rules)
-			found := mutant.explore(mutationStates)
-			assert.Assert(t, found.violation != "", "not found in %d states", found.states)
-			t.Logf("%d states: %s by %q", found.states, found.violation, found.trace)
+			found := modelcheck.Explore(mutant, mutationStates)
+			assert.Assert(t, found.Violation != "", "not found in %d states", found.States)
+			t.Logf("%d states: %s by %q", found.States, found.Violation, found.Trace)
 		})
 	}
 }
 
-// follow takes the steps with some names, and returns the state that they lead to, or the name that no step has.
-func (m *model) follow(names []string) (state modelState, missing string) {
-	m.named = true
-	defer func() { m.named = false }()
-	state = founded(m.limits)
-	for _, name := range names {
-		steps := m.next(&state)
-		found := slices.IndexFunc(steps, func(step modelStep) bool { return step.name == name })
-		if found < 0 {
-			return state, name
-		}
-		state = steps[found].state
-	}
-	return state, ""
-}
-
 // scriptedMutation is a broken rule whose consequence lies deeper than a search gets: the steps that lead to it.
 type scriptedMutation struct {
 	limits    modelLimits
@@ -302,10 +183,10 @@
 		t.Run(name, func(t *testing.T) {
 			mutant := &model{rules: groupRules(), limits: each.limits}
 			each.mutate(&mutant.rules)
-			state, missing := mutant.follow(each.steps)
+			state, missing := modelcheck.Follow(mutant, each.steps)
 			assert.Equal(t, missing, "")
-			assert.Assert(t, mutant.violation(&state) != "")
-			_, stopped := (&model{rules: groupRules(), limits: each.limits}).follow(each.steps)
+			assert.Assert(t, mutant.Violation(&state) != "")
+			_, stopped := modelcheck.Follow(&model{rules: groupRules(), limits: each.limits}, each.steps)
 			assert.Equal(t, stopped, each.forbidden)
 		})
 	}
