--- a/internal/cluster/agent_sync.go
+++ b/internal/cluster/agent_sync.go
@@ -134,25 +134,26 @@
 	if err != nil {
 		return err
 	}
+	// The lease is taken up after the snapshots have been passed on: who acts by it acts by the newest table.
 	a.apply.Lock()
+	defer a.apply.Unlock()
 	changed, err := a.acceptConfig(request, response, body)
 	changed = a.acceptTable(response.Table) || changed
 	changed = a.acceptTableChanges(response.TableChanges) || changed
 	changed = a.acceptWorkers(response.Workers) || changed
 	changed = a.acceptWorkerChanges(response.WorkerChanges) || changed
-	a.apply.Unlock()
 	if response.WorkersAgeMS >= 0 {
 		read := time.Now().Add(-time.Duration(response.WorkersAgeMS) * time.Millisecond)
 		a.read.Store(&read)
 		a.count.Store(int64(response.WorkerCount))
 	}
-	if err == nil && response.LeaseAgeMS != NoLease {
-		a.noteRenewal(sent.Add(-time.Duration(response.LeaseAgeMS) * time.Millisecond))
-	}
 	if changed {
 		a.notify()
 		a.rememberCore()
 	}
+	if err == nil && response.LeaseAgeMS != NoLease {
+		a.noteRenewal(sent.Add(-time.Duration(response.LeaseAgeMS) * time.Millisecond))
+	}
 	return err
 }
 
--- a/internal/messagestore/drain.go
+++ b/internal/messagestore/drain.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
 	"ivyfold/internal/cluster"
 	"ivyfold/internal/ctxtime"
+	"ivyfold/internal/rpc"
 )
 
 // Drain hands every partition that the store leads to another store: deliveries stop, those that are out end, their
@@ -25,7 +28,7 @@
 		handed := false
 		for _, id := range led {
 			if s.engine.InFlightOf(id) == 0 {
-				handed = s.handOver(ctx, id) || handed
+				handed = s.handOver(ctx, id) == handoverDone || handed
 			}
 		}
 		if !handed {
@@ -67,15 +70,39 @@
 	}
 }
 
+// handoverOutcome is what came of an attempt to hand a partition over.
+type handoverOutcome int
+
+const (
+	handoverRefused handoverOutcome = iota // this store surely leads as before
+	handoverDone                           // another store leads
+	handoverUnclear                        // another store may lead: deliveries must wait for the next view
+)
+
+// outcomeOfAsk tells what an answer of the control plane to a handover means.
+func outcomeOfAsk(err error) handoverOutcome {
+	if err == nil {
+		return handoverDone
+	}
+	switch rpc.CodeOf(err) {
+	case rpc.CodeUnavailable, rpc.CodeNotLeader, rpc.CodeNotFound, rpc.CodeInvalid:
+		return handoverRefused
+	}
+	if errors.Is(err, cluster.ErrNoPrimary) {
+		return handoverRefused
+	}
+	return handoverUnclear
+}
+
 // handOver brings the backups up to date and asks for a new primary. Deliveries of the partition have stopped.
-func (s *Store) handOver(ctx context.Context, id int) bool {
+func (s *Store) handOver(ctx context.Context, id int) handoverOutcome {
 	p, epoch := s.ledBy(id)
 	if p == nil {
-		return true
+		return handoverDone
 	}
 	ready, complete := s.readyBackups(p, epoch)
 	if !complete || len(ready) == 0 {
-		return false
+		return handoverRefused
 	}
 	for _, backup := range ready {
 		flushed, cancel := context.WithTimeout(ctx, replicateTimeout)
@@ -83,20 +110,20 @@
 		cancel()
 		if err != nil {
 			s.logger.Info("flushing to a backup", zap.Int("partition", id), zap.Error(err))
-			return false
+			return handoverRefused
 		}
 	}
 	// What was on its way to a backup before the flush may have failed meanwhile.
 	if still, complete := s.readyBackups(p, epoch); !complete || !slices.Equal(still, ready) {
-		return false
+		return handoverRefused
 	}
 	ask := cluster.PartitionAsk{Partition: id, Epoch: epoch, Handover: true}
 	for _, backup := range ready {
 		ask.Ready = append(ask.Ready, backup.replica.Store)
 	}
-	if err := s.ask(ask); err != nil {
-		s.logger.Info("handing a partition over", zap.Int("partition", id), zap.Error(err))
-		return false
+	outcome := s.askHandover(ask)
+	if outcome != handoverDone {
+		return outcome
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,7 +131,16 @@
 		s.stepDown(p)
 		p.epoch = epoch + 1
 	}
-	return true
+	return handoverDone
+}
+
+// askHandover asks the control plane for a new primary.
+func (s *Store) askHandover(ask cluster.PartitionAsk) handoverOutcome {
+	err := s.ask(ask)
+	if err != nil {
+		s.logger.Info("handing a partition over", zap.Int("partition", ask.Partition), zap.Error(err))
+	}
+	return outcomeOfAsk(err)
 }
 
 // ledBy returns a partition that this store leads and its epoch, or nil.
@@ -152,17 +188,37 @@
 	})
 }
 
-// moveAway stops a partition's deliveries and hands it over, or takes the deliveries up again where that fails.
+// pauseAfter returns the pause before a handover is tried again.
+func pauseAfter(inDoubt bool) time.Duration {
+	if inDoubt {
+		return unclearPause
+	}
+	return handoverPoll
+}
+
+// moveAway stops a partition's deliveries and hands it over, or takes the deliveries up again where that is refused. While
+// it is not known whether another store leads they stay stopped.
 func (s *Store) moveAway(ctx context.Context, p *partition) {
 	s.pause(p.id)
-	moved := false
-	for !moved && ctx.Err() == nil {
+	attempts := ctx
+	var doubtUntil time.Time
+	for outcome := handoverRefused; ; {
+		_, epoch := s.ledBy(p.id)
 		if s.engine.InFlightOf(p.id) == 0 {
-			moved = s.handOver(ctx, p.id)
+			outcome = s.handOver(attempts, p.id)
 		}
-		if !moved {
-			ctxtime.Sleep(ctx, handoverPoll)
+		if outcome == handoverUnclear {
+			attempts = s.context // it has to become clear, however long that takes
+			doubtUntil = time.Now().Add(handoverDoubt)
+		}
+		if _, now := s.ledBy(p.id); now != epoch {
+			doubtUntil = time.Time{} // a newer view has come
+		}
+		inDoubt := time.Now().Before(doubtUntil)
+		if outcome == handoverDone || s.context.Err() != nil || ctx.Err() != nil && !inDoubt {
+			break
 		}
+		ctxtime.Sleep(s.context, pauseAfter(inDoubt))
 	}
 	s.mu.Lock()
 	p.moving = false
--- a/internal/messagestore/fencing_test.go
+++ b/internal/messagestore/fencing_test.go
@@ -191,3 +191,73 @@
 		assert.Assert(t, former.MayDeliver(1) == (h.currentTable().Partitions[1].Replicas[0].Store == "a"))
 	})
 }
+
+// TestSuccessorsSuccessorWaitsForWordsToo promotes two backups one right after the other. The first has given its word to
+// the former primary, the second has not, and must wait all the same.
+func TestSuccessorsSuccessorWaitsForWordsToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		former, second := h.machines["a"], h.machines["c"]
+		former.noLease.Store(true)
+		time.Sleep(2*time.Second + 310*time.Millisecond)
+		assert.Assert(t, former.store.MayDeliver(0), "by the word of its backup")
+		h.mu.Lock()
+		h.refusing = true
+		h.mu.Unlock()
+		h.network.Cut(former.ip, h.machines["b"].ip)
+		h.promote("b", 0, "b", "c")
+		time.Sleep(50 * time.Millisecond)
+		table := *h.machines["b"].store.table
+		table.Revision++
+		table.Partitions = slices.Clone(table.Partitions)
+		table.Partitions[0] = cluster.Partition{
+			ID: 0, Epoch: table.Partitions[0].Epoch + 1, Replicas: []cluster.Replica{h.replica("c"), h.replica("b")},
+		}
+		second.store.ApplyTable(&table)
+		delivers := false
+		for range 600 {
+			delivers = second.store.MayDeliver(0)
+			assert.Assert(t, !delivers || !former.store.MayDeliver(0), "two stores deliver")
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.Assert(t, delivers)
+		h.network.Heal(former.ip, h.machines["b"].ip)
+	})
+}
+
+// TestDeliveriesStayStoppedWhileAHandoverIsInDoubt loses the answer to a handover that was granted: the store must not take
+// its deliveries up again before it knows of the next view.
+func TestDeliveriesStayStoppedWhileAHandoverIsInDoubt(t *testing.T) {
+	for _, failure := range []error{cluster.ErrOutcomeUnknown, &rpc.Error{Code: rpc.CodeConflict}, &rpc.Error{Code: rpc.CodeInternal}} {
+		assert.Equal(t, outcomeOfAsk(failure), handoverUnclear)
+	}
+	for _, refusal := range []error{cluster.ErrNoPrimary, &rpc.Error{Code: rpc.CodeUnavailable}} {
+		assert.Equal(t, outcomeOfAsk(refusal), handoverRefused)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		h.mu.Lock()
+		h.refusing = true // with a conflict, as after an ask that was granted before
+		h.mu.Unlock()
+		a := h.machines["a"].store
+		a.mu.Lock()
+		p := a.partition(0)
+		a.mu.Unlock()
+		ctx, cancel := context.WithTimeout(t.Context(), wishPatience)
+		defer cancel()
+		ended := make(chan bool)
+		go func() {
+			a.moveAway(ctx, p)
+			close(ended)
+		}()
+		for range 300 {
+			time.Sleep(20 * time.Millisecond)
+			assert.Assert(t, !a.MayDeliver(0))
+		}
+		h.setView(0, "b", "a")
+		<-ended
+		assert.Assert(t, !a.MayDeliver(0))
+	})
+}
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -24,6 +24,8 @@
 	heartbeatInterval = 300 * time.Millisecond
 	reportInterval    = 200 * time.Millisecond
 	handoverPoll      = 10 * time.Millisecond
+	unclearPause      = 100 * time.Millisecond // between two asks for a handover whose outcome is not known
+	handoverDoubt     = 4 * time.Second        // after it an ask whose outcome was not known is surely not carried out any more
 	wishPatience      = 2 * time.Second
 
 	batchBytes = 256 << 10 // records in one call to a backup, about
--- a/internal/messagestore/messages.go
+++ b/internal/messagestore/messages.go
@@ -31,6 +31,9 @@
 	// Relying tells that the sender goes on delivering for backupLease on the word of the answer alone: its lease is over,
 	// or soon will be.
 	Relying bool `json:"relying,omitempty"`
+	// WordsMS is for how long a former primary may still count on a word that the sender has given, or was told of. A
+	// backup may succeed the sender before that is over.
+	WordsMS int64 `json:"wordsMs,omitempty"`
 }
 
 // replicateItem tells a record's place in the body and the epoch under which its primary sends it.
--- a/internal/messagestore/replicate.go
+++ b/internal/messagestore/replicate.go
@@ -100,6 +100,7 @@
 	request := replicateRequest{
 		From: d.store.options.Name, Target: d.replica.DiskID,
 		Relying: d.store.options.Control.LeaseRemaining() < relyBefore,
+		WordsMS: d.store.wordsRemaining().Milliseconds(),
 	}
 	var body []byte
 	for i := range batch {
@@ -275,9 +276,7 @@
 	if err := s.checkTarget(request.Target); err != nil {
 		return nil, err
 	}
-	if request.Relying {
-		s.words[request.From] = time.Now().Add(backupLease)
-	}
+	s.noteWords(request, time.Now())
 	response := &replicateResponse{}
 	for _, item := range request.Records {
 		if item.Length < 0 || item.Length > len(body) {
@@ -296,6 +295,29 @@
 	return response, nil
 }
 
+// noteWords remembers until when a primary may count on this store's word, or others on a word that the primary itself waits
+// for. The caller holds the lock.
+func (s *Store) noteWords(request *replicateRequest, now time.Time) {
+	until := now.Add(time.Duration(request.WordsMS) * time.Millisecond)
+	if request.Relying {
+		until = now.Add(backupLease)
+	}
+	if until.After(s.words[request.From]) {
+		s.words[request.From] = until
+	}
+}
+
+// wordsRemaining returns for how long any store may still count on a word that this one knows of.
+func (s *Store) wordsRemaining() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := time.Duration(0)
+	for _, until := range s.words {
+		longest = max(longest, time.Until(until))
+	}
+	return longest
+}
+
 // checkTarget refuses a call that is meant for another disk at this address.
 func (s *Store) checkTarget(diskID string) error {
 	if diskID == s.options.DiskID {
--- a/internal/messagestore/store_test.go
+++ b/internal/messagestore/store_test.go
@@ -248,11 +248,11 @@
 		p := store.partition(0)
 		p.resync["disk-b"] = &resyncState{running: true}
 		store.mu.Unlock()
-		assert.Assert(t, !store.handOver(t.Context(), 0))
+		assert.Assert(t, store.handOver(t.Context(), 0) != handoverDone)
 		store.mu.Lock()
 		delete(p.resync, "disk-b")
 		store.mu.Unlock()
-		assert.Assert(t, store.handOver(t.Context(), 0))
+		assert.Equal(t, store.handOver(t.Context(), 0), handoverDone)
 	})
 }
 
@@ -443,7 +443,7 @@
 		store.mu.Lock()
 		store.partition(0).resync["disk-c"] = &resyncState{running: true}
 		store.mu.Unlock()
-		assert.Assert(t, store.handOver(t.Context(), 0))
+		assert.Equal(t, store.handOver(t.Context(), 0), handoverDone)
 		asked := h.handovers()
 		assert.Equal(t, len(asked), 1)
 		assert.DeepEqual(t, asked[0].Ready, []string{"b"})
@@ -463,7 +463,7 @@
 		leader.store.Ended(ended, message.Outcome{State: message.Completed, Stamp: "s"})
 		time.Sleep(20 * time.Millisecond)
 		time.AfterFunc(replicateTimeout-10*time.Millisecond, func() { h.network.Heal(leader.ip, backup.ip) })
-		assert.Assert(t, !leader.store.handOver(t.Context(), ended.Partition))
+		assert.Assert(t, leader.store.handOver(t.Context(), ended.Partition) != handoverDone)
 		assert.Equal(t, len(h.handovers()), 0)
 	})
 }
