--- a/internal/network/simulated/network.go
+++ b/internal/network/simulated/network.go
@@ -88,6 +88,17 @@
 	n.host(ip).stop()
 }
 
+// Reset resets a part of a host's connections, at both ends. Its process and its listeners go on.
+func (n *Network) Reset(ip string, part float64) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for open := range n.host(ip).connections {
+		if n.random.Float64() < part {
+			open.abort()
+		}
+	}
+}
+
 // PowerOff silences a host: nothing reaches or leaves it, and nobody is told.
 func (n *Network) PowerOff(ip string) {
 	n.mutex.Lock()
--- a/internal/simcluster/faults.go
+++ b/internal/simcluster/faults.go
@@ -1,6 +1,9 @@
 package simcluster
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Isolate cuts a machine off from all other machines of the system, in both directions. Workers, clients and the
 // platform still reach it.
@@ -21,6 +24,39 @@
 	c.recorder.endTroubles(machine.Name, troubleNetwork)
 }
 
+// ResetConnections resets a part of a machine's connections.
+func (c *Cluster) ResetConnections(machine *Machine, part float64) {
+	c.recorder.beginTrouble(machine.Name, troubleNetwork, false)
+	c.network.Reset(machine.ip, part)
+	c.recorder.endTroubles(machine.Name, troubleNetwork)
+}
+
+// Split cuts some machines of the system off from all its others, and leaves them connected with one another.
+func (c *Cluster) Split(machines ...*Machine) {
+	c.eachAcross(machines, func(inside, outside *Machine) { c.network.Cut(inside.ip, outside.ip) })
+	for _, machine := range machines {
+		c.recorder.beginTrouble(machine.Name, troubleNetwork, false)
+	}
+}
+
+// Join ends Split.
+func (c *Cluster) Join(machines ...*Machine) {
+	c.eachAcross(machines, func(inside, outside *Machine) { c.network.Heal(inside.ip, outside.ip) })
+	for _, machine := range machines {
+		c.recorder.endTroubles(machine.Name, troubleNetwork)
+	}
+}
+
+func (c *Cluster) eachAcross(machines []*Machine, act func(inside, outside *Machine)) {
+	for _, inside := range machines {
+		c.eachPeer(inside, func(outside *Machine) {
+			if !slices.Contains(machines, outside) {
+				act(inside, outside)
+			}
+		})
+	}
+}
+
 func (c *Cluster) eachPeer(machine *Machine, act func(other *Machine)) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- /dev/null
+++ b/internal/simcluster/hardening_test.go
@@ -0,0 +1,253 @@
+package simcluster
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// The five scenarios of this file bring about what operators have met on their worst days; docs/replication.md names the
+// mechanism that stands against each.
+
+const (
+	longCut     = 20 * time.Second
+	catchUp     = 4400 * time.Millisecond // after which a machine that is back does not count as lost any more
+	manyChanges = 250
+	racePairs   = 8
+)
+
+// playControlCutTwice cuts the control group's primary off in both directions, and later its successor in one. Operators
+// ask and order at the machine that is cut off, and at the others.
+func playControlCutTwice(c *Cluster) {
+	time.Sleep(warmUp)
+	for _, cutOff := range []func(*Cluster, *Machine){(*Cluster).Isolate, (*Cluster).Silence} {
+		cut := c.ControlPrimary()
+		before := c.Operator.Current()
+		cutOff(c, cut)
+		var asking sync.WaitGroup
+		asking.Go(func() { askCutMachine(c, cut, before) })
+		for range 5 {
+			c.Operator.Move(orderLimit)
+			time.Sleep(longCut / 5)
+		}
+		asking.Wait()
+		c.Rejoin(cut)
+		time.Sleep(calmAfter)
+		c.Operator.ReadAt(cut)
+	}
+	time.Sleep(calmAfter)
+}
+
+// askCutMachine reads at a machine that is cut off, and sends it orders on top of the version that it may still hold.
+func askCutMachine(c *Cluster, cut *Machine, before Configuration) {
+	rival := c.NewOperator()
+	rival.setCurrent(before)
+	for begin := time.Now(); time.Since(begin) < longCut; {
+		rival.ReadAt(cut)
+		rival.ReplaceAt(cut, before.Version, rival.nextMove())
+		time.Sleep(700 * time.Millisecond)
+	}
+}
+
+// playOneNumber has two operators send different configurations under one number, with most answers lost, so that each
+// order comes again at other machines, while the control group changes its primary.
+func playOneNumber(c *Cluster) {
+	time.Sleep(warmUp)
+	rival := c.NewOperator()
+	for pair := range racePairs {
+		newest, found := c.Operator.Read(orderLimit)
+		if !found {
+			c.t.Error("the configuration can't be read")
+			return
+		}
+		newest.Services = c.Operator.Current().Services
+		var racing sync.WaitGroup
+		for _, operator := range []*Operator{c.Operator, rival} {
+			operator.setCurrent(newest)
+			operator.LoseAnswers(0.7)
+			racing.Go(func() { operator.Replace(newest.Version, operator.nextMove(), orderLimit) })
+		}
+		if pair%2 == 1 {
+			killed := c.ControlPrimary()
+			killed.Kill()
+			time.Sleep(300 * time.Millisecond)
+			killed.Start()
+		}
+		racing.Wait()
+		c.Operator.LoseAnswers(0)
+	}
+	time.Sleep(2 * calmAfter)
+}
+
+// playSecondLosses takes a second machine as soon as the loss of the first one does not count any more: after a store was
+// replaced, after one was emptied and taken away, and after a member of the control group was replaced; and at the end a
+// disk, and the power of all others.
+func playSecondLosses(c *Cluster) {
+	time.Sleep(warmUp)
+	successor := c.Replace(c.Store(0))
+	time.Sleep(time.Second)
+	successor.Start()
+	time.Sleep(catchUp)
+	c.AwaitCopies(copiesLimit)
+	loseDiskBriefly(c, c.Store(1))
+
+	if !c.Operator.Retire(c.Store(2), 40*time.Second) {
+		c.t.Error("the store was not retired in time")
+		c.logPlacement()
+	}
+	c.Remove(c.Store(2))
+	loseDiskBriefly(c, c.Store(3))
+
+	member := c.Replace(c.ControlPrimary())
+	time.Sleep(time.Second)
+	member.Start()
+	time.Sleep(catchUp)
+	loseDiskBriefly(c, c.ControlPrimary())
+
+	c.Operator.Move(orderLimit)
+	c.Store(4).LoseDisk()
+	c.Each(func(machine *Machine) {
+		if !machine.removed.Load() {
+			machine.LosePower()
+		}
+	})
+	time.Sleep(time.Second)
+	c.Each(func(machine *Machine) {
+		if !machine.removed.Load() && c.Machine(machine.Name) == machine {
+			machine.Start()
+		}
+	})
+	time.Sleep(12 * time.Second)
+	c.AwaitCopies(copiesLimit)
+}
+
+// loseDiskBriefly takes a machine's disk and waits until that loss is borne.
+func loseDiskBriefly(c *Cluster, machine *Machine) {
+	c.t.Logf("%v: %s loses its disk", c.recorder.now(), machine.Name)
+	machine.LoseDisk()
+	time.Sleep(time.Second)
+	machine.Start()
+	time.Sleep(catchUp)
+	c.AwaitCopies(copiesLimit)
+}
+
+// playManyChanges makes hundreds of changes while a member is cut off, loses the disk of another one as soon as that member
+// counts again, and has it alone with one other remember everything.
+func playManyChanges(c *Cluster) {
+	time.Sleep(warmUp)
+	primary := c.ControlPrimary()
+	away := c.Front(0)
+	if away == primary {
+		away = c.Front(1)
+	}
+	c.Isolate(away)
+	c.Operator.Avoid(away)
+	defer c.Operator.Avoid(nil)
+	for change := range manyChanges {
+		if !c.Operator.Move(orderLimit) {
+			c.t.Errorf("change %d was not acknowledged", change)
+			return
+		}
+	}
+	c.Rejoin(away)
+	time.Sleep(catchUp)
+	c.Operator.ReadAt(away)
+	primary.LoseDisk()
+	time.Sleep(catchUp)
+	c.Operator.Move(orderLimit)
+	c.Operator.ReadAt(away)
+	primary.Start()
+	time.Sleep(catchUp)
+	c.Each((*Machine).LosePower)
+	time.Sleep(time.Second)
+	c.Each((*Machine).Start)
+	time.Sleep(2 * calmAfter)
+	c.AwaitCopies(copiesLimit)
+}
+
+// playResets resets connections of all machines again and again, and has a store lose its own in the middle of copies.
+func playResets(c *Cluster) {
+	time.Sleep(warmUp)
+	for round := range 30 {
+		for _, machine := range append(c.machinesOf(classFront), c.machinesOf(classStore)...) {
+			if c.random.part() < 0.4 {
+				c.ResetConnections(machine, 0.7)
+			}
+		}
+		if round == 5 {
+			c.Store(1).LoseDisk()
+			time.Sleep(100 * time.Millisecond)
+			c.Store(1).Start()
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	time.Sleep(calmAfter)
+	c.AwaitCopies(copiesLimit)
+}
+
+// cutIntoHalves are troubles in which one machine is cut off together with others.
+var cutIntoHalves = []trouble{
+	{
+		name:  "half of the system cut off",
+		begin: func(c *Cluster, m *Machine) { c.Split(c.otherHalf(m)...) },
+		end:   func(c *Cluster, m *Machine) { c.Join(c.otherHalf(m)...) },
+	},
+	{
+		name:  "cut off with its zone",
+		begin: func(c *Cluster, m *Machine) { c.Split(c.zoneOf(m)...) },
+		end:   func(c *Cluster, m *Machine) { c.Join(c.zoneOf(m)...) },
+	},
+	{
+		name:  "connections reset",
+		begin: func(c *Cluster, m *Machine) { c.ResetConnections(m, 0.8) },
+		end:   func(c *Cluster, m *Machine) { c.ResetConnections(m, 0.8) },
+	},
+	{
+		name:  "restarted while cut off",
+		begin: func(c *Cluster, m *Machine) { c.Isolate(m); m.Kill() },
+		end:   func(c *Cluster, m *Machine) { m.Start(); time.Sleep(time.Second); c.Rejoin(m) },
+	},
+	{
+		name:  "left behind, then the others killed",
+		begin: (*Cluster).Isolate,
+		end: func(c *Cluster, m *Machine) {
+			c.Rejoin(m)
+			c.Each(func(other *Machine) {
+				if other != m {
+					other.Kill()
+				}
+			})
+			time.Sleep(500 * time.Millisecond)
+			c.Each((*Machine).Start)
+		},
+	},
+}
+
+// otherHalf returns every second machine of each kind, without a machine's own place in the order mattering.
+func (c *Cluster) otherHalf(machine *Machine) []*Machine {
+	var half []*Machine
+	for _, class := range []string{classFront, classStore} {
+		for i, each := range c.machinesOf(class) {
+			if i%2 == len(machine.Name)%2 {
+				half = append(half, each)
+			}
+		}
+	}
+	return half
+}
+
+// zoneOf returns the machines of a machine's zone.
+func (c *Cluster) zoneOf(machine *Machine) []*Machine {
+	var zone []*Machine
+	for _, class := range []string{classFront, classStore} {
+		for _, each := range c.machinesOf(class) {
+			if each.Zone == machine.Zone {
+				zone = append(zone, each)
+			}
+		}
+	}
+	return zone
+}
+
+// String names a machine in failures.
+func (m *Machine) String() string { return fmt.Sprintf("%s (%s)", m.Name, m.ip) }
--- a/internal/simcluster/operator.go
+++ b/internal/simcluster/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,6 +38,8 @@
 
 	mutex   sync.Mutex
 	current Configuration // the newest that it has read or had acknowledged
+	lost    float64       // this part of all answers is lost on its way
+	avoided *Machine      // a front that is not asked; nil for none
 }
 
 // NewOperator makes one more operator.
@@ -59,6 +62,63 @@
 	o.current = configuration
 }
 
+// LoseAnswers has a part of all answers to the operator be lost on their way, from now on.
+func (o *Operator) LoseAnswers(part float64) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.lost = part
+}
+
+// Avoid has the operator leave a front out, as one that knows of its trouble.
+func (o *Operator) Avoid(front *Machine) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.avoided = front
+}
+
+// fronts returns the fronts that the operator asks.
+func (o *Operator) fronts() []*Machine {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.DeleteFunc(o.cluster.machinesOf(classFront), func(front *Machine) bool { return front == o.avoided })
+}
+
+// losesAnswer tells whether an answer is lost.
+func (o *Operator) losesAnswer() bool {
+	o.mutex.Lock()
+	part := o.lost
+	o.mutex.Unlock()
+	return part > 0 && o.cluster.random.part() < part
+}
+
+// ReadAt asks one front for the configuration, once, and notes the answer.
+func (o *Operator) ReadAt(front *Machine) {
+	from := o.cluster.recorder.now()
+	status, body := o.call(front, http.MethodGet, pathRead, nil, nil)
+	if status != http.StatusOK {
+		return
+	}
+	read, err := parseConfiguration(body)
+	if err != nil {
+		o.cluster.t.Errorf("what %s answered is no configuration: %v", front.Name, err)
+		return
+	}
+	o.noteRead(from, read)
+}
+
+// ReplaceAt sends a whole configuration to one front, once. It tells whether the answer was clear.
+func (o *Operator) ReplaceAt(front *Machine, base uint64, next Configuration) bool {
+	header := http.Header{headerBase: {strconv.FormatUint(base, 10)}, "Content-Type": {"application/json"}}
+	status := o.noteOrder(base, next, func() int {
+		status, _ := o.call(front, http.MethodPost, pathReplace, header, next.replacement())
+		if !isClear(status) {
+			return statusNoAnswer
+		}
+		return status
+	})
+	return status != statusNoAnswer
+}
+
 // Replace sends a whole configuration. It tells whether it was acknowledged within a limit.
 func (o *Operator) Replace(base uint64, next Configuration, limit time.Duration) bool {
 	return o.order(pathReplace, base, next, next.replacement(), limit)
@@ -71,6 +131,19 @@
 }
 
 func (o *Operator) order(path string, base uint64, next Configuration, body []byte, limit time.Duration) bool {
+	header := http.Header{headerBase: {strconv.FormatUint(base, 10)}, "Content-Type": {"application/json"}}
+	status := o.noteOrder(base, next, func() int {
+		status, _ := o.untilClear(http.MethodPost, path, header, body, limit)
+		return status
+	})
+	if status == http.StatusOK {
+		o.setCurrent(next)
+	}
+	return status == http.StatusOK
+}
+
+// noteOrder notes an order with its answer, where it gets a clear one.
+func (o *Operator) noteOrder(base uint64, next Configuration, send func() int) int {
 	recorder := o.cluster.recorder
 	position := 0
 	recorder.write(func(history *History) {
@@ -79,16 +152,12 @@
 			Operator: o.name, Base: base, Configuration: next.clone(), SentAt: recorder.now(),
 		})
 	})
-	header := http.Header{headerBase: {strconv.FormatUint(base, 10)}, "Content-Type": {"application/json"}}
-	status, _ := o.untilClear(http.MethodPost, path, header, body, limit)
+	status := send()
 	recorder.write(func(history *History) {
 		history.Orders[position].AnsweredAt = recorder.now()
 		history.Orders[position].Status = status
 	})
-	if status == http.StatusOK {
-		o.setCurrent(next)
-	}
-	return status == http.StatusOK
+	return status
 }
 
 // Move changes the current configuration so that the route "moving" goes to the next service, and waits for the
@@ -151,15 +220,19 @@
 	for time.Now().Before(deadline) {
 		from := o.cluster.recorder.now()
 		if read, ok := o.Read(time.Until(deadline)); ok {
-			o.cluster.recorder.write(func(history *History) {
-				answer := ConfigurationRead{From: from, At: o.cluster.recorder.now(), Configuration: read}
-				history.Reads = append(history.Reads, answer)
-			})
+			o.noteRead(from, read)
 		}
 		time.Sleep(longestPause)
 	}
 }
 
+func (o *Operator) noteRead(from time.Duration, read Configuration) {
+	o.cluster.recorder.write(func(history *History) {
+		answer := ConfigurationRead{From: from, At: o.cluster.recorder.now(), Configuration: read}
+		history.Reads = append(history.Reads, answer)
+	})
+}
+
 // untilClear sends a call again and again, to any front, until the answer is clear.
 func (o *Operator) untilClear(
 	method, path string, header http.Header, body []byte, limit time.Duration,
@@ -167,7 +240,7 @@
 	deadline := time.Now().Add(limit)
 	pause := firstPause
 	for time.Now().Before(deadline) {
-		fronts := o.cluster.machinesOf(classFront)
+		fronts := o.fronts()
 		front := fronts[o.cluster.random.intN(len(fronts))]
 		status, answer := o.call(front, method, path, header, body)
 		if isClear(status) {
@@ -204,7 +277,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	if err != nil {
+	if err != nil || o.losesAnswer() {
 		return statusNoAnswer, nil
 	}
 	return response.StatusCode, text
--- a/internal/simcluster/scenarios_test.go
+++ b/internal/simcluster/scenarios_test.go
@@ -38,6 +38,11 @@
 	{name: "messages expire", accepted: 1, ended: 1, play: playExpiry, options: Options{Routes: expiryRoutes()}},
 	{name: "two stores lost at once", accepted: 0.8, ended: 1, play: playTwoLost, options: twoTolerated},
 	{name: "two disks lost, all others without power", accepted: 0.5, ended: 1, play: playFinalFault, options: twoTolerated},
+	{name: "control machine cut off for twenty seconds, twice", accepted: 0.9, ended: 1, play: playControlCutTwice},
+	{name: "two operators under one number, answers lost", accepted: 0.9, ended: 1, play: playOneNumber},
+	{name: "second losses right after repairs", accepted: 0.6, ended: 1, play: playSecondLosses, options: Options{Fronts: 5, Stores: 5}},
+	{name: "hundreds of changes with a member away", accepted: 0.7, ended: 1, play: playManyChanges},
+	{name: "connections reset under load", accepted: 0.9, ended: 1, play: playResets},
 	{name: "random troubles", accepted: 0.6, ended: 1, play: playRandomTroubles, options: Options{Fronts: 5, CoreFronts: 4}},
 }
 
--- a/internal/simcluster/troubles_test.go
+++ b/internal/simcluster/troubles_test.go
@@ -54,7 +54,7 @@
 func playRandomTroubles(c *Cluster) {
 	time.Sleep(warmUp)
 	for range randomTroubles {
-		drawn := troubles[c.random.intN(len(troubles))]
+		drawn := c.drawTrouble()
 		machine := c.drawMachine(drawn.disk)
 		c.t.Logf("%v: %s: %s", c.recorder.now(), machine.Name, drawn.name)
 		drawn.begin(c, machine)
@@ -73,6 +73,15 @@
 	}
 }
 
+// drawTrouble draws one of all troubles.
+func (c *Cluster) drawTrouble() trouble {
+	drawn := c.random.intN(len(troubles) + len(cutIntoHalves))
+	if drawn < len(troubles) {
+		return troubles[drawn]
+	}
+	return cutIntoHalves[drawn-len(troubles)]
+}
+
 // drawMachine draws a front or a store.
 func (c *Cluster) drawMachine(disk bool) *Machine {
 	for {
