Believe no answer on a run that does not name its request

Cause, found by review of the connections that are used again: a success had to echo the request's id, but a 422, a 500 or a 409 without any id was taken for this request's. A worker's late second answer could have ended the next message on the connection, or counted as its failed attempt.

Change: these answers too count only with the id; else the attempt's outcome is uncertain and the connection is closed. Refusals that say 'not run' are believed as before: they end nothing.

--- a/internal/delivery/verdict.go
+++ b/internal/delivery/verdict.go
@@ -77,7 +77,8 @@
 	}
 }
 
-// judge reads the verdict from an answer's head. The body is whole or not, which the caller has to see to.
+// judge reads the verdict from an answer's head. The body is whole or not, which the caller has to see to. An answer that
+// does not name this request tells nothing of what became of it: it may be another one's.
 func judge(answer *http.Response, requestID string) result {
 	judged := result{keepAlive: keepAliveOf(answer.Header)}
 	echoed := answer.Header.Get(headerRequestID)
@@ -92,6 +93,9 @@
 		}
 	default:
 		judged.verdict = judgeFailure(answer)
+		if judged.verdict.answered() && echoed != requestID {
+			judged.verdict = verdictUncertain
+		}
 	}
 	return judged
 }
