--- a/Makefile
+++ b/Makefile
@@ -80,12 +80,13 @@
 leases:
 	LEASE_STATES=$(LEASE_STATES) LEASE_WALKS=$(LEASE_WALKS) go test ./internal/lease -count=1 -v -timeout 60m
 
-# The protocol of the control group, all of it within some bounds; docs/replication.md has the table.
+# The protocols of the control group and of partitions, all of them within some bounds; docs/replication.md has the table.
 .PHONY: explore
 EXPLORE_STATES ?= 2500000
 EXPLORE_WALKS ?= 20000
 explore:
-	EXPLORE_STATES=$(EXPLORE_STATES) EXPLORE_WALKS=$(EXPLORE_WALKS) go test ./internal/controlplane/replication -run 'TestExplore|TestRandomWalks|TestMutations' -count=1 -v -timeout 60m
+	EXPLORE_STATES=$(EXPLORE_STATES) EXPLORE_WALKS=$(EXPLORE_WALKS) go test ./internal/controlplane/replication ./internal/messagestore \
+	  -run 'TestExplore|TestRandomWalks|TestWalk|Mutations' -p 1 -parallel 3 -count=1 -v -timeout 90m
 
 # Capacity: `make capacity` computes the tables of docs/CAPACITY.md anew from internal/capacity/slopes.json, and
 # `make capacity-bench` measures again what benchmarks can. `make scale` runs hollow dispatchers beside a control group.
--- a/internal/cluster/agent_calls.go
+++ b/internal/cluster/agent_calls.go
@@ -20,6 +20,13 @@
 	extraTimeLimit    = 5 * time.Second
 )
 
+// The calls that are made again at the next member where an answer is lost.
+const (
+	repeatableOperator     rpc.Repeatable = MethodOperator     // orders name the version they build on, and their digests are kept
+	repeatablePartitionAsk rpc.Repeatable = MethodPartitionAsk // asks name the epoch they build on
+	repeatableReport       rpc.Repeatable = MethodReport       // the control plane looks for itself
+)
+
 // ErrNoPrimary means that no primary of the control group could be found in time. Nothing was done.
 var ErrNoPrimary = errors.New("cluster: no primary of the control group found")
 
@@ -30,25 +37,27 @@
 // is sent again where an answer is lost.
 func (a *Agent) Operator(ctx context.Context, call OperatorCall, body []byte) (OperatorAnswer, []byte, error) {
 	var answer OperatorAnswer
-	answerBody, err := a.callPrimary(ctx, MethodOperator, call, body, &answer)
+	answerBody, err := a.callPrimary(ctx, repeatableOperator, call, body, &answer)
 	return answer, answerBody, trace.Wrap(err)
 }
 
 // PartitionAsk asks the control plane for a change of a replica group that this process leads. An error of the code
 // rpc.CodeConflict means that the caller's view is not the current one.
 func (a *Agent) PartitionAsk(ctx context.Context, ask PartitionAsk) error {
-	_, err := a.callPrimary(ctx, MethodPartitionAsk, ask, nil, nil)
+	_, err := a.callPrimary(ctx, repeatablePartitionAsk, ask, nil, nil)
 	return trace.Wrap(err)
 }
 
 // Report tells the control plane that a process could not be reached.
 func (a *Agent) Report(ctx context.Context, report Report) error {
-	_, err := a.callPrimary(ctx, MethodReport, report, nil, nil)
+	_, err := a.callPrimary(ctx, repeatableReport, report, nil, nil)
 	return trace.Wrap(err)
 }
 
-// callPrimary makes a call at the control group's primary, wherever that is. The call must be safe to repeat.
-func (a *Agent) callPrimary(ctx context.Context, method string, params any, body []byte, result any) ([]byte, error) {
+// callPrimary makes a call at the control group's primary, wherever that is, again and again until one answers clearly.
+func (a *Agent) callPrimary(
+	ctx context.Context, method rpc.Repeatable, params any, body []byte, result any,
+) ([]byte, error) {
 	extra := min(time.Duration(len(body)/bytesPerExtraMS)*time.Millisecond, extraTimeLimit)
 	ctx, cancel := context.WithTimeout(ctx, primaryTimeout+extra)
 	defer cancel()
@@ -60,7 +69,7 @@
 			continue
 		}
 		tryContext, cancelTry := context.WithTimeout(ctx, primaryTryTimeout+extra)
-		answer, err := a.options.Pool.Get(address).Call(tryContext, method, params, body, result)
+		answer, err := a.options.Pool.Get(address).Call(tryContext, string(method), params, body, result)
 		cancelTry()
 		if final := search.note(address, err); final {
 			return answer, err
--- a/internal/controlplane/replication/group_test.go
+++ b/internal/controlplane/replication/group_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -360,3 +363,59 @@
 		assert.NilError(t, primary.run().group.ConfirmDurable(c.t.Context()))
 	})
 }
+
+const awayChanges = 300
+
+// TestMemberThatMissedHundredsOfChangesCatchesUp has changes go on while the member comes back, cuts it off once more in
+// the middle of the copy, and then lets it lead with what it has caught up.
+func TestMemberThatMissedHundredsOfChangesCatchesUp(t *testing.T) {
+	for seed := range uint64(4) {
+		inCluster(t, 4, 2, seed, func(c *cluster) {
+			primary := c.awaitPrimary(time.Second)
+			c.awaitInSync(time.Second, 4)
+			away := c.nodes[3]
+			if away == primary {
+				away = c.nodes[2]
+			}
+			c.isolate(away)
+			large := strings.Repeat("x", 4<<10)
+			var proposed []string
+			propose := func() {
+				proposed = append(proposed, fmt.Sprintf("%d-%s", len(proposed), large))
+				primary.mustPropose(proposed[len(proposed)-1])
+			}
+			for range awayChanges {
+				propose()
+			}
+			c.rejoin(away)
+			time.Sleep(time.Duration(5+seed*20) * time.Millisecond)
+			c.isolate(away)
+			time.Sleep(20 * time.Second)
+			propose()
+			c.rejoin(away)
+			rejoined := time.Now()
+			for len(primary.run().group.Role().View.InSync) < 4 {
+				propose()
+				assert.Assert(c.t, time.Since(rejoined) < 4*time.Second, "it never catches up")
+			}
+			c.t.Logf("in sync %v after the cut, with %d changes meanwhile", time.Since(rejoined), len(proposed)-awayChanges-1)
+			for _, other := range c.nodes {
+				if other != away && other != primary {
+					other.kill()
+				}
+			}
+			primary.kill()
+			for _, other := range c.nodes {
+				if other != away && other != primary {
+					other.back()
+				}
+			}
+			next := c.awaitOtherPrimary(5*time.Second, primary)
+			assert.NilError(c.t, next.confirm(3*time.Second))
+			assert.DeepEqual(c.t, next.run().machine.list(), proposed)
+			c.await(3*time.Second, "the member has everything", func() bool {
+				return slices.Equal(away.run().machine.list(), proposed)
+			})
+		})
+	}
+}
