Keep a living backup until another copy is whole

Until its successor had copied everything the primary held the only whole copy; the loss of its disk in that span, a single loss, lost messages although the dropped backup had all of them.

Change: the control plane asks the backup itself. One that answers, and is whole, is doubted: another store gets a copy beside it, and it leaves when that one is whole, or stays when it answers its primary again. It may be promoted meanwhile: commits wait for it.

--- a/internal/controlplane/draft.go
+++ b/internal/controlplane/draft.go
@@ -110,9 +110,14 @@
 	return up && disk == replica.DiskID
 }
 
-// staying tells whether a replica is alive and is not to be emptied.
+// staying tells whether a replica is alive and is not to be moved.
 func (d *draft) staying(replica cluster.Replica) bool {
-	return d.alive(replica) && !d.retiring(replica)
+	return d.alive(replica) && !d.leavingGroup(replica)
+}
+
+// leavingGroup tells whether a replica is to be dropped once another copy is whole.
+func (d *draft) leavingGroup(replica cluster.Replica) bool {
+	return replica.Doubted || d.retiring(replica)
 }
 
 func (d *draft) retiring(replica cluster.Replica) bool {
--- a/internal/controlplane/hardening_test.go
+++ b/internal/controlplane/hardening_test.go
@@ -214,3 +214,72 @@
 	}
 	return left
 }
+
+// doubtedWorld is a placement in which the first partition's backup answers the control plane but not its primary.
+func doubtedWorld(t *testing.T) (world *placementWorld, primary, doubted string) {
+	t.Helper()
+	world = newPlacementWorld(t, 2, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	primary, doubted = partition.Replicas[0].Store, partition.Replicas[1].Store
+	ask := cluster.PartitionAsk{Partition: 0, Epoch: partition.Epoch, Store: primary, Drop: doubted}
+	assert.NilError(t, world.plan(func(draft *draft) error { return draft.grant(&ask, true) }))
+	partition = world.current.table.Partitions[0]
+	assert.Equal(t, len(partition.Replicas), 3)
+	assert.Assert(t, partition.Replicas[partition.Find(doubted)].Doubted)
+	assert.Assert(t, !partition.Replicas[2].Synced)
+	return world, primary, doubted
+}
+
+// TestLivingBackupIsDroppedOnlyWhenAnotherCopyIsWhole has a primary ask for the place of a backup that is alive: dropped at
+// once, it would leave the primary with the only whole copy.
+func TestLivingBackupIsDroppedOnlyWhenAnotherCopyIsWhole(t *testing.T) {
+	world, _, doubted := doubtedWorld(t)
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	assert.Assert(t, partition.Find(doubted) > 0, "the other copy is not whole yet")
+	added := partition.Replicas[2].Store
+	world.ask(cluster.PartitionAsk{Synced: added}, 0)
+	assert.NilError(t, world.plan())
+	partition = world.current.table.Partitions[0]
+	assert.Equal(t, partition.Find(doubted), -1)
+	assert.Equal(t, len(partition.Replicas), 2)
+	world.settle()
+	world.requireWhole()
+}
+
+// TestDoubtedBackupThatAnswersAgainStays checks that the copy which was begun meanwhile is given up.
+func TestDoubtedBackupThatAnswersAgainStays(t *testing.T) {
+	world, _, doubted := doubtedWorld(t)
+	world.ask(cluster.PartitionAsk{Synced: doubted}, 0)
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	assert.Equal(t, len(partition.Replicas), 2)
+	position := partition.Find(doubted)
+	assert.Assert(t, position > 0 && !partition.Replicas[position].Doubted)
+}
+
+// TestDoubtedBackupLeadsWhereItsPrimaryIsLost loses the primary's disk before another copy is whole: everything that was
+// acknowledged is on the doubted backup too.
+func TestDoubtedBackupLeadsWhereItsPrimaryIsLost(t *testing.T) {
+	world, primary, doubted := doubtedWorld(t)
+	world.start(primary, "zone-0", "another-disk")
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	assert.Equal(t, partition.Replicas[0].Store, doubted)
+	assert.Assert(t, !partition.Replicas[0].Doubted)
+	world.settle()
+	world.requireWhole()
+}
+
+// TestDeadBackupIsReplacedAtOnce checks that nobody waits for a copy where the backup is lost in any case.
+func TestDeadBackupIsReplacedAtOnce(t *testing.T) {
+	world := newPlacementWorld(t, 2, "a", "b", "c", "d")
+	assert.NilError(t, world.plan())
+	partition := world.current.table.Partitions[0]
+	dropped := partition.Replicas[1].Store
+	world.ask(cluster.PartitionAsk{Drop: dropped}, 0)
+	after := world.current.table.Partitions[0]
+	assert.Equal(t, after.Find(dropped), -1)
+	assert.Equal(t, len(after.Replicas), 2)
+}
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -81,6 +81,7 @@
 		return false
 	}
 	promoted := partition.Replicas[successor]
+	promoted.Doubted = false
 	others := slices.Delete(slices.Clone(partition.Replicas), successor, successor+1)
 	partition.Replicas = append([]cluster.Replica{promoted}, append(others[1:], primary)...)
 	return true
@@ -181,7 +182,7 @@
 	}
 }
 
-// surplus returns the position of the backup that can best be spared, or -1: a retiring one, then one that is not
+// surplus returns the position of the backup that can best be spared, or -1: one that is to leave, then one that is not
 // synced, then the one whose store holds the most copies.
 func (d *draft) surplus(partition *cluster.Partition) int {
 	load := d.replicaCounts()
@@ -200,10 +201,10 @@
 }
 
 func (d *draft) surplusRank(replica cluster.Replica, load map[string]int) int {
-	retiring, unsynced := 2*len(d.partitions), len(d.partitions)+1
+	leaving, unsynced := 2*len(d.partitions), len(d.partitions)+1
 	switch {
-	case d.retiring(replica):
-		return retiring
+	case d.leavingGroup(replica):
+		return leaving
 	case !replica.Synced:
 		return unsynced
 	}
