--- a/internal/controlplane/ask.go
+++ b/internal/controlplane/ask.go
@@ -60,7 +60,7 @@
 		return &rpc.Error{Code: rpc.CodeConflict, Message: ask.Synced + " is no replica"}
 	}
 	partition.Replicas[position].Synced = true
-	partition.Replicas[position].Doubted = false
+	partition.Replicas[position].Suspected = false
 	return nil
 }
 
@@ -80,7 +80,7 @@
 	}
 	rest := slices.Delete(slices.Clone(partition.Replicas), position, position+1)
 	if answers && dropped.Synced && d.alive(*dropped) && d.syncedCopies(rest) < d.copies {
-		dropped.Doubted = true
+		dropped.Suspected = true
 		return nil
 	}
 	if !d.dropBackup(partition, position) {
@@ -100,7 +100,7 @@
 		return unavailable("no other synced replica is alive")
 	}
 	asker, successor := partition.Replicas[0], partition.Replicas[position]
-	successor.Doubted = false
+	successor.Suspected = false
 	backups := slices.Delete(slices.Clone(partition.Replicas), position, position+1)[1:]
 	partition.Replicas = append([]cluster.Replica{successor}, backups...)
 	if !d.retiring(asker) || d.syncedCopies(partition.Replicas) < d.copies {
--- a/internal/controlplane/draft.go
+++ b/internal/controlplane/draft.go
@@ -117,7 +117,7 @@
 
 // leavingGroup tells whether a replica is to be dropped once another copy is whole.
 func (d *draft) leavingGroup(replica cluster.Replica) bool {
-	return replica.Doubted || d.retiring(replica)
+	return replica.Suspected || d.retiring(replica)
 }
 
 func (d *draft) retiring(replica cluster.Replica) bool {
--- a/internal/controlplane/hardening_test.go
+++ b/internal/controlplane/hardening_test.go
@@ -215,59 +215,59 @@
 	return left
 }
 
-// doubtedWorld is a placement in which the first partition's backup answers the control plane but not its primary.
-func doubtedWorld(t *testing.T) (world *placementWorld, primary, doubted string) {
+// suspectedWorld is a placement in which the first partition's backup answers the control plane but not its primary.
+func suspectedWorld(t *testing.T) (world *placementWorld, primary, suspected string) {
 	t.Helper()
 	world = newPlacementWorld(t, 2, "a", "b", "c", "d")
 	assert.NilError(t, world.plan())
 	partition := world.current.table.Partitions[0]
-	primary, doubted = partition.Replicas[0].Store, partition.Replicas[1].Store
-	ask := cluster.PartitionAsk{Partition: 0, Epoch: partition.Epoch, Store: primary, Drop: doubted}
+	primary, suspected = partition.Replicas[0].Store, partition.Replicas[1].Store
+	ask := cluster.PartitionAsk{Partition: 0, Epoch: partition.Epoch, Store: primary, Drop: suspected}
 	assert.NilError(t, world.plan(func(draft *draft) error { return draft.grant(&ask, true) }))
 	partition = world.current.table.Partitions[0]
 	assert.Equal(t, len(partition.Replicas), 3)
-	assert.Assert(t, partition.Replicas[partition.Find(doubted)].Doubted)
+	assert.Assert(t, partition.Replicas[partition.Find(suspected)].Suspected)
 	assert.Assert(t, !partition.Replicas[2].Synced)
-	return world, primary, doubted
+	return world, primary, suspected
 }
 
 // TestLivingBackupIsDroppedOnlyWhenAnotherCopyIsWhole has a primary ask for the place of a backup that is alive: dropped at
 // once, it would leave the primary with the only whole copy.
 func TestLivingBackupIsDroppedOnlyWhenAnotherCopyIsWhole(t *testing.T) {
-	world, _, doubted := doubtedWorld(t)
+	world, _, suspected := suspectedWorld(t)
 	assert.NilError(t, world.plan())
 	partition := world.current.table.Partitions[0]
-	assert.Assert(t, partition.Find(doubted) > 0, "the other copy is not whole yet")
+	assert.Assert(t, partition.Find(suspected) > 0, "the other copy is not whole yet")
 	added := partition.Replicas[2].Store
 	world.ask(cluster.PartitionAsk{Synced: added}, 0)
 	assert.NilError(t, world.plan())
 	partition = world.current.table.Partitions[0]
-	assert.Equal(t, partition.Find(doubted), -1)
+	assert.Equal(t, partition.Find(suspected), -1)
 	assert.Equal(t, len(partition.Replicas), 2)
 	world.settle()
 	world.requireWhole()
 }
 
-// TestDoubtedBackupThatAnswersAgainStays checks that the copy which was begun meanwhile is given up.
-func TestDoubtedBackupThatAnswersAgainStays(t *testing.T) {
-	world, _, doubted := doubtedWorld(t)
-	world.ask(cluster.PartitionAsk{Synced: doubted}, 0)
+// TestSuspectedBackupThatAnswersAgainStays checks that the copy which was begun meanwhile is given up.
+func TestSuspectedBackupThatAnswersAgainStays(t *testing.T) {
+	world, _, suspected := suspectedWorld(t)
+	world.ask(cluster.PartitionAsk{Synced: suspected}, 0)
 	assert.NilError(t, world.plan())
 	partition := world.current.table.Partitions[0]
 	assert.Equal(t, len(partition.Replicas), 2)
-	position := partition.Find(doubted)
-	assert.Assert(t, position > 0 && !partition.Replicas[position].Doubted)
+	position := partition.Find(suspected)
+	assert.Assert(t, position > 0 && !partition.Replicas[position].Suspected)
 }
 
-// TestDoubtedBackupLeadsWhereItsPrimaryIsLost loses the primary's disk before another copy is whole: everything that was
-// acknowledged is on the doubted backup too.
-func TestDoubtedBackupLeadsWhereItsPrimaryIsLost(t *testing.T) {
-	world, primary, doubted := doubtedWorld(t)
+// TestSuspectedBackupLeadsWhereItsPrimaryIsLost loses the primary's disk before another copy is whole: everything that was
+// acknowledged is on the suspected backup too.
+func TestSuspectedBackupLeadsWhereItsPrimaryIsLost(t *testing.T) {
+	world, primary, suspected := suspectedWorld(t)
 	world.start(primary, "zone-0", "another-disk")
 	assert.NilError(t, world.plan())
 	partition := world.current.table.Partitions[0]
-	assert.Equal(t, partition.Replicas[0].Store, doubted)
-	assert.Assert(t, !partition.Replicas[0].Doubted)
+	assert.Equal(t, partition.Replicas[0].Store, suspected)
+	assert.Assert(t, !partition.Replicas[0].Suspected)
 	world.settle()
 	world.requireWhole()
 }
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	promoted := partition.Replicas[successor]
-	promoted.Doubted = false
+	promoted.Suspected = false
 	others := slices.Delete(slices.Clone(partition.Replicas), successor, successor+1)
 	partition.Replicas = append([]cluster.Replica{promoted}, append(others[1:], primary)...)
 	return true
--- a/internal/messagestore/explorer_model_test.go
+++ b/internal/messagestore/explorer_model_test.go
@@ -12,7 +12,7 @@
 // The model is one partition with its stores and the control plane's table, without time, connections and processes:
 // calls are handled at any moment or never. The control plane is one register that never forgets; its own replication has
 // a model of its own. What holds for a time only ends by explicit steps, in the order that steady clocks give: a store
-// stops to count on its lease, or on a word, before the one that gave it does.
+// stops to count on a lease before the one that gave it does.
 
 const (
 	modelStores   = 4
@@ -65,12 +65,12 @@
 	acks    [modelMessages]storeSet
 	noted   [modelStores]messageSet // what a backup surely holds, by inventory and answered copies
 	told    storeSet                // backups that have told what they hold
-	words   storeSet                // backups whose word counts
-	// gave tells by giver which former primaries may count on a word: this store's own, and those it was told of.
+	grants  storeSet                // backups whose grants count
+	// gave tells by giver which former primaries may count on a lease: this store's own, and those it was told of.
 	gave [modelStores]storeSet
 }
 
-// givers returns the stores whose word to a former primary this store waits for.
+// givers returns the stores whose grant to a former primary this store waits for.
 func (s *modelStore) givers(former int) []int {
 	var found []int
 	for giver := range modelStores {
@@ -89,7 +89,7 @@
 
 // forgetLead drops what belongs to one epoch of a lead.
 func (s *modelStore) forgetLead() {
-	s.pending, s.words, s.told = 0, 0, 0
+	s.pending, s.grants, s.told = 0, 0, 0
 	s.acks, s.noted = [modelMessages]storeSet{}, [modelStores]messageSet{}
 }
 
@@ -133,10 +133,10 @@
 	mayPromote     func(former *modelStore) bool  // its lease is surely over
 	renews         func(s *modelState, store int) // what comes with a lease
 	isTarget       func(view *partitionView, s *modelState, to int) bool
-	wordOnRefusal  bool                              // a refusal counts as a word
-	deliversAtOnce bool                              // a successor does not wait for the end of words
+	grantOnRefusal bool                              // a refusal counts as a grant
+	deliversAtOnce bool                              // a successor does not wait for the end of grants
 	dropsAtOnce    bool                              // a living backup leaves before another copy is whole
-	keepsWords     bool                              // a primary does not tell its backups of the words that it waits for
+	keepsGrants    bool                              // a primary does not tell its backups of the grants that it waits for
 	maySync        func(held, noted messageSet) bool // a backup may be called synced
 	committed      func(view *partitionView, acks storeSet) bool
 	mayComplete    func(s *modelState, store int) bool // a store is empty and may be taken away
@@ -274,7 +274,7 @@
 	}
 }
 
-// time ends leases and words.
+// time ends leases of the control plane and of backups.
 func (m *partitionModel) time(state *modelState, store int, add addStep) {
 	s := &state.stores[store]
 	if s.leased {
@@ -284,16 +284,16 @@
 		add(next, "the lease of %s ends", storeName(store))
 	}
 	for other := range modelStores {
-		if s.words.has(other) {
+		if s.grants.has(other) {
 			next := *state
-			next.stores[store].words = s.words.without(other)
-			add(next, "%s counts on the word of %s no more", storeName(store), storeName(other))
+			next.stores[store].grants = s.grants.without(other)
+			add(next, "%s counts on the lease from %s no more", storeName(store), storeName(other))
 		}
 		for _, giver := range s.givers(other) {
-			if !state.stores[other].words.has(giver) {
+			if !state.stores[other].grants.has(giver) {
 				next := *state
 				next.stores[store].gave[giver] = s.gave[giver].without(other)
-				add(next, "%s knows that the word of %s to %s is over", storeName(store), storeName(giver), storeName(other))
+				add(next, "%s knows that the lease from %s to %s is over", storeName(store), storeName(giver), storeName(other))
 			}
 		}
 	}
@@ -343,13 +343,13 @@
 	}
 }
 
-// restart forgets what is in memory. Others notice the end of the process, and count on no word from before.
+// restart forgets what is in memory. Others notice the end of the process, and count on no grant from before.
 func (s *modelState) restart(store int) {
 	s.troubled = true
 	before := s.stores[store]
 	s.stores[store] = modelStore{disk: before.disk, holds: before.holds, epoch: before.epoch}
 	for other := range modelStores {
-		s.stores[other].words = s.stores[other].words.without(store)
+		s.stores[other].grants = s.stores[other].grants.without(store)
 	}
 }
 
@@ -382,7 +382,7 @@
 	m.handover(state, store, add)
 }
 
-// follow has a backup take a call under its primary's epoch, with the words that this one waits for. It tells false where
+// follow has a backup take a call under its primary's epoch, with the grants that this one waits for. It tells false where
 // the call is refused.
 func (m *partitionModel) follow(s *modelState, from, to int) bool {
 	epoch := s.stores[from].epoch
@@ -395,7 +395,7 @@
 		backup.stepDown()
 	}
 	backup.epoch = epoch
-	if !m.rules.keepsWords {
+	if !m.rules.keepsGrants {
 		for giver, formers := range s.stores[from].gave {
 			backup.gave[giver] |= formers
 		}
@@ -411,9 +411,9 @@
 	s := &state.stores[from]
 	refused := *state
 	if !m.follow(&refused, from, to) {
-		if m.rules.wordOnRefusal {
+		if m.rules.grantOnRefusal {
 			refused.stores[from].fenced = s.fenced
-			refused.stores[from].words = s.words.with(to)
+			refused.stores[from].grants = s.grants.with(to)
 		}
 		add(refused, "%s refuses %s", storeName(to), storeName(from))
 		return
@@ -442,8 +442,8 @@
 		next := *state
 		m.follow(&next, from, to)
 		next.stores[to].gave[to] = next.stores[to].gave[to].with(from)
-		next.stores[from].words = s.words.with(to)
-		add(next, "%s gives its word to %s", storeName(to), storeName(from))
+		next.stores[from].grants = s.grants.with(to)
+		add(next, "%s grants a lease to %s", storeName(to), storeName(from))
 	}
 }
 
@@ -454,7 +454,7 @@
 		return false
 	}
 	view := state.applied(store)
-	return s.leased || view.backups != 0 && s.words.contains(view.backups)
+	return s.leased || view.backups != 0 && s.grants.contains(view.backups)
 }
 
 // handover is a change of the primary on purpose: deliveries stop, the control plane is asked, and the store goes on only
--- a/internal/messagestore/explorer_test.go
+++ b/internal/messagestore/explorer_test.go
@@ -32,7 +32,7 @@
 		"two copies, two lost disks, one by one":          {stores: 3, copies: 2, messages: 1, views: 5, losses: 2},
 		"three copies, a lost disk":                       {stores: 4, copies: 3, messages: 1, views: 3, losses: 1},
 		"two copies, a disk lost early":                   {stores: 3, copies: 2, messages: 1, views: 3, losses: 1, losesEarly: true},
-		"two copies, a lost disk beside a doubted backup": {stores: 3, copies: 2, messages: 1, views: 4, losses: 1},
+		"two copies, a lost disk beside a suspected backup": {stores: 3, copies: 2, messages: 1, views: 4, losses: 1},
 		"two copies, two messages":                        {stores: 3, copies: 2, messages: 2, views: 3},
 		"two copies, a store is emptied":                  {stores: 4, copies: 2, messages: 1, views: 4, retires: true},
 		"two copies, emptied, then a lost disk":           {stores: 4, copies: 2, messages: 1, views: 5, retires: true, losses: 1},
@@ -80,8 +80,8 @@
 		"a lease comes without the newest table": {failover, func(rules *modelRules) {
 			rules.renews = func(*modelState, int) {}
 		}},
-		"a refusal counts as a word":                     {failover, func(rules *modelRules) { rules.wordOnRefusal = true }},
-		"a successor does not wait for the end of words": {failover, func(rules *modelRules) { rules.deliversAtOnce = true }},
+		"a refusal counts as a grant":                     {failover, func(rules *modelRules) { rules.grantOnRefusal = true }},
+		"a successor does not wait for the end of grants": {failover, func(rules *modelRules) { rules.deliversAtOnce = true }},
 		"a backup counts as synced before it is whole": {twice, func(rules *modelRules) {
 			rules.maySync = func(messageSet, messageSet) bool { return true }
 		}},
@@ -103,9 +103,9 @@
 			modelLimits{stores: 3, copies: 2, messages: 1, views: 3, losses: 1},
 			func(rules *modelRules) { rules.dropsAtOnce = true },
 		},
-		"a successor's successor knows nothing of words": {
+		"a successor's successor knows nothing of grants": {
 			modelLimits{stores: 3, copies: 2, messages: 1, views: 4},
-			func(rules *modelRules) { rules.keepsWords = true },
+			func(rules *modelRules) { rules.keepsGrants = true },
 		},
 		"deliveries go on after a handover without a clear answer": {
 			modelLimits{stores: 3, copies: 2, messages: 1, views: 2, hands: true},
--- a/internal/messagestore/fencing_test.go
+++ b/internal/messagestore/fencing_test.go
@@ -31,7 +31,7 @@
 }
 
 // TestFormerPrimaryWithoutLeaseStopsBeforeItsSuccessorDelivers has a primary that the control plane can't reach go on by
-// its backup's word, until that backup is promoted: at no time may both deliver.
+// a lease from its backup, until that backup is promoted: at no time may both deliver.
 func TestFormerPrimaryWithoutLeaseStopsBeforeItsSuccessorDelivers(t *testing.T) {
 	for _, partition := range []int{0, 1} {
 		for offset := range 8 {
@@ -43,7 +43,7 @@
 				third := h.names[(slices.Index(h.names, successor.name)+1)%len(h.names)]
 				former.noLease.Store(true)
 				time.Sleep(2*time.Second + time.Duration(offset)*45*time.Millisecond)
-				assert.Assert(t, former.store.MayDeliver(partition), "by the word of its backup")
+				assert.Assert(t, former.store.MayDeliver(partition), "by a lease from its backup")
 				h.mu.Lock()
 				h.refusing = true // as of a table that is not the newest
 				h.mu.Unlock()
@@ -61,7 +61,7 @@
 	}
 }
 
-// TestSuccessorOfADeadPrimaryDeliversAtOnce checks that nobody waits for a word that was never asked for.
+// TestSuccessorOfADeadPrimaryDeliversAtOnce checks that nobody waits for a lease that was never granted.
 func TestSuccessorOfADeadPrimaryDeliversAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
@@ -158,7 +158,7 @@
 		assert.Equal(t, rpc.CodeOf(ask()), rpc.CodeNotFound)
 		h.machines["a"].noLease.Store(true)
 		time.Sleep(time.Second)
-		assert.Equal(t, rpc.CodeOf(ask()), rpc.CodeNotFound, "its backup gives its word")
+		assert.Equal(t, rpc.CodeOf(ask()), rpc.CodeNotFound, "its backup grants a lease")
 		h.mu.Lock()
 		h.refusing = true
 		h.mu.Unlock()
@@ -192,16 +192,16 @@
 	})
 }
 
-// TestSuccessorsSuccessorWaitsForWordsToo promotes two backups one right after the other. The first has given its word to
+// TestSuccessorsSuccessorWaitsForGrantsToo promotes two backups one right after the other. The first has granted a lease to
 // the former primary, the second has not, and must wait all the same.
-func TestSuccessorsSuccessorWaitsForWordsToo(t *testing.T) {
+func TestSuccessorsSuccessorWaitsForGrantsToo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
 		former, second := h.machines["a"], h.machines["c"]
 		former.noLease.Store(true)
 		time.Sleep(2*time.Second + 310*time.Millisecond)
-		assert.Assert(t, former.store.MayDeliver(0), "by the word of its backup")
+		assert.Assert(t, former.store.MayDeliver(0), "by a lease from its backup")
 		h.mu.Lock()
 		h.refusing = true
 		h.mu.Unlock()
--- a/internal/messagestore/gate.go
+++ b/internal/messagestore/gate.go
@@ -14,25 +14,25 @@
 	backups   atomic.Pointer[[]*peer]
 	notBefore atomic.Pointer[time.Time] // a former primary may deliver until then; nil where none may
 
-	mutex sync.Mutex
-	words map[string]time.Time // by disk: when a backup was asked for the last word that it gave for this partition
+	mutex  sync.Mutex
+	grants map[string]time.Time // by disk: when a backup was asked for the last lease that it granted for this partition
 }
 
-// noteWord records a backup's word for the partition.
-func (g *gate) noteWord(disk string, asked time.Time) {
+// noteGrant records that a backup has granted a lease of the partition.
+func (g *gate) noteGrant(disk string, asked time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.words == nil {
-		g.words = make(map[string]time.Time)
+	if g.grants == nil {
+		g.grants = make(map[string]time.Time)
 	}
-	g.words[disk] = asked
+	g.grants[disk] = asked
 }
 
-// word returns when a backup was asked for the last word that it gave, or the zero time.
-func (g *gate) word(disk string) time.Time {
+// grantedAt returns when a backup was asked for the last lease that it granted, or the zero time.
+func (g *gate) grantedAt(disk string) time.Time {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.words[disk]
+	return g.grants[disk]
 }
 
 // MayDeliver implements the delivery engine's owner: deliveries start only while no other store can have become
@@ -50,19 +50,19 @@
 }
 
 // surelyLeads tells whether no other store can have become a partition's primary: the lease runs, or every backup has
-// lately given its word under this epoch.
+// lately granted a lease under this epoch.
 func (s *Store) surelyLeads(state *gate) bool {
-	return s.options.Control.LeaseRemaining() > 0 || state.backupsAnswer()
+	return s.options.Control.LeaseRemaining() > 0 || state.backupsGrant()
 }
 
-// backupsAnswer tells whether all backups have lately given their word: none of them delivers for as long.
-func (g *gate) backupsAnswer() bool {
+// backupsGrant tells whether all backups have lately granted a lease: none of them delivers for as long.
+func (g *gate) backupsGrant() bool {
 	backups := g.backups.Load()
 	if backups == nil || len(*backups) == 0 {
 		return false
 	}
 	for _, backup := range *backups {
-		asked := g.word(backup.replica.DiskID)
+		asked := g.grantedAt(backup.replica.DiskID)
 		ended := backup.ended.Load()
 		if time.Since(asked) >= backupLease || ended != nil && asked.Before(*ended) {
 			return false
@@ -98,13 +98,13 @@
 	return s.surelyLeads(s.gate(p.id))
 }
 
-// waitForFormer keeps deliveries of a partition back for as long as a former primary may rely on this store's word. The
+// waitForFormer keeps deliveries of a partition back for as long as a former primary may count on a lease from this store. The
 // caller holds the lock.
 func (s *Store) waitForFormer(p *partition, former cluster.Partition) {
 	var until time.Time
 	for _, replica := range former.Replicas {
-		if word := s.words[replica.Store]; word.After(until) {
-			until = word
+		if grant := s.grants[replica.Store]; grant.After(until) {
+			until = grant
 		}
 	}
 	s.gate(p.id).notBefore.Store(&until)
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -8,8 +8,8 @@
 	// epochShift places the epoch above the counter in a sequence number.
 	epochShift = 32
 
-	backupLease       = time.Second            // for how long a primary may deliver on a backup's word
-	relyBefore        = 300 * time.Millisecond // before the end of its lease a primary begins to ask for the backups' word
+	backupLease       = time.Second            // for how long a backup grants a lease
+	askGrantsBefore   = 300 * time.Millisecond // before the end of its lease a primary begins to ask its backups for one
 	backupSilence     = 150 * time.Millisecond
 	outcomeTimeout    = time.Second
 	replicateTimeout  = 300 * time.Millisecond // after it another backup is asked for: writes wait, clients leave soon
--- a/internal/messagestore/maintain.go
+++ b/internal/messagestore/maintain.go
@@ -32,7 +32,7 @@
 		case <-ticker.C:
 		}
 		s.repair()
-		if s.options.Control.LeaseRemaining() < relyBefore && time.Since(beaten) >= heartbeatInterval {
+		if s.options.Control.LeaseRemaining() < askGrantsBefore && time.Since(beaten) >= heartbeatInterval {
 			beaten = time.Now()
 			s.heartbeat()
 		}
@@ -55,7 +55,7 @@
 	}
 }
 
-// heartbeat asks the backups of every partition for their word while the control plane does not renew the lease.
+// heartbeat asks the backups of every partition for a lease while the control plane does not renew the lease.
 func (s *Store) heartbeat() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/messagestore/messages.go
+++ b/internal/messagestore/messages.go
@@ -28,12 +28,12 @@
 	From    string          `json:"from"`
 	Target  string          `json:"target"` // the disk that the records are for
 	Records []replicateItem `json:"records"`
-	// Relying tells that the sender goes on delivering for backupLease on the word of the answer alone: its lease is over,
+	// WantsGrant tells that the sender wants a lease of backupLease from the backup, to deliver by it: its lease is over,
 	// or soon will be.
-	Relying bool `json:"relying,omitempty"`
-	// WordsMS is for how long a former primary may still count on a word that the sender has given, or was told of. A
+	WantsGrant bool `json:"wantsGrant,omitempty"`
+	// GrantsMS is for how long a former primary may still count on a lease that the sender has granted, or was told of. A
 	// backup may succeed the sender before that is over.
-	WordsMS int64 `json:"wordsMs,omitempty"`
+	GrantsMS int64 `json:"grantsMs,omitempty"`
 }
 
 // replicateItem tells a record's place in the body and the epoch under which its primary sends it.
--- a/internal/messagestore/replicate.go
+++ b/internal/messagestore/replicate.go
@@ -19,7 +19,7 @@
 	replica cluster.Replica
 	wake    chan struct{}
 	queue   []outgoing
-	ended   atomic.Pointer[time.Time] // when its process was last found to have ended; it remembers no word from before
+	ended   atomic.Pointer[time.Time] // when its process was last found to have ended; it remembers no grant from before
 	calling time.Time                 // when the call that is out began; zero while none is
 }
 
@@ -99,8 +99,8 @@
 func (d *peer) send(batch []outgoing) {
 	request := replicateRequest{
 		From: d.store.options.Name, Target: d.replica.DiskID,
-		Relying: d.store.options.Control.LeaseRemaining() < relyBefore,
-		WordsMS: d.store.wordsRemaining().Milliseconds(),
+		WantsGrant: d.store.options.Control.LeaseRemaining() < askGrantsBefore,
+		GrantsMS:   d.store.grantsRemaining().Milliseconds(),
 	}
 	var body []byte
 	for i := range batch {
@@ -116,8 +116,8 @@
 		d.store.logger.Debug("replicating", zap.String("backup", d.replica.Store), zap.Error(err))
 	}
 	outcome := sendOutcome{refused: response.Refused, err: err}
-	if request.Relying && err == nil {
-		outcome.word = started
+	if request.WantsGrant && err == nil {
+		outcome.granted = started
 	}
 	d.finish(batch, outcome)
 }
@@ -183,7 +183,7 @@
 // sendOutcome is what came of sending a batch.
 type sendOutcome struct {
 	refused []int     // partitions whose records were refused
-	word    time.Time // when the backup was asked for its word, where it gave it
+	granted time.Time // when the backup was asked for a lease, where it granted one
 	err     error
 }
 
@@ -214,8 +214,8 @@
 			out.write.synced[d.replica.DiskID] = true
 			s.commitIfSynced(p, out.write)
 		}
-		if current && !outcome.word.IsZero() {
-			s.gate(p.id).noteWord(d.replica.DiskID, outcome.word)
+		if current && !outcome.granted.IsZero() {
+			s.gate(p.id).noteGrant(d.replica.DiskID, outcome.granted)
 		}
 		return
 	}
@@ -276,7 +276,7 @@
 	if err := s.checkTarget(request.Target); err != nil {
 		return nil, err
 	}
-	s.noteWords(request, time.Now())
+	s.noteGrants(request, time.Now())
 	response := &replicateResponse{}
 	for _, item := range request.Records {
 		if item.Length < 0 || item.Length > len(body) {
@@ -295,24 +295,23 @@
 	return response, nil
 }
 
-// noteWords remembers until when a primary may count on this store's word, or others on a word that the primary itself waits
-// for. The caller holds the lock.
-func (s *Store) noteWords(request *replicateRequest, now time.Time) {
-	until := now.Add(time.Duration(request.WordsMS) * time.Millisecond)
-	if request.Relying {
+// noteGrants remembers until when a primary may count on a lease from this store, or others on one that the primary itself waits for. The caller holds the lock.
+func (s *Store) noteGrants(request *replicateRequest, now time.Time) {
+	until := now.Add(time.Duration(request.GrantsMS) * time.Millisecond)
+	if request.WantsGrant {
 		until = now.Add(backupLease)
 	}
-	if until.After(s.words[request.From]) {
-		s.words[request.From] = until
+	if until.After(s.grants[request.From]) {
+		s.grants[request.From] = until
 	}
 }
 
-// wordsRemaining returns for how long any store may still count on a word that this one knows of.
-func (s *Store) wordsRemaining() time.Duration {
+// grantsRemaining returns for how long any store may still count on a grant that this one knows of.
+func (s *Store) grantsRemaining() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	longest := time.Duration(0)
-	for _, until := range s.words {
+	for _, until := range s.grants {
 		longest = max(longest, time.Until(until))
 	}
 	return longest
--- a/internal/messagestore/store.go
+++ b/internal/messagestore/store.go
@@ -67,7 +67,7 @@
 	gates      sync.Map             // by partition ID: *gate
 	peers      map[string]*peer     // by disk id
 	reported   map[string]time.Time // by store: when it was last reported
-	words      map[string]time.Time // by store: until when it may deliver on this store's word alone
+	grants     map[string]time.Time // by store: until when it may deliver by a lease from this store
 	cached     int64                // bytes of bodies in memory
 	wake       chan struct{}
 	context    context.Context
@@ -83,7 +83,7 @@
 		partitions: make(map[int]*partition),
 		peers:      make(map[string]*peer),
 		reported:   make(map[string]time.Time),
-		words:      make(map[string]time.Time),
+		grants:     make(map[string]time.Time),
 		wake:       make(chan struct{}, 1),
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
