Count no confirmation from before a backup left its group, and replace silent backups at once again

A backup that left its group and was taken in again had forgotten what it held. Its primary, which heard only of the later view, still counted what it had confirmed before, acknowledged a message on the strength of that, and did not copy it. The hole is older than this work, but views seldom changed that way; keeping living backups until another copy is whole made it likely.

Change: confirmations count only from the epoch on in which the backup was last seen not synced; open writes go to it again.

The new test brings the loss about, and failed without the change.

--- a/internal/cluster/types.go
+++ b/internal/cluster/types.go
@@ -48,8 +48,6 @@
 	Store  string `json:"store"`  // the store's name
 	DiskID string `json:"diskId"` // the disk that holds the copy; another disk is another replica
 	Synced bool   `json:"synced"` // it holds every committed message and may become primary
-	// Suspected is set while a living backup does not answer its primary. It is whole, and stays until another copy is.
-	Suspected bool `json:"suspected,omitempty"`
 }
 
 // Partition is a partition's view: who leads it and who holds copies. The first replica is the primary. Epoch grows
--- a/internal/controlplane/ask.go
+++ b/internal/controlplane/ask.go
@@ -18,16 +18,15 @@
 	if err := p.requirePrimary(); err != nil {
 		return nil, nil, err
 	}
-	answers := ask.Drop != "" && p.pings.answers(ctx, ask.Drop)
-	err := p.manager.edit(ctx, func(draft *draft) error { return draft.grant(&ask, answers) })
+	err := p.manager.edit(ctx, func(draft *draft) error { return draft.grant(&ask) })
 	if err != nil {
 		return nil, nil, p.callError(err)
 	}
 	return nil, nil, nil
 }
 
-// grant changes the draft as a partition's primary asks. A backup that it wants dropped may have answered the control plane.
-func (d *draft) grant(ask *cluster.PartitionAsk, answers bool) error {
+// grant changes the draft as a partition's primary asks.
+func (d *draft) grant(ask *cluster.PartitionAsk) error {
 	if ask.Partition < 0 || ask.Partition >= len(d.partitions) {
 		return &rpc.Error{Code: rpc.CodeNotFound, Message: fmt.Sprintf("no partition %d", ask.Partition)}
 	}
@@ -40,7 +39,7 @@
 	if err := d.grantSynced(&partition, ask); err != nil {
 		return err
 	}
-	if err := d.grantDrop(&partition, ask, answers); err != nil {
+	if err := d.grantDrop(&partition, ask); err != nil {
 		return err
 	}
 	if err := d.grantHandover(&partition, ask); err != nil {
@@ -60,13 +59,11 @@
 		return &rpc.Error{Code: rpc.CodeConflict, Message: ask.Synced + " is no replica"}
 	}
 	partition.Replicas[position].Synced = true
-	partition.Replicas[position].Suspected = false
 	return nil
 }
 
-// grantDrop replaces a backup that does not answer its primary: at once where it is dead, and else when another copy is
-// whole. A primary alone must not hold the only whole copy while the disk of another one is there.
-func (d *draft) grantDrop(partition *cluster.Partition, ask *cluster.PartitionAsk, answers bool) error {
+// grantDrop replaces a backup that does not answer its primary.
+func (d *draft) grantDrop(partition *cluster.Partition, ask *cluster.PartitionAsk) error {
 	if ask.Drop == "" {
 		return nil
 	}
@@ -74,15 +71,9 @@
 	if position <= 0 {
 		return &rpc.Error{Code: rpc.CodeConflict, Message: ask.Drop + " is no backup"}
 	}
-	dropped := &partition.Replicas[position]
-	if d.expectsBack(*dropped) {
+	if d.expectsBack(partition.Replicas[position]) {
 		return unavailable(ask.Drop + " is expected back")
 	}
-	rest := slices.Delete(slices.Clone(partition.Replicas), position, position+1)
-	if answers && dropped.Synced && d.alive(*dropped) && d.syncedCopies(rest) < d.copies {
-		dropped.Suspected = true
-		return nil
-	}
 	if !d.dropBackup(partition, position) {
 		return unavailable("no store can take the place of " + ask.Drop)
 	}
@@ -100,7 +91,6 @@
 		return unavailable("no other synced replica is alive")
 	}
 	asker, successor := partition.Replicas[0], partition.Replicas[position]
-	successor.Suspected = false
 	backups := slices.Delete(slices.Clone(partition.Replicas), position, position+1)[1:]
 	partition.Replicas = append([]cluster.Replica{successor}, backups...)
 	if !d.retiring(asker) || d.syncedCopies(partition.Replicas) < d.copies {
--- a/internal/controlplane/draft.go
+++ b/internal/controlplane/draft.go
@@ -110,14 +110,9 @@
 	return up && disk == replica.DiskID
 }
 
-// staying tells whether a replica is alive and is not to be moved.
+// staying tells whether a replica is alive and is not to be emptied.
 func (d *draft) staying(replica cluster.Replica) bool {
-	return d.alive(replica) && !d.leavingGroup(replica)
-}
-
-// leavingGroup tells whether a replica is to be dropped once another copy is whole.
-func (d *draft) leavingGroup(replica cluster.Replica) bool {
-	return replica.Suspected || d.retiring(replica)
+	return d.alive(replica) && !d.retiring(replica)
 }
 
 func (d *draft) retiring(replica cluster.Replica) bool {
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -46,7 +46,6 @@
 	group    group // nil on a process that cannot be a member
 	state    *stateMachine
 	leases   *leaseTable
-	pings    *pings
 	workers  workerCache
 	packer   bodyPacker
 	encoded  newsCaches
@@ -108,7 +107,6 @@
 func (p *Plane) groupOptions() replication.Options {
 	p.manager = newManager(p)
 	p.leases = newLeaseTable(p.manager.nudge)
-	p.pings = newPings(p.leases, p.options.Pool)
 	p.members = &memberManager{plane: p}
 	p.reader = newWorkerReader(p)
 	return replication.Options{
--- a/internal/controlplane/repair.go
+++ b/internal/controlplane/repair.go
@@ -81,7 +81,6 @@
 		return false
 	}
 	promoted := partition.Replicas[successor]
-	promoted.Suspected = false
 	others := slices.Delete(slices.Clone(partition.Replicas), successor, successor+1)
 	partition.Replicas = append([]cluster.Replica{promoted}, append(others[1:], primary)...)
 	return true
@@ -182,7 +181,7 @@
 	}
 }
 
-// surplus returns the position of the backup that can best be spared, or -1: one that is to leave, then one that is not
+// surplus returns the position of the backup that can best be spared, or -1: a retiring one, then one that is not
 // synced, then the one whose store holds the most copies.
 func (d *draft) surplus(partition *cluster.Partition) int {
 	load := d.replicaCounts()
@@ -201,10 +200,10 @@
 }
 
 func (d *draft) surplusRank(replica cluster.Replica, load map[string]int) int {
-	leaving, unsynced := 2*len(d.partitions), len(d.partitions)+1
+	retiring, unsynced := 2*len(d.partitions), len(d.partitions)+1
 	switch {
-	case d.leavingGroup(replica):
-		return leaving
+	case d.retiring(replica):
+		return retiring
 	case !replica.Synced:
 		return unsynced
 	}
--- a/internal/messagestore/fencing_test.go
+++ b/internal/messagestore/fencing_test.go
@@ -261,3 +261,46 @@
 		assert.Assert(t, !a.MayDeliver(0))
 	})
 }
+
+// TestConfirmationsFromBeforeABackupLeftDoNotCount has a backup leave its group and come back between two tables that its
+// primary hears of. It has forgotten what it confirmed before, and a message that waits for another backup must not be
+// acknowledged on the strength of that.
+func TestConfirmationsFromBeforeABackupLeftDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		h.mu.Lock()
+		h.refusing = true
+		h.mu.Unlock()
+		a, c := h.machines["a"].store, h.machines["c"].store
+		view := func(epoch uint64, replicas ...cluster.Replica) *cluster.Table {
+			table := *h.currentTable()
+			table.Revision += epoch
+			table.Partitions = slices.Clone(table.Partitions)
+			table.Partitions[0] = cluster.Partition{ID: 0, Epoch: epoch, Replicas: replicas}
+			return &table
+		}
+		added := h.replica("c")
+		added.Synced = false
+		with := func(epoch uint64) *cluster.Table { return view(epoch, h.replica("a"), h.replica("b"), added) }
+		a.ApplyTable(with(2))
+		c.ApplyTable(with(2))
+		time.Sleep(time.Second)
+
+		h.network.Cut(h.machines["a"].ip, h.machines["b"].ip)
+		accepted := make(chan error, 1)
+		go func() {
+			submission := message.Submission{Message: message.Message{Partition: 0, ID: "0-1", RequestID: "r"}}
+			_, err := h.clients.Get(h.address("a")).Call(t.Context(), methodPut, putRequest{submission}, []byte("x"), nil)
+			accepted <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, holdsAll(c, 0, []string{"0-1"}), "it confirmed the message")
+		c.ApplyTable(view(3, h.replica("a"), h.replica("b")))
+		assert.Assert(t, !holdsAll(c, 0, []string{"0-1"}), "it left, and forgot")
+		a.ApplyTable(with(4))
+		h.network.Heal(h.machines["a"].ip, h.machines["b"].ip)
+		assert.NilError(t, <-accepted)
+		assert.Assert(t, holdsAll(c, 0, []string{"0-1"}), "acknowledged, and not on a disk of the view")
+	})
+}
--- a/internal/messagestore/index.go
+++ b/internal/messagestore/index.go
@@ -41,6 +41,9 @@
 	last    uint64                  // the highest sequence number seen
 	pending map[*pendingWrite]bool  // writes that wait for replicas
 	resync  map[string]*resyncState // by disk id: backups that may lack records
+	// joined tells by disk id in which epoch a backup was last seen to be not synced. What it confirmed in earlier epochs it
+	// may have forgotten: it may have left the group in between.
+	joined map[string]uint64
 }
 
 func newPartition(id int) *partition {
@@ -49,6 +52,7 @@
 		entries: make(map[string]*entry),
 		pending: make(map[*pendingWrite]bool),
 		resync:  make(map[string]*resyncState),
+		joined:  make(map[string]uint64),
 	}
 }
 
--- a/internal/messagestore/replicate.go
+++ b/internal/messagestore/replicate.go
@@ -209,8 +209,9 @@
 	p := s.partition(out.partition)
 	current := p.leading && out.epoch == p.epoch
 	isRefused := slices.Contains(outcome.refused, out.partition)
+	outdated := out.epoch < p.joined[d.replica.DiskID]
 	if outcome.err == nil && !isRefused {
-		if out.write != nil {
+		if out.write != nil && !outdated {
 			out.write.synced[d.replica.DiskID] = true
 			s.commitIfSynced(p, out.write)
 		}
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -105,7 +105,7 @@
 	if s.copyFailed(p, replica) {
 		return errCopyIncomplete
 	}
-	if replica.Synced && !replica.Suspected {
+	if replica.Synced {
 		return nil
 	}
 	return s.ask(cluster.PartitionAsk{Partition: p.id, Epoch: epoch, Synced: replica.Store})
--- a/internal/messagestore/roles.go
+++ b/internal/messagestore/roles.go
@@ -72,6 +72,7 @@
 	p.leading, p.paused = true, false
 	s.appendAndReplicate(p, &record{Kind: recordEpoch, Partition: p.id, Epoch: p.epoch})
 	clear(p.resync)
+	clear(p.joined)
 	for _, replica := range p.backups() {
 		s.needResync(p, replica)
 	}
@@ -95,6 +96,7 @@
 	for _, replica := range p.backups() {
 		if !replica.Synced {
 			s.needResync(p, replica)
+			p.noteJoined(replica.DiskID)
 		}
 	}
 	s.setGate(p)
@@ -104,6 +106,19 @@
 	}
 }
 
+// noteJoined takes nothing for confirmed any more that a backup confirmed before the present epoch, in which it is not
+// synced.
+func (p *partition) noteJoined(diskID string) {
+	if p.joined[diskID] == p.epoch {
+		return
+	}
+	p.joined[diskID] = p.epoch
+	for write := range p.pending {
+		delete(write.synced, diskID)
+		delete(write.sent, diskID)
+	}
+}
+
 func listed(replicas []cluster.Replica, disk string) bool {
 	for _, replica := range replicas {
 		if replica.DiskID == disk {
