--- a/internal/messagestore/explorer_model_test.go
+++ b/internal/messagestore/explorer_model_test.go
@@ -56,16 +56,17 @@
 	gone  bool       // taken away for good
 	epoch uint8      // the highest seen
 
-	view    uint8 // number of the newest view applied, counted from 1; 0 after a start
-	leading bool
-	fenced  bool
-	paused  bool
-	leased  bool
-	pending messageSet
-	acks    [modelMessages]storeSet
-	noted   [modelStores]messageSet // what a backup surely holds, by inventory and answered copies
-	told    storeSet                // backups that have told what they hold
-	grants  storeSet                // backups whose grants count
+	view      uint8 // number of the newest view applied, counted from 1; 0 after a start
+	leading   bool
+	fenced    bool
+	paused    bool
+	leased    bool
+	pending   messageSet
+	acks      [modelMessages]storeSet
+	noted     [modelStores]messageSet // what a backup surely holds, by inventory and answered copies
+	keepsAcks bool                    // a broken rule: confirmations count also where the backup was away meanwhile
+	told      storeSet                // backups that have told what they hold
+	grants    storeSet                // backups whose grants count
 	// gave tells by giver which former primaries may count on a lease: this store's own, and those it was told of.
 	gave [modelStores]storeSet
 }
@@ -136,6 +137,7 @@
 	grantOnRefusal bool                              // a refusal counts as a grant
 	deliversAtOnce bool                              // a successor does not wait for the end of grants
 	dropsUnnoticed bool                              // a disk may be lost as soon as a living backup was dropped
+	keepsAcks      bool                              // confirmations count also where the backup was away meanwhile
 	keepsGrants    bool                              // a primary does not tell its backups of the grants that it waits for
 	maySync        func(held, noted messageSet) bool // a backup may be called synced
 	committed      func(view *partitionView, acks storeSet) bool
@@ -194,6 +196,7 @@
 	state.views[0] = view
 	for store := range modelStores {
 		state.stores[store].gone = store >= m.limits.stores
+		state.stores[store].keepsAcks = m.rules.keepsAcks
 		if store < m.limits.stores {
 			state.stores[store].leased = true
 			state.apply(store, 1)
@@ -251,11 +254,27 @@
 	switch {
 	case !leads:
 		taken.stepDown()
-	case !taken.leading || newer:
-		again := taken.leading
-		paused := taken.paused
+		if !view.replicas().has(store) && view.synced == view.replicas() {
+			taken.holds = 0 // a whole group of others has everything
+		}
+	case !taken.leading:
 		taken.stepDown()
-		taken.leading, taken.paused = true, again && paused
+		taken.leading = true
+	case newer:
+		taken.fenced = false
+		taken.changeGroup(view)
+	}
+}
+
+// changeGroup has a primary go on with another group. What backups have told is asked anew; what they confirmed of open
+// writes still counts where they were synced all the time.
+func (s *modelStore) changeGroup(view *partitionView) {
+	s.told, s.noted = 0, [modelStores]messageSet{}
+	if s.keepsAcks {
+		return
+	}
+	for number := range s.acks {
+		s.acks[number] &= view.synced
 	}
 }
 
@@ -346,7 +365,7 @@
 func (s *modelState) restart(store int) {
 	s.troubled = true
 	before := s.stores[store]
-	s.stores[store] = modelStore{disk: before.disk, holds: before.holds, epoch: before.epoch}
+	s.stores[store] = modelStore{disk: before.disk, holds: before.holds, epoch: before.epoch, keepsAcks: before.keepsAcks}
 	for other := range modelStores {
 		s.stores[other].grants = s.stores[other].grants.without(store)
 	}
--- a/internal/messagestore/explorer_test.go
+++ b/internal/messagestore/explorer_test.go
@@ -103,6 +103,10 @@
 			modelLimits{stores: 3, copies: 2, messages: 1, views: 3, losses: 1},
 			func(rules *modelRules) { rules.dropsUnnoticed = true },
 		},
+		"a backup that was away counts with what it confirmed before": {
+			modelLimits{stores: 3, copies: 2, messages: 1, views: 5},
+			func(rules *modelRules) { rules.keepsAcks = true },
+		},
 		"a successor's successor knows nothing of grants": {
 			modelLimits{stores: 3, copies: 2, messages: 1, views: 4},
 			func(rules *modelRules) { rules.keepsGrants = true },
