Restore the loop over a primary's wishes, and read bounds of searches in one place

The function that reads a bound from the environment stood in two test packages; it is modelcheck.Bound now.

--- a/internal/controlplane/ask.go
+++ b/internal/controlplane/ask.go
@@ -36,14 +36,11 @@
 		return &rpc.Error{Code: rpc.CodeConflict, Message: "another view is the current one"}
 	}
 	partition.Replicas = slices.Clone(partition.Replicas)
-	if err := d.grantSynced(&partition, ask); err != nil {
-		return err
-	}
-	if err := d.grantDrop(&partition, ask); err != nil {
-		return err
-	}
-	if err := d.grantHandover(&partition, ask); err != nil {
-		return err
+	wishes := []func(*cluster.Partition, *cluster.PartitionAsk) error{d.grantSynced, d.grantDrop, d.grantHandover}
+	for _, grantWish := range wishes {
+		if err := grantWish(&partition, ask); err != nil {
+			return err
+		}
 	}
 	d.setPartition(ask.Partition, partition)
 	return nil
--- a/internal/controlplane/replication/explorer_test.go
+++ b/internal/controlplane/replication/explorer_test.go
@@ -5,8 +5,6 @@
 // The model has no goroutines: it is gone through without the race detector, which would take ten times as long.
 
 import (
-	"os"
-	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,15 +12,6 @@
 	"ivyfold/internal/modelcheck"
 )
 
-// number reads a bound from the environment, for longer searches than CI has time for.
-func number(name string, fallback int) int {
-	value, err := strconv.Atoi(os.Getenv(name))
-	if err != nil {
-		return fallback
-	}
-	return value
-}
-
 // TestExplore goes through the protocol's states. EXPLORE_STATES sets how many.
 func TestExplore(t *testing.T) {
 	cases := map[string]modelLimits{
@@ -43,7 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			searched := &model{rules: groupRules(), limits: limits}
-			found := modelcheck.Explore(searched, number("EXPLORE_STATES", 90_000))
+			found := modelcheck.Explore(searched, modelcheck.Bound("EXPLORE_STATES", 90_000))
 			t.Logf("%d states, depth %d, complete: %v", found.States, found.Depth, found.Complete)
 			assert.Equal(t, found.Violation, "", "%q", found.Trace)
 		})
@@ -54,7 +43,7 @@
 func TestRandomWalks(t *testing.T) {
 	limits := modelLimits{disks: 4, copies: 2, epochs: maxEpochs, changes: maxChanges, crashes: 2, losses: 1, joins: 1}
 	walked := &model{rules: groupRules(), limits: limits}
-	for walk := range number("EXPLORE_WALKS", 300) {
+	for walk := range modelcheck.Bound("EXPLORE_WALKS", 300) {
 		if steps := modelcheck.Walk(walked, uint64(walk), 80); steps != nil {
 			t.Fatalf("%q", steps)
 		}
--- a/internal/messagestore/explorer_test.go
+++ b/internal/messagestore/explorer_test.go
@@ -5,8 +5,6 @@
 // The model has no goroutines: it is gone through without the race detector, which would take ten times as long.
 
 import (
-	"os"
-	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,15 +12,6 @@
 	"ivyfold/internal/modelcheck"
 )
 
-// number reads a bound from the environment, for longer searches than CI has time for.
-func number(name string, fallback int) int {
-	value, err := strconv.Atoi(os.Getenv(name))
-	if err != nil {
-		return fallback
-	}
-	return value
-}
-
 // TestExplorePartition goes through the states of a partition. EXPLORE_STATES sets how many.
 func TestExplorePartition(t *testing.T) {
 	cases := map[string]modelLimits{
@@ -42,7 +31,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			searched := &partitionModel{rules: storeRules(limits), limits: limits}
-			found := modelcheck.Explore(searched, number("EXPLORE_STATES", 150_000))
+			found := modelcheck.Explore(searched, modelcheck.Bound("EXPLORE_STATES", 150_000))
 			t.Logf("%d states, depth %d, complete: %v", found.States, found.Depth, found.Complete)
 			assert.Equal(t, found.Violation, "", "%q", found.Trace)
 		})
@@ -53,7 +42,7 @@
 func TestWalkPartition(t *testing.T) {
 	limits := modelLimits{stores: 4, copies: 2, messages: 2, views: modelViews, losses: 2, crashes: 2, retires: true, hands: true}
 	walked := &partitionModel{rules: storeRules(limits), limits: limits}
-	for walk := range number("EXPLORE_WALKS", 2000) {
+	for walk := range modelcheck.Bound("EXPLORE_WALKS", 2000) {
 		if steps := modelcheck.Walk(walked, uint64(walk), 80); steps != nil {
 			t.Fatalf("%q", steps)
 		}
--- a/internal/modelcheck/modelcheck.go
+++ b/internal/modelcheck/modelcheck.go
@@ -5,7 +5,9 @@
 import (
 	"hash/maphash"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 )
 
 // Step is a state that may follow another one, and how it comes about.
@@ -135,3 +137,12 @@
 	}
 	return state, ""
 }
+
+// Bound reads a bound from the environment, for longer searches than CI has time for.
+func Bound(name string, fallback int) int {
+	value, err := strconv.Atoi(os.Getenv(name))
+	if err != nil {
+		return fallback
+	}
+	return value
+}
