--- a/internal/messagestore/fencing_test.go
+++ b/internal/messagestore/fencing_test.go
@@ -44,9 +44,7 @@
 				former.noLease.Store(true)
 				time.Sleep(2*time.Second + time.Duration(offset)*45*time.Millisecond)
 				assert.Assert(t, former.store.MayDeliver(partition), "by a lease from its backup")
-				h.mu.Lock()
-				h.refusing = true // as of a table that is not the newest
-				h.mu.Unlock()
+				h.refuseAsks() // as of a table that is not the newest
 				h.promote(successor.name, partition, successor.name, third)
 				delivers := false
 				for range 600 {
@@ -129,9 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
-		h.mu.Lock()
-		h.refusing = true
-		h.mu.Unlock()
+		h.refuseAsks()
 		h.stop("b")
 		h.machines["b"].disk.Wipe()
 		h.machines["b"].diskID = "disk-b-2"
@@ -159,9 +155,7 @@
 		h.machines["a"].noLease.Store(true)
 		time.Sleep(time.Second)
 		assert.Equal(t, rpc.CodeOf(ask()), rpc.CodeNotFound, "its backup grants a lease")
-		h.mu.Lock()
-		h.refusing = true
-		h.mu.Unlock()
+		h.refuseAsks()
 		h.network.Cut(h.machines["a"].ip, h.machines["b"].ip)
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, rpc.CodeOf(ask()), rpc.CodeUnavailable)
@@ -176,9 +170,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
-		h.mu.Lock()
-		h.refusing = true
-		h.mu.Unlock()
+		h.refuseAsks()
 		h.promote("b", 0, "b", "c")
 		former := h.machines["a"].store
 		assert.Assert(t, former.MayDeliver(0), "it has heard of nothing yet")
@@ -202,9 +194,7 @@
 		former.noLease.Store(true)
 		time.Sleep(2*time.Second + 310*time.Millisecond)
 		assert.Assert(t, former.store.MayDeliver(0), "by a lease from its backup")
-		h.mu.Lock()
-		h.refusing = true
-		h.mu.Unlock()
+		h.refuseAsks()
 		h.network.Cut(former.ip, h.machines["b"].ip)
 		h.promote("b", 0, "b", "c")
 		time.Sleep(50 * time.Millisecond)
@@ -238,9 +228,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
-		h.mu.Lock()
-		h.refusing = true // with a conflict, as after an ask that was granted before
-		h.mu.Unlock()
+		h.refuseAsks() // with a conflict, as after an ask that was granted before
 		a := h.machines["a"].store
 		a.mu.Lock()
 		p := a.partition(0)
@@ -269,9 +257,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
-		h.mu.Lock()
-		h.refusing = true
-		h.mu.Unlock()
+		h.refuseAsks()
 		a, c := h.machines["a"].store, h.machines["c"].store
 		view := func(epoch uint64, replicas ...cluster.Replica) *cluster.Table {
 			table := *h.currentTable()
--- a/internal/messagestore/harness_test.go
+++ b/internal/messagestore/harness_test.go
@@ -208,6 +208,13 @@
 	return h.table
 }
 
+// refuseAsks has the control plane refuse all asks from now on.
+func (h *harness) refuseAsks() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refusing = true
+}
+
 // PartitionAsk implements Control as the control plane does.
 func (h *harness) PartitionAsk(_ context.Context, ask cluster.PartitionAsk) error {
 	h.mu.Lock()
--- a/internal/messagestore/store_test.go
+++ b/internal/messagestore/store_test.go
@@ -142,9 +142,7 @@
 		table.Partitions[partition] = next
 		successor.store.ApplyTable(&table)
 
-		h.mu.Lock()
-		h.refusing = true
-		h.mu.Unlock()
+		h.refuseAsks()
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		submission := message.Submission{Message: message.Message{Partition: partition, ID: "late", RequestID: "late"}}
@@ -293,9 +291,7 @@
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, leader.store.MayDeliver(partition))
 		backup := h.currentTable().Partitions[partition].Replicas[1].Store
-		h.mu.Lock()
-		h.refusing = true
-		h.mu.Unlock()
+		h.refuseAsks()
 		h.network.Cut(leader.ip, h.machines[backup].ip)
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, !leader.store.MayDeliver(partition))
@@ -432,9 +428,7 @@
 			table.Partitions[0].Epoch++
 			table.Partitions[0].Replicas = []cluster.Replica{h.replica("a"), h.replica("b"), unsynced}
 		})
-		h.mu.Lock()
-		h.refusing = true // the backup stays unsynced
-		h.mu.Unlock()
+		h.refuseAsks() // the backup stays unsynced
 		time.Sleep(time.Second)
 		h.mu.Lock()
 		h.refusing = false
