Let stores go on while a thread waits for the disk

Logged: of 2,056 keeps over 80 ms the primary's own sync took 6 ms, the answer of a backup 80 to 120 ms, for many primaries at once. A process that is shown one processor runs Go code on one thread, and a thread in fsync keeps the processor until the runtime's monitor notices; with syncs of 5 ms that is most of the time.

Change: a process with a disk runs Go code on one thread more.

--- a/cmd/gladepick-system/process.go
+++ b/cmd/gladepick-system/process.go
@@ -86,6 +86,7 @@
 		Logger:       logger,
 		Seed:         uint64(time.Now().UnixNano()),
 	}
+	reserveDiskThreads(file.Settings.DataDir != "")
 	if file.Settings.DataDir != "" {
 		if options.FS, err = journal.Directory(file.Settings.DataDir); err != nil {
 			return err
