Place copies in as many zones as the operator's settings ask for

Change: the copies of a partition stand in fault-tolerance.zones + 1 zones, all others in the primary's zone; a zone with too few stores is helped out by others.

--- a/internal/controlplane/capacity_bench_test.go
+++ b/internal/controlplane/capacity_bench_test.go
@@ -110,7 +110,7 @@
 
 // benchStep does what the manager does in a step, up to the proposal.
 func benchStep(current *content, leases *leaseTable) *tableChange {
-	draft := newDraft(current, leases.statuses(time.Now()), 2)
+	draft := newDraft(current, leases.statuses(time.Now()), redundancy{copies: 2, zones: 2})
 	draft.updateStores()
 	draft.updateStores()
 	draft.placeInitially()
--- a/internal/controlplane/draft.go
+++ b/internal/controlplane/draft.go
@@ -14,7 +14,7 @@
 	stores     []cluster.StoreEntry // by name
 	partitions []cluster.Partition
 	jobs       []retireJob
-	copies     int
+	redundancy
 	deliverers int
 	nodes      map[string]nodeStatus
 	held       map[string]bool   // stores that are down, and are expected back soon
@@ -22,7 +22,7 @@
 	copyCounts map[string]int    // by store, see replicaCounts; nil until they are needed
 }
 
-func newDraft(current *content, nodes map[string]nodeStatus, copies int) *draft {
+func newDraft(current *content, nodes map[string]nodeStatus, required redundancy) *draft {
 	table := current.table
 	made := &draft{
 		primary:    table.Primary,
@@ -30,7 +30,7 @@
 		stores:     slices.Clone(table.Stores),
 		partitions: slices.Clone(table.Partitions),
 		jobs:       slices.Clone(current.jobs),
-		copies:     copies,
+		redundancy: required,
 		deliverers: table.Deliverers,
 		nodes:      nodes,
 	}
--- a/internal/controlplane/manager.go
+++ b/internal/controlplane/manager.go
@@ -124,7 +124,7 @@
 		m.begin(now)
 	}
 	current := m.plane.state.current.Load()
-	draft := newDraft(current, m.plane.leases.statuses(now), m.plane.copies())
+	draft := newDraft(current, m.plane.leases.statuses(now), m.plane.redundancy())
 	draft.updateStores()
 	m.holdForRestarts(draft, now)
 	granted := applyEdits(draft, requests)
--- a/internal/controlplane/placement.go
+++ b/internal/controlplane/placement.go
@@ -93,15 +93,19 @@
 	return ordered
 }
 
-// spreadOver is in how many zones the copies of a partition stand, so that the loss of one loses none. Further copies
-// stand in the primary's zone, where their bytes cross no border.
-const spreadOver = 2
+// redundancy is what the copies of a partition must outlive.
+type redundancy struct {
+	copies int // of each partition: one more than disks may be lost at once
+	// zones is in how many zones the copies stand where there are stores: one more than zones may be lost at once. All
+	// further copies stand in the primary's zone, where their bytes cross no border.
+	zones int
+}
 
 // replacement returns the active store that is the best place for one more copy beside the given ones, or nil: one in
 // a zone that suits the spread, then the one with the fewest copies, then the first by name. One store may be excluded.
 func (d *draft) replacement(replicas []cluster.Replica, exclude string) *cluster.StoreEntry {
 	load := d.replicaCounts()
-	suits := zoneForCopy(d.zonesOf(replicas))
+	suits := zoneForCopy(d.zonesOf(replicas), d.zones)
 	var best *cluster.StoreEntry
 	bestSuits := false
 	for i := range d.stores {
@@ -124,10 +128,11 @@
 	return slices.ContainsFunc(replicas, func(replica cluster.Replica) bool { return replica.Store == store })
 }
 
-// zoneForCopy tells which zones suit one more copy beside those in the given zones, the primary's first.
-func zoneForCopy(taken []string) func(zone string) bool {
+// zoneForCopy tells which zones suit one more copy beside those in the given zones, the primary's first, where the copies
+// are to stand in a number of zones.
+func zoneForCopy(taken []string, spread int) func(zone string) bool {
 	distinct := slices.Compact(slices.Sorted(slices.Values(taken)))
-	if len(distinct) < spreadOver {
+	if len(distinct) < spread {
 		return func(zone string) bool { return !slices.Contains(distinct, zone) }
 	}
 	return func(zone string) bool { return zone == taken[0] }
--- a/internal/controlplane/placement_test.go
+++ b/internal/controlplane/placement_test.go
@@ -18,16 +18,19 @@
 	current *content
 	nodes   map[string]nodeStatus
 	copies  int
+	zones   int // in which the copies of a partition stand
 }
 
 func newPlacementWorld(t *testing.T, copies int, stores ...string) *placementWorld {
-	world := &placementWorld{t: t, current: &content{table: &cluster.Table{}}, nodes: map[string]nodeStatus{}, copies: copies}
+	world := &placementWorld{t: t, current: &content{table: &cluster.Table{}}, nodes: map[string]nodeStatus{}, copies: copies, zones: 2}
 	for i, store := range stores {
 		world.start(store, fmt.Sprintf("zone-%d", i%3), "disk-"+store)
 	}
 	return world
 }
 
+func (w *placementWorld) redundancy() redundancy { return redundancy{copies: w.copies, zones: w.zones} }
+
 func (w *placementWorld) start(store, zone, disk string) {
 	info := cluster.NodeInfo{Name: store, Zone: zone, DiskID: disk, Store: true, Incarnation: "i", Address: store + ":1"}
 	w.nodes[store] = nodeStatus{info: info, live: true, recent: true, expires: time.Now().Add(time.Hour)}
@@ -47,7 +50,7 @@
 
 // plan plans once, with edits before, checks the result, and puts it in force.
 func (w *placementWorld) plan(edits ...func(*draft) error) error {
-	draft := newDraft(w.current, w.nodes, w.copies)
+	draft := newDraft(w.current, w.nodes, w.redundancy())
 	draft.updateStores()
 	for _, edit := range edits {
 		if err := edit(draft); err != nil {
@@ -159,7 +162,7 @@
 
 func (w *placementWorld) requireWhole() {
 	w.t.Helper()
-	draft := newDraft(w.current, w.nodes, w.copies)
+	draft := newDraft(w.current, w.nodes, w.redundancy())
 	assert.Assert(w.t, draft.whole())
 	for _, partition := range w.current.table.Partitions {
 		assert.Equal(w.t, len(partition.Replicas), w.copies, "partition %d: %s", partition.ID, storesOf(partition))
@@ -405,7 +408,7 @@
 	steps := 0
 	for before := uint64(0); world.current.table.Revision != before; steps++ {
 		before = world.current.table.Revision
-		draft := newDraft(world.current, world.nodes, world.copies)
+		draft := newDraft(world.current, world.nodes, world.redundancy())
 		draft.updateStores()
 		more := draft.repair()
 		changed := changedPartitions(draft.partitions, world.current.table.Partitions)
@@ -430,35 +433,81 @@
 	}
 }
 
-// Three copies stand in two zones: a lost zone loses no message, and one copy costs no bytes between zones.
+// Where one zone may be lost, three copies stand in two zones: the lost zone loses no message, and one copy costs no bytes
+// between zones.
 func TestThreeCopiesStandInTwoZones(t *testing.T) {
+	world := newPlacementWorld(t, 3, manyStores()...)
+	assert.NilError(t, world.plan())
+	world.checkSpread(2, 2)
+	world.checkEvenCopies()
+}
+
+// Where no zone may be lost, all copies stand in one: nothing crosses a border between zones.
+func TestCopiesStandInOneZoneWhereNoneMayBeLost(t *testing.T) {
+	world := newPlacementWorld(t, 3, manyStores()...)
+	world.zones = 1
+	assert.NilError(t, world.plan())
+	world.checkSpread(1, 3)
+	world.checkEvenCopies()
+}
+
+// A zone that has too few stores for all copies is helped out by others, and gets its copies back.
+func TestCopiesLeaveTheirZoneWhereItHasTooFewStores(t *testing.T) {
+	world := newPlacementWorld(t, 3, manyStores()...)
+	world.zones = 1
+	assert.NilError(t, world.plan())
+	for i, store := range manyStores() {
+		if i%3 == 0 && i > 3 {
+			world.stop(store) // two are left in the first zone
+		}
+	}
+	for range 10 {
+		assert.NilError(t, world.plan())
+	}
+	for _, partition := range world.current.table.Partitions {
+		assert.Equal(t, len(partition.Replicas), 3)
+		for _, replica := range partition.Replicas {
+			assert.Assert(t, world.nodes[replica.Store].live, "partition %d", partition.ID)
+		}
+	}
+}
+
+// manyStores names stores of which newPlacementWorld puts four into each of three zones.
+func manyStores() []string {
 	var stores []string
 	for i := range 12 {
 		stores = append(stores, fmt.Sprintf("store-%02d", i))
 	}
-	world := newPlacementWorld(t, 3, stores...)
-	assert.NilError(t, world.plan())
-	check := func() {
-		for _, partition := range world.current.table.Partitions {
-			zones := map[string]int{}
-			for _, replica := range partition.Replicas {
-				zones[world.nodes[replica.Store].info.Zone]++
-			}
-			assert.Equal(t, len(partition.Replicas), 3)
-			assert.Equal(t, len(zones), 2, "partition %d", partition.ID)
-			assert.Equal(t, zones[world.nodes[partition.Replicas[0].Store].info.Zone], 2, "partition %d", partition.ID)
+	return stores
+}
+
+// checkSpread checks that the three copies of each partition stand in so many zones, so many of them in the primary's.
+func (w *placementWorld) checkSpread(zones, withPrimary int) {
+	w.t.Helper()
+	for _, partition := range w.current.table.Partitions {
+		counts := map[string]int{}
+		for _, replica := range partition.Replicas {
+			counts[w.nodes[replica.Store].info.Zone]++
 		}
+		assert.Equal(w.t, len(partition.Replicas), 3)
+		assert.Equal(w.t, len(counts), zones, "partition %d", partition.ID)
+		primary := w.nodes[partition.Replicas[0].Store].info.Zone
+		assert.Equal(w.t, counts[primary], withPrimary, "partition %d", partition.ID)
 	}
-	check()
-	for _, store := range stores {
+}
+
+// checkEvenCopies checks that no store holds many more copies than another.
+func (w *placementWorld) checkEvenCopies() {
+	w.t.Helper()
+	for store := range w.nodes {
 		copies := 0
-		for _, partition := range world.current.table.Partitions {
+		for _, partition := range w.current.table.Partitions {
 			if partition.Find(store) >= 0 {
 				copies++
 			}
 		}
-		even := 3 * LeastPartitions / len(stores)
-		assert.Assert(t, copies >= even-4 && copies <= even+4, "%s holds %d copies", store, copies)
+		even := 3 * LeastPartitions / len(w.nodes)
+		assert.Assert(w.t, copies >= even-4 && copies <= even+4, "%s holds %d copies", store, copies)
 	}
 }
 
--- a/internal/controlplane/plane.go
+++ b/internal/controlplane/plane.go
@@ -24,19 +24,21 @@
 
 // Options holds what a Plane needs.
 type Options struct {
-	Info         cluster.NodeInfo
-	Network      network.Network
-	Pool         *rpc.Pool
-	Server       *rpc.Server
-	FS           journal.FS // nil without a disk
-	Bootstrap    bool       // this is the first start of the whole system
-	Tolerated    int        // how many losses of disks the system must bear
-	Seeds        []string   // control addresses, "ip:port"
-	InternalPort int
-	CloudAddress string         // where the platform's list of workers is; may be empty
-	Agent        *cluster.Agent // of this process; may be nil
-	Logger       *zap.Logger
-	Seed         uint64 // of random pauses
+	Info      cluster.NodeInfo
+	Network   network.Network
+	Pool      *rpc.Pool
+	Server    *rpc.Server
+	FS        journal.FS // nil without a disk
+	Bootstrap bool       // this is the first start of the whole system
+	Tolerated int        // how many losses of disks the system must bear
+	// ToleratedZones is how many lost zones it must bear.
+	ToleratedZones int
+	Seeds          []string // control addresses, "ip:port"
+	InternalPort   int
+	CloudAddress   string         // where the platform's list of workers is; may be empty
+	Agent          *cluster.Agent // of this process; may be nil
+	Logger         *zap.Logger
+	Seed           uint64 // of random pauses
 }
 
 // Plane is a process's part in the control plane.
@@ -115,7 +117,7 @@
 		Server:           p.options.Server,
 		FS:               p.options.FS,
 		StateMachine:     p.state,
-		Copies:           p.copies(),
+		Copies:           p.redundancy().copies,
 		AllowFounding:    p.options.Bootstrap,
 		Logger:           p.logger,
 		Seed:             p.options.Seed,
@@ -190,7 +192,10 @@
 	return replication.Member{Name: info.Name, Address: info.Address, DiskID: info.DiskID}
 }
 
-func (p *Plane) copies() int { return p.options.Tolerated + 1 }
+// redundancy is what the copies of partitions must outlive, by what the operator says may be lost at once.
+func (p *Plane) redundancy() redundancy {
+	return redundancy{copies: p.options.Tolerated + 1, zones: p.options.ToleratedZones + 1}
+}
 
 // freshRole returns the role of this process in the group, and whether the state here may be passed on.
 func (p *Plane) freshRole() (replication.Role, bool) {
--- a/internal/systemnode/front.go
+++ b/internal/systemnode/front.go
@@ -43,19 +43,20 @@
 		return nil, trace.Wrap(err)
 	}
 	plane, err := controlplane.New(controlplane.Options{
-		Info:         base.info,
-		Network:      options.Network,
-		Pool:         base.pool,
-		Server:       base.server,
-		FS:           options.FS,
-		Bootstrap:    base.settings.Bootstrap,
-		Tolerated:    base.settings.FaultTolerance.Machines,
-		Seeds:        base.settings.Seeds,
-		InternalPort: base.settings.InternalPorts.First,
-		CloudAddress: base.settings.Cloud.Address,
-		Agent:        base.agent,
-		Logger:       base.logger,
-		Seed:         options.Seed,
+		Info:           base.info,
+		Network:        options.Network,
+		Pool:           base.pool,
+		Server:         base.server,
+		FS:             options.FS,
+		Bootstrap:      base.settings.Bootstrap,
+		Tolerated:      base.settings.FaultTolerance.Machines,
+		ToleratedZones: base.settings.FaultTolerance.Zones,
+		Seeds:          base.settings.Seeds,
+		InternalPort:   base.settings.InternalPorts.First,
+		CloudAddress:   base.settings.Cloud.Address,
+		Agent:          base.agent,
+		Logger:         base.logger,
+		Seed:           options.Seed,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err, "opening the control plane")
