--- a/Makefile
+++ b/Makefile
@@ -89,9 +89,8 @@
 	  -run 'TestExplore|TestRandomWalks|TestWalk|Mutations' -p 1 -parallel 3 -count=1 -v -timeout 90m
 
 # Capacity: `make capacity` computes the tables of docs/CAPACITY.md anew from internal/capacity/slopes.json, and
-# `make capacity-bench` measures again what benchmarks can. `make scale` runs hollow dispatchers beside a control group.
-.PHONY: capacity capacity-bench scale
-SCALE_FLAGS ?= --size 100 --size 300 --plots bin/scale
+# `make capacity-bench` measures again what benchmarks can.
+.PHONY: capacity capacity-bench
 capacity:
 	go test ./internal/capacity -run '^TestPage$$' -count=1 -write
 capacity-bench:
@@ -101,5 +100,3 @@
 	go test ./internal/controlplane -run '^$$' -bench 'LeaseTable|ManagerStep' -benchtime 50x
 	go test ./internal/controlplane -run '^$$' -bench 'LostZone' -benchtime 2x -timeout 10m
 	go test ./internal/delivery -run '^$$' -bench 'Turn' -benchtime 500x
-scale: build
-	bin/gladepick-scale --program bin/gladepick-system $(SCALE_FLAGS)
--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -176,7 +176,7 @@
 		{from: "internal/controlplane/replication", path: "ivyfold/internal/cluster"},
 		{from: "internal/systemnode", path: "ivyfold/internal/operatorcli"},
 		{from: "internal/systemnode", path: "ivyfold/internal/replica"},
-		{from: "internal/scale", path: "ivyfold/cmd/gladepick-scale"},
+		{from: "internal/capacity", path: "ivyfold/cmd/gladepick-system"},
 		{from: "internal/controlplane", path: "go.etcd.io/raft/v3"},
 		{from: ".", path: "ivyfold/internal/cluster"},
 		{from: "internal/keep", path: "ivyfold/internal/cluster"},
--- a/internal/architecture/planes_test.go
+++ b/internal/architecture/planes_test.go
@@ -42,12 +42,10 @@
 	"internal/ingress":                  planeIngress,
 	"internal/systemnode":               planeAssembly,
 
-	"cmd/gladepick-scale":      planeTools,
 	"cmd/gladepick-system":     planeTools,
 	"internal/architecture":    planeTools,
 	"internal/capacity":        planeTools,
 	"internal/operatorcli":     planeTools,
-	"internal/scale":           planeTools,
 	"internal/simcluster":      planeTools,
 	"internal/systemnode/demo": planeTools,
 
