--- a/internal/architecture/planes_test.go
+++ b/internal/architecture/planes_test.go
@@ -42,9 +42,11 @@
 	"internal/ingress":                  planeIngress,
 	"internal/systemnode":               planeAssembly,
 
+	"cmd/gladepick-ledger":     planeTools,
 	"cmd/gladepick-system":     planeTools,
 	"internal/architecture":    planeTools,
 	"internal/capacity":        planeTools,
+	"internal/ledger":          planeTools,
 	"internal/operatorcli":     planeTools,
 	"internal/simcluster":      planeTools,
 	"internal/systemnode/demo": planeTools,
--- /dev/null
+++ b/internal/ledger/print.go
@@ -0,0 +1,64 @@
+package ledger
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// leastPrinted is the smallest loss that is printed.
+const leastPrinted = 0.0005
+
+// Print writes a day's ledger as text.
+func (l *Ledger) Print(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "%s\tworth %.3f\n", l.Name, l.Worth)
+	fmt.Fprintln(table, "lost\tto")
+	for _, loss := range l.Losses {
+		if loss.Lost >= leastPrinted {
+			fmt.Fprintf(table, "%.4f\t%s\n", loss.Lost, loss.Name)
+		}
+	}
+	fmt.Fprintln(table, "\nkind\tworth\tasked\tin aim\tlate\trefused\tfailed")
+	for _, class := range l.Classes {
+		printCount(table, class)
+		fmt.Fprintln(table)
+	}
+	fmt.Fprintln(table, "\nfrom second\tworth\tasked\tin aim\tlate\trefused\tfailed\tmeanwhile")
+	for _, span := range l.Spans {
+		printCount(table, span.Count)
+		fmt.Fprintf(table, "\t%s\n", kindsOf(span.Events))
+	}
+	return table.Flush()
+}
+
+func printCount(out io.Writer, count Count) {
+	fmt.Fprintf(out, "%s\t%.3f\t%d\t%d\t%d\t%d\t%d",
+		count.Name, count.Worth, count.Asked, count.InAim, count.Late, count.Refused, count.Failed)
+}
+
+// kindsOf names the kinds of events, each once.
+func kindsOf(events []Event) string {
+	var kinds []string
+	seen := map[string]bool{}
+	for _, event := range events {
+		if !seen[event.Kind] {
+			seen[event.Kind] = true
+			kinds = append(kinds, event.Kind)
+		}
+	}
+	return strings.Join(kinds, ", ")
+}
+
+// PrintMeans writes the means over several days as text.
+func PrintMeans(out io.Writer, means []Mean) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "mean\terror\tof")
+	for _, mean := range means {
+		if mean.Mean >= leastPrinted {
+			fmt.Fprintf(table, "%.4f\t%.4f\t%s\n", mean.Mean, mean.Error, mean.Name)
+		}
+	}
+	return table.Flush()
+}
