--- a/internal/cluster/agent_core.go
+++ b/internal/cluster/agent_core.go
@@ -49,18 +49,27 @@
 		return
 	}
 	go func() {
-		defer a.coreSaving.Unlock()
-		for a.coreUnsaved() {
-			core := a.table.Load().Core
-			if err := saveCore(a.options.Disk, core); err != nil {
-				a.logger.Warn("members of the control group not saved", zap.Error(err))
-				return
-			}
-			a.savedCore = core
+		saved := a.saveCore()
+		a.coreSaving.Unlock()
+		if saved {
+			a.saveCoreInBackground() // a list that came just before the unlock found the lock taken
 		}
 	}()
 }
 
+// saveCore saves the members until the newest list is saved, and tells whether that succeeded. The caller holds coreSaving.
+func (a *Agent) saveCore() bool {
+	for a.coreUnsaved() {
+		core := a.table.Load().Core
+		if err := saveCore(a.options.Disk, core); err != nil {
+			a.logger.Warn("members of the control group not saved", zap.Error(err))
+			return false
+		}
+		a.savedCore = core
+	}
+	return true
+}
+
 // coreUnsaved reports whether the members differ from those that were saved. The caller holds coreSaving.
 func (a *Agent) coreUnsaved() bool {
 	table := a.table.Load()
--- a/internal/controlplane/membership/manager.go
+++ b/internal/controlplane/membership/manager.go
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -149,7 +151,8 @@
 		byName[member.Name] = member
 	}
 	var joining *replication.Member
-	for name, node := range nodes {
+	for _, name := range slices.Sorted(maps.Keys(nodes)) {
+		node := nodes[name]
 		if !mayJoin(node) {
 			continue
 		}
@@ -158,7 +161,7 @@
 		if listed && known.DiskID != candidate.DiskID {
 			return &memberChange{remove: known.DiskID, add: &candidate}
 		}
-		if !listed && len(members) < MaxMembers && (joining == nil || name < joining.Name) {
+		if !listed && len(members) < MaxMembers && joining == nil {
 			joining = &candidate
 		}
 	}
--- a/internal/controlplane/membership/manager_test.go
+++ b/internal/controlplane/membership/manager_test.go
@@ -51,6 +51,17 @@
 	assert.Equal(t, change.add.DiskID, "new")
 }
 
+// TestFirstOfSeveralNewDisksTakesItsPlaceFirst draws no member at random.
+func TestFirstOfSeveralNewDisksTakesItsPlaceFirst(t *testing.T) {
+	for range 20 {
+		members, nodes := membersOf(5)
+		for _, name := range []string{"m-3", "m-1", "m-4"} {
+			nodes[name] = coreNode(name, "another-"+name)
+		}
+		assert.Equal(t, planJoin(members, nodes).add.Name, "m-1")
+	}
+}
+
 func TestUnresponsiveMemberIsRemovedWhileAMajorityLives(t *testing.T) {
 	members, nodes := membersOf(5)
 	begin := time.Now()
--- a/internal/controlplane/placement/stores.go
+++ b/internal/controlplane/placement/stores.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +15,8 @@
 
 // UpdateStores brings the entries of all stores in line with their leases.
 func (b *Builder) UpdateStores() {
-	for name, node := range b.nodes {
+	for _, name := range slices.Sorted(maps.Keys(b.nodes)) { // in order, as retire jobs may be added
+		node := b.nodes[name]
 		if !node.Live || !node.Info.Store || node.Info.DiskID == "" {
 			continue
 		}
--- a/internal/controlplane/replication/replica.go
+++ b/internal/controlplane/replication/replica.go
@@ -32,7 +32,9 @@
 	installing    bool
 	loggedBytes   int // bytes of records since the last snapshot
 	snapshotBytes int
-	applyErrors   map[uint64]error // results of Apply, by index, for the changes that proposers wait for
+	// compactNotBefore is when the next snapshot may be tried, after one that failed.
+	compactNotBefore time.Time
+	applyErrors      map[uint64]error // results of Apply, by index, for the changes that proposers wait for
 }
 
 // openReplica restores the replica from the newest snapshot and the log on the disk.
--- a/internal/controlplane/replication/replica_snapshot.go
+++ b/internal/controlplane/replication/replica_snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -13,6 +14,9 @@
 // next snapshot is written.
 const compactAfterBytes = 1 << 20
 
+// snapshotRetryInterval passes after a snapshot that could not be written before the next attempt.
+const snapshotRetryInterval = time.Second
+
 // restoreSnapshot adopts a snapshot from the disk.
 func (r *replica) restoreSnapshot(data []byte) error {
 	decoded, err := decodeSnapshot(append([]byte(nil), data...))
@@ -112,41 +116,61 @@
 	defer r.snapshotting.release()
 	if err := r.writeSnapshot(); err != nil {
 		r.logger.Warn("snapshot failed", zap.Error(err))
+		r.delayCompaction()
 	}
 }
 
+// delayCompaction has the next snapshot wait, after one that failed.
+func (r *replica) delayCompaction() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.compactNotBefore = time.Now().Add(snapshotRetryInterval)
+}
+
 // needsCompaction reports whether the log has grown long enough for a snapshot.
 func (r *replica) needsCompaction() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.installing && r.loggedBytes > compactAfterBytes+2*r.snapshotBytes
+	isLong := r.loggedBytes > compactAfterBytes+2*r.snapshotBytes
+	return isLong && !r.installing && !time.Now().Before(r.compactNotBefore)
 }
 
 // writeSnapshot writes a snapshot and removes the log before it. The disk is written without the lock.
 func (r *replica) writeSnapshot() error {
-	r.mu.Lock()
-	if r.installing {
-		r.mu.Unlock()
-		return errNotAttached
-	}
-	data, _, err := r.encodeSnapshot()
-	var snapshot *wal.Snapshot
-	if err == nil {
-		snapshot, err = r.log.BeginSnapshot()
-	}
-	if err == nil {
-		r.loggedBytes, r.snapshotBytes = 0, len(data)
-	}
-	r.mu.Unlock()
+	snapshot, data, covered, err := r.beginSnapshot()
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	if err := snapshot.Commit(data); err != nil {
 		return trace.Wrap(err)
 	}
+	r.endSnapshot(len(data), covered)
 	return trace.Wrap(r.log.RemoveSegments(math.MaxUint64))
 }
 
+// beginSnapshot begins a snapshot of the present state. It returns the bytes of records that the snapshot covers.
+func (r *replica) beginSnapshot() (begun *wal.Snapshot, data []byte, covered int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.installing {
+		return nil, nil, 0, errNotAttached
+	}
+	data, _, err = r.encodeSnapshot()
+	if err != nil {
+		return nil, nil, 0, trace.Wrap(err)
+	}
+	begun, err = r.log.BeginSnapshot()
+	return begun, data, r.loggedBytes, trace.Wrap(err)
+}
+
+// endSnapshot records that a snapshot is durable. What was logged meanwhile counts for the next one.
+func (r *replica) endSnapshot(size, covered int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loggedBytes -= covered
+	r.snapshotBytes = size
+}
+
 // compact compacts a long log in a goroutine of its own.
 func (g *Group) compact() {
 	if g.replica.needsCompaction() {
--- a/internal/controlplane/replication/snapshot_test.go
+++ b/internal/controlplane/replication/snapshot_test.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"gladepick/internal/vfs/memfs"
 )
 
 func drawEntry(t *rapid.T) entry {
@@ -61,6 +64,35 @@
 	})
 }
 
+// TestSnapshotThatFailedIsTriedAgain fills the disk under a long log: the next snapshot is due when the disk has room again, not
+// only after as much again was logged.
+func TestSnapshotThatFailedIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := memfs.New(1)
+		opened, err := openReplica(Options{FS: disk.Mount(), StateMachine: &listMachine{}}.withDefaults())
+		assert.NilError(t, err)
+		_, err = opened.beginEpoch(1)
+		assert.NilError(t, err)
+		_, _, err = opened.propose(1, [][]byte{bytes.Repeat([]byte("x"), compactAfterBytes+1)})
+		assert.NilError(t, err)
+		assert.NilError(t, opened.log.Sync(t.Context()))
+		opened.mu.Lock()
+		opened.applyUpTo(1)
+		opened.mu.Unlock()
+		assert.Assert(t, opened.needsCompaction())
+		disk.SetFull(true)
+		opened.compact()
+		assert.Assert(t, !opened.needsCompaction(), "tried again without a pause")
+		disk.SetFull(false)
+		time.Sleep(snapshotRetryInterval)
+		assert.Assert(t, opened.needsCompaction())
+		opened.compact()
+		assert.Assert(t, !opened.needsCompaction())
+		assert.Assert(t, opened.log.Size() < 2*compactAfterBytes)
+		assert.NilError(t, opened.log.Close())
+	})
+}
+
 func TestLongLogsAreCompacted(t *testing.T) {
 	inCluster(t, 3, 2, 1, func(c *cluster) {
 		leader := c.awaitPrimary(time.Second)
--- a/internal/messagestore/index_snapshot.go
+++ b/internal/messagestore/index_snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -29,26 +31,57 @@
 	Entries []snapshotEntry `json:"entries"`
 }
 
-// writeSnapshot writes the index beside the log.
+// writeSnapshot writes the index beside the log. The store goes on meanwhile: the lock is held for one partition at a time,
+// and not during I/O. So a partition's part may already have the effect of records that come after the snapshot in the log;
+// a replay applies them again, which changes nothing (see partition.apply).
 func (s *Store) writeSnapshot() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var all []snapshotPartition
-	for _, p := range s.partitions {
-		one := snapshotPartition{ID: p.id, Epoch: p.epoch, Last: p.lastSequence}
-		for id, each := range p.entries {
-			one.Entries = append(one.Entries, snapshotEntry{
-				ID: id, Message: each.message, Position: each.position, Failures: each.failures,
-				Outcome: each.outcome, EndedAt: each.endedAt,
-			})
-		}
-		all = append(all, one)
+	snapshot, err := s.log.BeginSnapshot()
+	if err != nil {
+		return trace.Wrap(err)
 	}
-	data, err := json.Marshal(all)
+	data, err := s.encodeIndex()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(s.log.WriteSnapshot(data))
+	return trace.Wrap(snapshot.Commit(data))
+}
+
+// encodeIndex returns the index as an array of partitions in JSON, by their IDs.
+func (s *Store) encodeIndex() ([]byte, error) {
+	data := []byte{'['}
+	for i, id := range s.partitionIDs() {
+		one, err := json.Marshal(s.snapshotOf(id))
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if i > 0 {
+			data = append(data, ',')
+		}
+		data = append(data, one...)
+	}
+	return append(data, ']'), nil
+}
+
+// partitionIDs returns the IDs of all partitions of which something is held, in their order.
+func (s *Store) partitionIDs() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.partitions))
+}
+
+// snapshotOf returns one partition as it is now.
+func (s *Store) snapshotOf(id int) snapshotPartition {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(id)
+	one := snapshotPartition{ID: p.id, Epoch: p.epoch, Last: p.lastSequence}
+	for id, each := range p.entries {
+		one.Entries = append(one.Entries, snapshotEntry{
+			ID: id, Message: each.message, Position: each.position, Failures: each.failures,
+			Outcome: each.outcome, EndedAt: each.endedAt,
+		})
+	}
+	return one
 }
 
 // restore takes a snapshot of the index in.
--- a/internal/messagestore/maintenance_test.go
+++ b/internal/messagestore/maintenance_test.go
@@ -1,9 +1,12 @@
 package messagestore
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +49,92 @@
 	})
 }
 
+// TestStoreGoesOnWhileASnapshotIsWritten stalls the disk under a snapshot: the store answers what needs no disk, and a replay
+// has what happened meanwhile.
+func TestStoreGoesOnWhileASnapshotIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		first, second := h.mustPut("1", "key", "one"), h.mustPut("2", "key", "two")
+		leader := h.leader(first)
+		leader.disk.SetStalled(true)
+		written := make(chan error, 1)
+		go func() { written <- leader.store.writeSnapshot() }()
+		synctest.Wait()
+		started := time.Now()
+		outcome, err := h.state(first)
+		assert.NilError(t, err)
+		assert.Equal(t, outcome.State, message.Queued)
+		leader.store.Ended(h.messageOf(first), message.Outcome{State: message.Completed, Stamp: "s"})
+		assert.Assert(t, time.Since(started) < 100*time.Millisecond)
+		assert.Equal(t, len(written), 0)
+		leader.disk.SetStalled(false)
+		assert.NilError(t, <-written)
+		assert.NilError(t, leader.store.log.Sync(t.Context()))
+		h.stop(leader.name)
+		h.start(leader.name)
+		time.Sleep(time.Second)
+		outcome, err = h.state(first)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, outcome, message.Outcome{State: message.Completed, Stamp: "s"})
+		body, err := h.body(second)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "two")
+	})
+}
+
+// TestSnapshotsDuringWritesReplayToTheSameIndex writes snapshots while messages come and end, and compares the index before
+// and after a restart.
+func TestSnapshotsDuringWritesReplayToTheSameIndex(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		leader := h.machines["a"]
+		var writers sync.WaitGroup
+		for writer := range 4 {
+			writers.Go(func() {
+				for i := range 20 {
+					id := h.mustPut(fmt.Sprintf("%d-%d", writer, i), fmt.Sprint("key", writer), "body")
+					if i%2 == 0 {
+						h.leader(id).store.Ended(h.messageOf(id), message.Outcome{State: message.Completed, Stamp: id})
+					}
+				}
+			})
+		}
+		writers.Go(func() {
+			for range 30 {
+				assert.Check(t, leader.store.writeSnapshot() == nil)
+				time.Sleep(time.Millisecond)
+			}
+		})
+		writers.Wait()
+		synctest.Wait()
+		before, err := leader.store.encodeIndex()
+		assert.NilError(t, err)
+		assert.NilError(t, leader.store.log.Sync(t.Context()))
+		h.stop("a")
+		h.start("a")
+		after, err := leader.store.encodeIndex()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, indexedIDs(t, before), indexedIDs(t, after))
+	})
+}
+
+// indexedIDs lists the messages of an encoded index with their states.
+func indexedIDs(t *testing.T, data []byte) []string {
+	t.Helper()
+	var all []snapshotPartition
+	assert.NilError(t, json.Unmarshal(data, &all))
+	var ids []string
+	for _, one := range all {
+		for _, each := range one.Entries {
+			ids = append(ids, fmt.Sprintf("%d %s %s %s", one.ID, each.ID, each.Outcome.State, each.Outcome.Stamp))
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func TestExpiredMessagesAreDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b")
