Tell of dead letters, of the log's and the disk's size, and of memory in the metrics

Cause: operators had no metric of dead letters, of a store's log against its disk, or of a process's memory; the page for engineers on call said to measure the data directory instead.

Change: five gauges, behind the former ones in the text. metrics.golden stays as it is; the added metrics have a file of their own.

--- a/cmd/gladepick-system/pages_test.go
+++ b/cmd/gladepick-system/pages_test.go
@@ -16,7 +16,7 @@
 const (
 	docsFolder     = "../../docs"
 	internalFolder = "../../internal"
-	metricsFile    = internalFolder + "/systemnode/demo/testdata/metrics.golden"
+	metricsFiles   = internalFolder + "/systemnode/demo/testdata/metrics*.golden"
 )
 
 // operatorsPages are the pages that name commands, metrics and log messages.
@@ -36,8 +36,14 @@
 }
 
 func TestPagesNameRealMetrics(t *testing.T) {
-	known, err := os.ReadFile(metricsFile)
+	files, err := filepath.Glob(metricsFiles)
 	assert.NilError(t, err)
+	var known []byte
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		known = append(known, text...)
+	}
 	for _, page := range operatorsPages {
 		names := metricName.FindAllString(readPage(t, page), -1)
 		assert.Assert(t, len(names) > 0, page)
--- a/internal/messagestore/store.go
+++ b/internal/messagestore/store.go
@@ -120,20 +120,31 @@
 	return found
 }
 
-// Holdings returns how many queued messages this store holds, and how many of them in partitions whose primary it is.
-func (s *Store) Holdings() (queued, leading int) {
+// Holdings are figures about what a store holds, replicas of other stores' messages among it.
+type Holdings struct {
+	Queued      int   // messages that have not ended
+	Led         int   // those of them in partitions whose primary the store is
+	DeadLetters int   // messages that ended without success, until they are forgotten
+	LogBytes    int64 // of the log on the disk, with its snapshot
+}
+
+// Holdings returns what this store holds now.
+func (s *Store) Holdings() Holdings {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	holdings := Holdings{LogBytes: s.log.Size()}
 	for _, p := range s.partitions {
 		for _, each := range p.entries {
-			if each.outcome.State != message.Queued {
-				continue
-			}
-			queued++
-			if p.isPrimary {
-				leading++
+			switch each.outcome.State {
+			case message.Queued:
+				holdings.Queued++
+				if p.isPrimary {
+					holdings.Led++
+				}
+			case message.DeadLetter:
+				holdings.DeadLetters++
 			}
 		}
 	}
-	return queued, leading
+	return holdings
 }
--- a/internal/systemnode/demo/golden_test.go
+++ b/internal/systemnode/demo/golden_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -36,16 +37,22 @@
 		client := workerlist.NewPlatformClient(world.Host(hostIP))
 		time.Sleep(deliveryTime)
 
-		var transcript bytes.Buffer
+		var transcript, added bytes.Buffer
 		for _, target := range []string{"", "?node=store-2"} {
 			request := newRequest(t, http.MethodGet, control, inspection.PathMetrics+target, "")
 			_, _, text := call(t, client, request)
 			transcript.WriteString("GET " + inspection.PathMetrics + target + "\n")
+			added.WriteString("GET " + inspection.PathMetrics + target + "\n")
 			for line := range strings.Lines(text) {
-				transcript.WriteString(withoutValue(line))
+				if isAddedMetric(line) {
+					added.WriteString(withoutValue(line))
+				} else {
+					transcript.WriteString(withoutValue(line))
+				}
 			}
 		}
 		golden.Assert(t, transcript.String(), "metrics.golden")
+		golden.Assert(t, added.String(), "metrics-added.golden")
 
 		client.CloseIdleConnections()
 		cancel()
@@ -54,6 +61,18 @@
 	})
 }
 
+// addedMetrics are those that came after the first version of metrics.golden, which stays as it is.
+var addedMetrics = []string{
+	"gladepick_store_dead_letters", "gladepick_store_log_bytes", "gladepick_store_disk_limit_bytes",
+	"gladepick_memory_bytes", "gladepick_memory_limit_bytes",
+}
+
+// isAddedMetric tells whether a line of the exposition format belongs to an added metric.
+func isAddedMetric(line string) bool {
+	words := strings.Fields(strings.TrimPrefix(strings.TrimPrefix(line, "# HELP "), "# TYPE "))
+	return len(words) > 0 && slices.Contains(addedMetrics, words[0])
+}
+
 // withoutValue returns a line of the exposition format without the value of a sample.
 func withoutValue(line string) string {
 	if strings.HasPrefix(line, "#") {
--- a/internal/systemnode/front.go
+++ b/internal/systemnode/front.go
@@ -86,7 +86,10 @@
 	})
 	f.agent.Subscribe(f.applySnapshots)
 	f.ingress = ingress.NewFront(f.ingressOptions())
-	f.metrics.Add(func(samples *inspection.Samples) { collectIngress(samples, f.ingress.Counters(), f.ready()) })
+	f.metrics.Add(func(samples *inspection.Samples) {
+		collectIngress(samples, f.ingress.Counters(), f.ready())
+		collectMemory(samples, f.settings.Limits.MemoryMB)
+	})
 	if err := f.serveInternal(alive); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/systemnode/storemetrics.go
+++ b/internal/systemnode/storemetrics.go
@@ -29,13 +29,19 @@
 		Name: "gladepick_delivery_service_workers", Kind: inspection.Gauge, Help: "Workers that take messages."}
 	metricServiceDown = inspection.Metric{
 		Name: "gladepick_delivery_service_down", Kind: inspection.Gauge, Help: "Whether no worker answers."}
+	metricDeadLetters = inspection.Metric{
+		Name: "gladepick_store_dead_letters", Kind: inspection.Gauge, Help: "Messages held that ended without success."}
+	metricLogBytes = inspection.Metric{
+		Name: "gladepick_store_log_bytes", Kind: inspection.Gauge, Help: "Size of the message log on the disk."}
+	metricDiskLimit = inspection.Metric{
+		Name: "gladepick_store_disk_limit_bytes", Kind: inspection.Gauge, Help: "Size of the disk by the settings; 0 for no limit."}
 )
 
 // collectStore writes the metrics of a store: the totals, then each metric of a service for all services by name.
 func (s *Store) collectStore(samples *inspection.Samples) {
-	held, led := s.messages.Holdings()
-	samples.Add(metricMessages, float64(held))
-	samples.Add(metricMessagesLed, float64(led))
+	holdings := s.messages.Holdings()
+	samples.Add(metricMessages, float64(holdings.Queued))
+	samples.Add(metricMessagesLed, float64(holdings.Led))
 	samples.AddBool(metricDiskFailing, s.messages.DiskFailing())
 	stats := s.engine.Stats()
 	samples.Add(metricQueued, float64(stats.Queued))
@@ -53,4 +59,8 @@
 	for _, name := range names {
 		samples.AddBool(metricServiceDown, stats.Services[name].Down, inspection.Label{Name: "service", Value: name})
 	}
+	samples.Add(metricDeadLetters, float64(holdings.DeadLetters))
+	samples.Add(metricLogBytes, float64(holdings.LogBytes))
+	samples.Add(metricDiskLimit, float64(s.settings.Limits.DiskMB)*bytesPerMegabyte)
+	collectMemory(samples, s.settings.Limits.MemoryMB)
 }
