Await a store that answers a ping, in place of giving its message up at half of the caller's time

A front that has no other answer of that store since takes it for gone; with 58 fronts each has one or two messages a second for a store.

Change: before a message is given up its store is pinged; one that answers is awaited. The new test failed without the change.

--- a/internal/messagestore/client/health.go
+++ b/internal/messagestore/client/health.go
@@ -1,9 +1,12 @@
 package client
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"gladepick/internal/cluster"
+	"gladepick/internal/rpc"
 )
 
 // unhealthyDuration is for how long a store that could not be reached gets nothing that can go elsewhere.
@@ -38,6 +41,18 @@
 	return c.lastResponse[entry.Name].After(since)
 }
 
+// respondsNow asks a store whether it is there, and tells whether it has answered in time. Any answer counts, also a refusal.
+func (c *Client) respondsNow(ctx context.Context, entry *cluster.StoreEntry, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	_, err := c.pool.Get(entry.Address).Call(ctx, cluster.MethodPing, struct{}{}, nil, nil)
+	if errors.Is(err, rpc.ErrNotSent) || errors.Is(err, rpc.ErrResponseLost) {
+		return false
+	}
+	c.recordResponse(entry)
+	return true
+}
+
 // markUnhealthy notes that a store can't be reached, and reports it where it was not unhealthy before. refused tells that its
 // process has surely ended.
 func (c *Client) markUnhealthy(entry *cluster.StoreEntry, refused bool) {
--- a/internal/messagestore/client/put.go
+++ b/internal/messagestore/client/put.go
@@ -21,7 +21,8 @@
 	responseReserve = 60 * time.Millisecond  // kept of the caller's time for the answer
 
 	// giveUpFraction is the part of the caller's time after which a message is given up that no store was sent, or that was
-	// sent to a store which has not responded since. The caller hears of it at once, with time left to come back.
+	// sent to a store which responds to nothing. The caller hears of it at once, with time left to come back. A store that
+	// responds most likely waits for a backup, which is replaced soon: its answer is awaited for as long as the caller does.
 	giveUpFraction = 0.45
 )
 
@@ -129,8 +130,8 @@
 	timeout := c.responseTimeout()
 	slow := time.AfterFunc(timeout, func() { c.markUnhealthy(entry, false) })
 	defer slow.Stop()
-	giveUp := time.AfterFunc(max(time.Until(deadlines.unresponsive), timeout), func() {
-		if !c.respondedSince(entry, started) {
+	giveUp := time.AfterFunc(max(time.Until(deadlines.unresponsive)-timeout, timeout), func() {
+		if !c.respondedSince(entry, started) && !c.respondsNow(ctx, entry, timeout) {
 			cancel()
 		}
 	})
--- a/internal/messagestore/client_test.go
+++ b/internal/messagestore/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 
 	"gladepick/internal/cluster"
 	"gladepick/internal/message"
+	"gladepick/internal/messagestore/client"
 )
 
 // A caller with a deadline of 800 ms gets the error of a message that could not be stored with time left to come back.
@@ -52,6 +54,42 @@
 	})
 }
 
+// TestStoreThatWaitsForABackupIsAwaited cuts a primary off from its backup. It answers no other put meanwhile, so only a ping
+// tells the client that it is there. The backup is replaced within the caller's time, but after more than half of it.
+func TestStoreThatWaitsForABackupIsAwaited(t *testing.T) {
+	for _, ordered := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, "a", "b", "c")
+			defer h.close()
+			orderKey := ""
+			if ordered {
+				orderKey = h.keyOfPartition(0)
+			}
+			time.Sleep(2 * time.Second) // for the resyncs after the start
+			h.onRequest = func(cluster.PartitionRequest) { time.Sleep(100 * time.Millisecond) }
+			h.network.Isolate(h.machines["a"].ip, h.machines["b"].ip)
+			took, err := h.putWithin(orderKey)
+			assert.NilError(t, err)
+			assert.Assert(t, took > earlyLimit, "%v", took)
+		})
+	}
+}
+
+// keyOfPartition returns an order key whose messages go to a partition.
+func (h *harness) keyOfPartition(id int) string {
+	h.t.Helper()
+	for number := range 100 {
+		key := fmt.Sprint("key", number)
+		partition, err := client.PartitionOf(h.mustPut(key, key, "x"))
+		assert.NilError(h.t, err)
+		if partition == id {
+			return key
+		}
+	}
+	h.t.Fatalf("no order key goes to partition %d", id)
+	return ""
+}
+
 func TestPartitionsWithoutPrimaryAreRefusedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b")
