Give up early a message at a store that the control plane finds unresponsive

Change: the mark in the cluster table decides before the ping. The new test failed without the change (800 ms).

--- a/internal/messagestore/client/put.go
+++ b/internal/messagestore/client/put.go
@@ -131,7 +131,7 @@
 	slow := time.AfterFunc(timeout, func() { c.markUnhealthy(entry, false) })
 	defer slow.Stop()
 	giveUp := time.AfterFunc(max(time.Until(deadlines.unresponsive)-timeout, timeout), func() {
-		if !c.respondedSince(entry, started) && !c.respondsNow(ctx, entry, timeout) {
+		if !c.mayStillStore(ctx, entry, started, timeout) {
 			cancel()
 		}
 	})
@@ -141,6 +141,17 @@
 	return err
 }
 
+// mayStillStore tells whether it is worth to wait on for a store that has had a message since a moment. One that the control
+// plane finds unresponsive is most likely partitioned from its backups too, although it may respond to this process.
+func (c *Client) mayStillStore(ctx context.Context, entry *cluster.StoreEntry, since time.Time, timeout time.Duration) bool {
+	if table := c.table(); table != nil {
+		if now := table.Store(entry.Name); now != nil && now.Unresponsive {
+			return false
+		}
+	}
+	return c.respondedSince(entry, since) || c.respondsNow(ctx, entry, timeout)
+}
+
 // recordAttempt notes what the result of a call says of the message and of the store.
 func (c *Client) recordAttempt(
 	ctx context.Context, place *placement, entry *cluster.StoreEntry, started time.Time, err error,
--- a/internal/messagestore/client_test.go
+++ b/internal/messagestore/client_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// TestPartitionedPrimaryIsGivenUpEarly cuts a primary off from everything but the client. The control plane marks it.
+func TestPartitionedPrimaryIsGivenUpEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		orderKey := h.keyOfPartition(0)
+		time.Sleep(2 * time.Second) // for the resyncs after the start
+		h.rejectRequests()
+		h.network.Isolate(h.machines["a"].ip, h.machines["b"].ip)
+		h.network.Isolate(h.machines["a"].ip, h.machines["c"].ip)
+		time.AfterFunc(150*time.Millisecond, func() {
+			h.update(func(table *cluster.Table) { table.Store("a").Unresponsive = true })
+		})
+		took, err := h.putWithin(orderKey)
+		assert.Assert(t, err != nil && !errors.Is(err, message.ErrNotStored), "%v", err)
+		assert.Assert(t, took < earlyLimit, "%v", took)
+	})
+}
+
 // keyOfPartition returns an order key whose messages go to a partition.
 func (h *harness) keyOfPartition(id int) string {
 	h.t.Helper()
