Keep no idle connections to workers that take fewer of them than there are stores

Change: where a worker's usable connections are fewer than its callers, each connection is closed after its attempt.

Deployments with fewer stores than connections are untouched.

--- a/internal/delivery/endpoint.go
+++ b/internal/delivery/endpoint.go
@@ -33,6 +33,7 @@
 
 	inFlight         int           // attempts
 	limit            int           // of attempts in flight
+	crowded          bool          // the worker takes fewer connections than it has callers: none may stay open while idle
 	backoff          time.Duration // how long the last ejection lasts
 	ejectedUntil     time.Duration // its last attempts failed: its health is not reset before
 	misdirectedUntil time.Duration // another worker answered at its address; 0 for no
@@ -44,19 +45,21 @@
 // ready tells whether messages may be sent to it.
 func (e *endpoint) ready() bool { return !e.unavailable.Load() }
 
-// setLimit bounds the attempts in flight by the service's definition and the number of callers that share the worker.
+// setLimit bounds the attempts in flight by the service's definition and the number of callers that share the worker. Where
+// the worker takes fewer connections than there are callers, their idle ones would keep others out.
 func (e *endpoint) setLimit(service *configuration.Service, share int, dial dialer) {
 	connections := float64(defaultConnections)
 	if service.MaxConnections > 0 {
 		connections = float64(service.MaxConnections) * usableConnections
 	}
 	limit := math.Floor(connections / float64(share))
+	crowded := limit < 1
 	if e.worker.Capacity > 0 {
 		slots := math.Ceil(float64(e.worker.Capacity) * slotOvercommit / float64(share))
 		limit = min(limit, max(slots, min(minSlots, float64(e.worker.Capacity))))
 	}
-	if attempts := max(int(limit), 1); attempts != e.limit {
-		e.limit = attempts
+	if attempts := max(int(limit), 1); attempts != e.limit || crowded != e.crowded {
+		e.limit, e.crowded = attempts, crowded
 		e.renewTransport(dial)
 	}
 }
@@ -65,7 +68,11 @@
 // one, which closes its connections after them.
 func (e *endpoint) renewTransport(dial dialer) {
 	e.closeIdle()
-	e.transport = newTransport(dial, e.limit, e.idleTimeout)
+	idle := e.idleTimeout
+	if e.crowded {
+		idle = 0
+	}
+	e.transport = newTransport(dial, e.limit, idle)
 }
 
 func (e *endpoint) closeIdle() {
--- a/internal/delivery/endpoint_set_test.go
+++ b/internal/delivery/endpoint_set_test.go
@@ -6,8 +6,31 @@
 	"gotest.tools/v3/assert"
 
 	"gladepick/internal/cluster"
+	"gladepick/internal/configuration"
 )
 
+// TestIdleConnectionsAreClosedWhereCallersOutnumberThem shares a worker's connections among more and more callers.
+func TestIdleConnectionsAreClosedWhereCallersOutnumberThem(t *testing.T) {
+	cases := []struct {
+		connections, callers int
+		attempts             int
+		keepsIdle            bool
+	}{
+		{connections: 34, callers: 1, attempts: 3, keepsIdle: true},
+		{connections: 34, callers: 30, attempts: 1, keepsIdle: true},
+		{connections: 34, callers: 31, attempts: 1},
+		{connections: 34, callers: 60, attempts: 1},
+		{connections: 0, callers: defaultConnections, attempts: 1, keepsIdle: true},
+	}
+	target := &endpoint{worker: cluster.Worker{Capacity: 2}, idleTimeout: maxIdleTimeout}
+	for _, each := range cases {
+		target.setLimit(&configuration.Service{MaxConnections: each.connections}, each.callers, nil)
+		assert.Equal(t, target.limit, each.attempts, "%+v", each)
+		assert.Equal(t, target.transport.DisableKeepAlives, !each.keepsIdle, "%+v", each)
+		assert.Equal(t, target.transport.MaxConnsPerHost, each.attempts, "%+v", each)
+	}
+}
+
 func TestWorkerNumbersThatCollide(t *testing.T) {
 	all := newEndpointSet(Options{})
 	all.byWorkerID[stableHash("i-2")] = all.add("i-1", cluster.Worker{ID: "i-1"})
--- a/internal/delivery/transport.go
+++ b/internal/delivery/transport.go
@@ -38,11 +38,13 @@
 	}
 }
 
-// newTransport makes the HTTP/1.1 transport to one worker, without proxies and compression.
+// newTransport makes the HTTP/1.1 transport to one worker, without proxies and compression. Where idle is 0, each connection
+// is closed after its attempt.
 func newTransport(dial dialer, connections int, idle time.Duration) *http.Transport {
 	return &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
+		DisableKeepAlives:      idle == 0,
 		MaxConnsPerHost:        connections,
 		MaxIdleConns:           connections,
 		MaxIdleConnsPerHost:    connections,
