File the tests' broker by connection, codec, methods and clients

Change: methods and frames have their names in AMQP 0-9-1, each method a handler of its own. Behaviour stays.

--- /dev/null
+++ b/internal/dispatcher/testenv/broker_client.go
@@ -0,0 +1,41 @@
+package testenv
+
+import (
+	"time"
+
+	amqp "github.com/rabbitmq/amqp091-go"
+)
+
+// Connect opens a client's connection to a broker on the network.
+func Connect(n *Network, address string) (*amqp.Connection, error) {
+	return amqp.DialConfig("amqp://guest:guest@"+address+"/", amqp.Config{Dial: Dialer(n)})
+}
+
+// QueueWorker takes jobs from a queue until its connection ends. It acks a delivery late: long after its answer.
+func (y *WorkerGroup) QueueWorker(c *amqp.Connection, name, queue string) error {
+	ch, err := c.Channel()
+	if err != nil {
+		return err
+	}
+	jobs, err := ch.Consume(queue, "", false, false, false, false, nil)
+	if err != nil {
+		return err
+	}
+	go func() {
+		for m := range jobs {
+			go func() {
+				id, _ := m.Headers["x-request-id"].(string)
+				word, takes := y.beginJob(id, name, string(m.Body))
+				time.Sleep(takes)
+				text, _ := lines(id, name, word)
+				y.endJob(id)
+				for _, s := range text {
+					ch.Publish("", m.ReplyTo, false, false, amqp.Publishing{CorrelationId: m.CorrelationId, Body: []byte(s)})
+				}
+				time.Sleep(3 * time.Second)
+				m.Ack(false)
+			}()
+		}
+	}()
+	return nil
+}
--- /dev/null
+++ b/internal/dispatcher/testenv/broker_connection.go
@@ -0,0 +1,119 @@
+package testenv
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+)
+
+// queuedWrites is how many writes a connection queues before its senders wait.
+const queuedWrites = 1024
+
+// brokerConnection is the broker's end of a client's connection. Broker.mu guards its maps but for publishing.
+type brokerConnection struct {
+	conn       net.Conn
+	send       chan []byte
+	closed     chan struct{}
+	once       sync.Once
+	tags       uint64
+	unacked    map[uint64]unackedDelivery
+	confirm    map[uint16]uint64   // publishes so far on channels in confirm mode
+	publishing map[uint16]*pending // by channel: publishes whose content is still coming; only the reading goroutine's
+}
+
+func newBrokerConnection(conn net.Conn) *brokerConnection {
+	return &brokerConnection{
+		conn: conn, send: make(chan []byte, queuedWrites), closed: make(chan struct{}),
+		unacked: map[uint64]unackedDelivery{}, confirm: map[uint16]uint64{}, publishing: map[uint16]*pending{},
+	}
+}
+
+func (k *brokerConnection) close() {
+	k.once.Do(func() { close(k.closed); k.conn.Close() })
+}
+
+// write writes what is queued until the connection ends.
+func (k *brokerConnection) write() {
+	for {
+		select {
+		case p := <-k.send:
+			if _, err := k.conn.Write(p); err != nil {
+				k.close()
+			}
+		case <-k.closed:
+			return
+		}
+	}
+}
+
+// put queues bytes to be written.
+func (k *brokerConnection) put(p []byte) {
+	select {
+	case k.send <- p:
+	case <-k.closed:
+	}
+}
+
+// call sends a method.
+func (k *brokerConnection) call(channel uint16, m []byte) { k.put(frame(frameMethod, channel, m)) }
+
+// content sends a method with a message.
+func (k *brokerConnection) content(channel uint16, m []byte, msg message) {
+	p := append(frame(frameMethod, channel, m), frame(frameHeader, channel, msg.head)...)
+	for rest := msg.body; len(rest) > 0; {
+		n := min(len(rest), maxBodyFrame)
+		p, rest = append(p, frame(frameBody, channel, rest[:n])...), rest[n:]
+	}
+	k.put(p)
+}
+
+// read takes a connection's frames until it ends.
+func (b *Broker) read(k *brokerConnection) {
+	head := make([]byte, 8)
+	if _, err := io.ReadFull(k.conn, head); err != nil || string(head[:4]) != "AMQP" {
+		return
+	}
+	k.call(0, method(connectionStart, []byte{0, 9}, number(0), long("PLAIN"), long("en_US")))
+	for {
+		kind, channel, payload, err := k.readFrame()
+		if err != nil || !b.handleFrame(k, kind, channel, payload) {
+			return
+		}
+	}
+}
+
+// readFrame reads one frame.
+func (k *brokerConnection) readFrame() (kind frameKind, channel uint16, payload []byte, err error) {
+	head := make([]byte, frameHeaderSize)
+	if _, err := io.ReadFull(k.conn, head); err != nil {
+		return 0, 0, nil, err
+	}
+	payload = make([]byte, binary.BigEndian.Uint32(head[3:])+1)
+	if _, err := io.ReadFull(k.conn, payload); err != nil {
+		return 0, 0, nil, err
+	}
+	return frameKind(head[0]), binary.BigEndian.Uint16(head[1:]), payload[:len(payload)-1], nil
+}
+
+// handleFrame takes one frame, and tells whether the connection goes on.
+func (b *Broker) handleFrame(k *brokerConnection, kind frameKind, channel uint16, payload []byte) bool {
+	publish := k.publishing[channel]
+	switch kind {
+	case frameMethod:
+		return b.handleMethod(k, channel, payload)
+	case frameHeartbeat: // a heartbeat for a heartbeat
+		k.put(frame(frameHeartbeat, 0, nil))
+	case frameHeader:
+		if publish != nil {
+			publish.head, publish.size = payload, binary.BigEndian.Uint64(payload[4:])
+			b.publishComplete(k, channel)
+		}
+	case frameBody:
+		if publish != nil {
+			publish.body = append(publish.body, payload...)
+			b.publishComplete(k, channel)
+		}
+	}
+	return true
+}
