--- a/internal/network/simulated/connection.go
+++ b/internal/network/simulated/connection.go
@@ -15,6 +15,7 @@
 
 // connection is one end of a stream connection. It implements net.Conn. packets.go has what arrives at it.
 type connection struct {
+	number   uint64 // in the order in which all ends of connections were made
 	host     *host
 	peer     *connection // nil until the attempt has reached the other host
 	outgoing *link
@@ -47,6 +48,8 @@
 		readable: sync.NewCond(&machine.network.mutex),
 		writable: sync.NewCond(&machine.network.mutex),
 	}
+	machine.network.connections++
+	made.number = machine.network.connections
 	machine.connections[made] = struct{}{}
 	return made
 }
--- a/internal/network/simulated/host.go
+++ b/internal/network/simulated/host.go
@@ -1,5 +1,11 @@
 package simulated
 
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
 const (
 	firstEphemeralPort = 32768
 	lastPort           = 65535
@@ -30,14 +36,20 @@
 // endProcess ends everything that the host's process had open.
 func (h *host) endProcess() {
 	h.generation++
-	for _, open := range h.listeners {
-		open.close()
+	for _, port := range slices.Sorted(maps.Keys(h.listeners)) {
+		h.listeners[port].close()
 	}
-	for open := range h.connections {
+	for _, open := range h.openConnections() {
 		open.abort()
 	}
 }
 
+// openConnections returns the host's connections in the order in which they were made, so that a play with one seed is the
+// same each time.
+func (h *host) openConnections() []*connection {
+	return slices.SortedFunc(maps.Keys(h.connections), func(a, b *connection) int { return cmp.Compare(a.number, b.number) })
+}
+
 // ephemeralPort returns a port that was not used for long: that of a dialed connection, or of a listener at port 0.
 func (h *host) ephemeralPort() int {
 	for {
--- a/internal/network/simulated/network.go
+++ b/internal/network/simulated/network.go
@@ -1,7 +1,10 @@
 package simulated
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +23,8 @@
 	random *rand.Rand
 	hosts  map[string]*host
 	links  map[direction]*link
+	// connections counts the ends of connections made so far.
+	connections uint64
 }
 
 // New makes a network without hosts. The seed decides the variation of delays.
@@ -88,7 +93,7 @@
 func (n *Network) ResetConnections(ip string, fraction float64) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	for open := range n.host(ip).connections {
+	for _, open := range n.host(ip).openConnections() {
 		if n.random.Float64() < fraction {
 			open.abort()
 		}
@@ -120,7 +125,7 @@
 	}
 	machine.endProcess()
 	machine.poweredOff = false
-	for _, each := range n.links {
+	for _, each := range n.sortedLinks() {
 		if each.from == machine || each.to == machine {
 			each.resume()
 		}
@@ -130,8 +135,8 @@
 
 // resetRemains resets the other ends of connections that a host has forgotten.
 func (n *Network) resetStaleConnections(machine *host) {
-	for _, other := range n.hosts {
-		for remaining := range other.connections {
+	for _, ip := range slices.Sorted(maps.Keys(n.hosts)) {
+		for _, remaining := range n.hosts[ip].openConnections() {
 			if remaining.peer != nil && remaining.incoming.from == machine {
 				remaining.incoming.send(remaining.receiveReset)
 			}
@@ -139,6 +144,13 @@
 	}
 }
 
+// sortedLinks returns all links by the addresses of their ends.
+func (n *Network) sortedLinks() []*link {
+	return slices.SortedFunc(maps.Values(n.links), func(a, b *link) int {
+		return cmp.Or(cmp.Compare(a.from.ip, b.from.ip), cmp.Compare(a.to.ip, b.to.ip))
+	})
+}
+
 // host returns a host by its address. A host that was never mentioned is up and has no listeners. The caller has locked
 // the mutex.
 func (n *Network) host(ip string) *host {
--- a/internal/network/simulated/network_test.go
+++ b/internal/network/simulated/network_test.go
@@ -217,6 +217,35 @@
 	})
 }
 
+// TestResetsWithOneSeedAreTheSameEachTime resets some of a host's connections.
+func TestResetsWithOneSeedAreTheSameEachTime(t *testing.T) {
+	const connections, plays = 30, 10
+	play := func() (reset [connections]bool) {
+		synctest.Test(t, func(t *testing.T) {
+			network := New(7)
+			listener, err := network.Host(hostB).Listen(portB)
+			assert.NilError(t, err)
+			defer listener.Close()
+			var clients [connections]net.Conn
+			for i := range clients {
+				clients[i], err = network.Host(hostA).Dial(t.Context(), portB)
+				assert.NilError(t, err)
+				defer clients[i].Close()
+			}
+			network.ResetConnections(hostA, 0.5)
+			for i, client := range clients {
+				_, err := client.Write([]byte("x"))
+				reset[i] = err != nil
+			}
+		})
+		return reset
+	}
+	first := play()
+	for range plays {
+		assert.Equal(t, play(), first)
+	}
+}
+
 func TestPowerOffIsSilentUntilPowerOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := New(10)
--- a/internal/vfs/memfs/disk.go
+++ b/internal/vfs/memfs/disk.go
@@ -2,7 +2,7 @@
 //
 // A Disk holds one flat directory in memory and implements vfs.FS. It keeps what programs see apart from what is durable,
 // so that PowerLoss can drop, keep or tear each change that no sync covers. The seed of New fixes the
-// random draws; PowerLoss visits files in no particular order, so it does not fix which file gets which draw.
+// random draws, and so what becomes of each file.
 //
 // The package starts no goroutine. One mutex for each Disk guards all of its state; no method holds it while it waits for a
 // stalled or slow disk. Start reading at Disk; inode.go has what becomes of a file's contents, names.go of its name.
@@ -10,7 +10,9 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,7 +63,8 @@
 	}
 	d.changes = nil
 	clear(d.names)
-	for name, survivor := range d.durable {
+	for _, name := range slices.Sorted(maps.Keys(d.durable)) { // in order, as each draws
+		survivor := d.durable[name]
 		survivor.losePower(d.random)
 		d.names[name] = survivor
 	}
--- a/internal/vfs/memfs/disk_test.go
+++ b/internal/vfs/memfs/disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"io/fs"
 	"testing"
@@ -53,3 +54,27 @@
 		assert.ErrorIs(t, err, fs.ErrNotExist)
 	})
 }
+
+// TestPowerLossWithOneSeedIsTheSameEachTime loses the power under many files that are not synced.
+func TestPowerLossWithOneSeedIsTheSameEachTime(t *testing.T) {
+	const files, plays = 20, 10
+	play := func() (left []string) {
+		disk := New(7)
+		for number := range files {
+			file, err := disk.Create(fmt.Sprint("file", number))
+			assert.NilError(t, err)
+			assert.NilError(t, file.Sync())
+			_, err = file.WriteAt([]byte("contents that are not synced"), 0)
+			assert.NilError(t, err)
+		}
+		disk.PowerLoss()
+		for number := range files {
+			left = append(left, string(readFile(t, disk, fmt.Sprint("file", number))))
+		}
+		return left
+	}
+	first := play()
+	for range plays {
+		assert.DeepEqual(t, play(), first)
+	}
+}
