Warn of configuration members that nobody reads, and refuse them on request

Cause: the service ignores members that it does not know, so that later versions may add some; a misspelt one in an operator's file was ignored as silently.

What the wire takes is as before.

--- a/internal/operatorcli/config_test.go
+++ b/internal/operatorcli/config_test.go
@@ -65,6 +65,25 @@
 	assert.Equal(t, out, "version 3 -> 4\nroute \"r\" removed\n")
 }
 
+func TestMembersThatAreNotReadAreReported(t *testing.T) {
+	misspelt := strings.Replace(sampleConfiguration, "{", `{"servces":[],`, 1)
+	path := writeFile(t, "misspelt.json", misspelt)
+	out, err := runCommand(t, "config", "check", path)
+	assert.NilError(t, err)
+	assert.Equal(t, out, path+": warning: servces: is not read\n"+path+" is valid: version 3, 1 routes, 1 services\n")
+
+	_, err = runCommand(t, "config", "check", "--strict", path)
+	assert.Equal(t, ExitCode(err), ExitRefused)
+	assert.Error(t, err, path+" is invalid:\nservces: is not read")
+
+	// Refused before any process is called: nothing listens at this address.
+	_, err = runCommand(t, "config", "put", "--strict", "-a", "127.0.0.1:1", path)
+	assert.Error(t, err, path+" is invalid:\nservces: is not read")
+	update := writeFile(t, "update.json", `{"version":4,"upset":{}}`)
+	_, err = runCommand(t, "config", "put", "--update", "--strict", "-a", "127.0.0.1:1", update)
+	assert.Error(t, err, update+" is invalid:\nupset: is not read")
+}
+
 func TestConfigCheck(t *testing.T) {
 	path := writeFile(t, "good.json", sampleConfiguration)
 	out, err := runCommand(t, "config", "check", path)
--- a/internal/operatorcli/configput.go
+++ b/internal/operatorcli/configput.go
@@ -10,6 +10,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gravitational/trace"
+
+	"gladepick/internal/configuration"
 )
 
 // registerConfigPut adds the command config put.
@@ -18,12 +20,20 @@
 	connection := addConnection(put, listenerControl)
 	update := put.Flag("update", "The file holds an update, not a complete configuration.").Bool()
 	base := put.Flag("base", "Version on which it builds; without it, the version that is in force now.").String()
+	strict := addStrict(put)
 	path := put.Arg("file", "JSON file.").Required().String()
 	commands.add(put, func(ctx context.Context) error {
 		text, err := os.ReadFile(*path)
 		if err != nil {
 			return trace.Wrap(err)
 		}
+		unread := configuration.UnknownMembers
+		if *update {
+			unread = configuration.UnknownUpdateMembers
+		}
+		if err := reportUnread(out, *path, unread(text), *strict); err != nil {
+			return err
+		}
 		client, ctx, cancel := connection.client(ctx)
 		defer cancel()
 		request := Request{Method: http.MethodPost, Path: PathConfigReplace, Base: *base, Body: text}
