--- a/internal/operatorcli/configcheck.go
+++ b/internal/operatorcli/configcheck.go
@@ -14,7 +14,6 @@
 // registerConfigCheck adds the command config check.
 func registerConfigCheck(config *kingpin.CmdClause, out io.Writer, commands Commands) {
 	check := config.Command("check", "Check a complete configuration without calling any process.")
-	strict := addStrict(check)
 	path := check.Arg("file", "JSON file.").Required().String()
 	commands.add(check, func(context.Context) error {
 		text, err := os.ReadFile(*path)
@@ -25,7 +24,7 @@
 		if err != nil {
 			return &InvalidFileError{Path: *path, Err: err}
 		}
-		if err := reportUnread(out, *path, configuration.UnknownMembers(text), *strict); err != nil {
+		if err := warnOfUnread(out, *path, configuration.UnknownMembers(text)); err != nil {
 			return err
 		}
 		table := document.Table()
@@ -34,17 +33,8 @@
 	})
 }
 
-// addStrict adds the flag that makes members which nobody reads an error.
-func addStrict(command *kingpin.CmdClause) *bool {
-	return command.Flag("strict", "Refuse a file with members that are not read, instead of printing warnings.").Bool()
-}
-
-// reportUnread prints a warning for each member of a file that is not read: it is most likely misspelt. With strict they
-// are an error.
-func reportUnread(out io.Writer, path string, unread configuration.Findings, strict bool) error {
-	if strict && len(unread) > 0 {
-		return &InvalidFileError{Path: path, Err: unread}
-	}
+// warnOfUnread prints a warning for each member of a file that is not read: it is most likely misspelt.
+func warnOfUnread(out io.Writer, path string, unread configuration.Findings) error {
 	for _, finding := range unread {
 		if err := printLine(out, "%s: warning: %s", path, finding); err != nil {
 			return err
--- a/internal/operatorcli/configput.go
+++ b/internal/operatorcli/configput.go
@@ -20,7 +20,6 @@
 	connection := addConnection(put, listenerControl)
 	update := put.Flag("update", "The file holds an update, not a complete configuration.").Bool()
 	base := put.Flag("base", "Version on which it builds; without it, the version that is in force now.").String()
-	strict := addStrict(put)
 	path := put.Arg("file", "JSON file.").Required().String()
 	commands.add(put, func(ctx context.Context) error {
 		text, err := os.ReadFile(*path)
@@ -31,7 +30,7 @@
 		if *update {
 			unread = configuration.UnknownUpdateMembers
 		}
-		if err := reportUnread(out, *path, unread(text), *strict); err != nil {
+		if err := warnOfUnread(out, *path, unread(text)); err != nil {
 			return err
 		}
 		client, ctx, cancel := connection.client(ctx)
