--- /dev/null
+++ b/internal/dispatcher/faultinjection/durablejobs_workers.go
@@ -0,0 +1,120 @@
+package faultinjection
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"gladepick/internal/dispatcher/config"
+)
+
+// workers is how many workers a play has.
+const workers = 4
+
+// memory is what the workers know of a key.
+type memory struct {
+	ran    time.Time
+	done   chan struct{}
+	result string
+}
+
+func (t *DurableJobsPlay) worker(w int) string {
+	return fmt.Sprintf("127.%d.200.%d:6000", t.play.Host, w+1)
+}
+
+func (t *DurableJobsPlay) discovery() string { return fmt.Sprintf("127.%d.201.1:8500", t.play.Host) }
+
+func (t *DurableJobsPlay) accept(l net.Listener, serve func(net.Conn)) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		t.all.Go(func() {
+			defer c.Close()
+			serve(c)
+		})
+	}
+}
+
+// list is discovery: the workers never change.
+func (t *DurableJobsPlay) list(w http.ResponseWriter, r *http.Request) {
+	var all []config.Worker
+	for k := range workers {
+		all = append(all, config.Worker{ID: fmt.Sprintf("s-%08x", k+1), Address: t.worker(k), Zone: []string{"montreal", "sherbrooke"}[k%2],
+			Kind: "std-2c", State: "ready", Weight: 1})
+	}
+	json.NewEncoder(w).Encode(config.WorkerList{Generation: 1, Reset: true, Workers: all})
+	for r.URL.Query().Has("watch") && r.Context().Err() == nil && !t.over.Load() {
+		w.(http.Flusher).Flush()
+		time.Sleep(time.Second)
+		io.WriteString(w, "\n")
+	}
+}
+
+// serve is a worker's side of a connection.
+func (t *DurableJobsPlay) serve(c net.Conn, w int) {
+	in := bufio.NewReader(c)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), uint64(w)))
+	for !t.over.Load() {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return
+		}
+		id, key := r.Header.Get("X-Request-ID"), r.Header.Get("Idempotency-Key")
+		name := fmt.Sprintf("s-%08x", w+1)
+		luck, takes := rng.IntN(100), time.Duration(10+rng.IntN(60))*time.Millisecond
+		if t.Calm {
+			luck, takes = 100, 5*time.Millisecond
+		}
+		switch {
+		case luck < 3:
+			fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 2\r\n\r\nno")
+			continue
+		case luck < 6: // it breaks off, and nobody knows whether it ran: it did not
+			return
+		}
+		result := t.run(key, takes)
+		if luck < 10 { // it ran, and the answer is lost
+			return
+		}
+		line := func(state, more string) string {
+			s := fmt.Sprintf(`{"id":%q,"from":%q,"state":%q%s}`+"\n", id, name, state, more)
+			return fmt.Sprintf("%x\r\n%s\r\n", len(s), s)
+		}
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%s%s0\r\n\r\n", line("started", ""),
+			line("done", fmt.Sprintf(`,"result":%q`, result))); err != nil {
+			return
+		}
+	}
+}
+
+// run does a job, or drops it as a repeat of one that ran or runs. An effect is what cannot be taken back.
+func (t *DurableJobsPlay) run(key string, takes time.Duration) string {
+	if key == "" {
+		time.Sleep(takes)
+		return "looked"
+	}
+	t.mu.Lock()
+	m := t.past[key]
+	if m != nil && time.Since(m.ran) < t.Window {
+		t.mu.Unlock()
+		<-m.done
+		return m.result
+	}
+	t.Effects[key]++
+	m = &memory{ran: time.Now(), done: make(chan struct{}), result: fmt.Sprintf("%s took effect %d", key, t.Effects[key])}
+	t.past[key] = m
+	t.mu.Unlock()
+	time.Sleep(takes)
+	close(m.done)
+	return m.result
+}
