Fit run times that are all alike, and sum by the names of workers

Cause: a class whose jobs all take the same time has no deviation; the distance of its run times to a normal distribution without one is NaN, which JSON does not hold, or 1. Sums over workers followed the order of a map.

Change: such a distance is 0; workers are summed by name. The first test failed before; the second, which fits one capture eight times, passed with the former code too. Passed: planner.

--- a/internal/dispatcher/planner/fit_run_times.go
+++ b/internal/dispatcher/planner/fit_run_times.go
@@ -102,8 +102,8 @@
 // scaleSpeeds finds the shift to the speeds that the fleet gives, or else to a speed of 1 of the first kind that was seen.
 func (t *runTimeFit) scaleSpeeds(x *Fit, f *fleetsim.Fleet) {
 	t.byKind = map[string][]float64{}
-	for worker, speed := range t.speed {
-		t.byKind[t.kind[worker]] = append(t.byKind[t.kind[worker]], speed)
+	for _, worker := range slices.Sorted(maps.Keys(t.speed)) { // in order, as sums of floating-point numbers depend on it
+		t.byKind[t.kind[worker]] = append(t.byKind[t.kind[worker]], t.speed[worker])
 	}
 	known := 0.0
 	for _, k := range f.Kinds {
@@ -156,8 +156,12 @@
 	}
 }
 
-// normalDistance returns the Kolmogorov-Smirnov distance of sorted values to the normal distribution of mean 0.
+// normalDistance returns the Kolmogorov-Smirnov distance of sorted values to the normal distribution of mean 0. Values that
+// are all alike have no deviation, and are no distance from theirs.
 func normalDistance(sorted []float64, deviation float64) float64 {
+	if deviation == 0 {
+		return 0
+	}
 	normal, distance, n := distuv.Normal{Mu: 0, Sigma: deviation}, 0.0, float64(len(sorted))
 	for i, v := range sorted {
 		p := normal.CDF(v)
@@ -170,7 +174,8 @@
 func (t *runTimeFit) fitKind(x *Fit, kind string) {
 	speeds := t.byKind[kind]
 	noise, jobs := 0.0, 0
-	for worker, n := range t.perWorker {
+	for _, worker := range slices.Sorted(maps.Keys(t.perWorker)) {
+		n := t.perWorker[worker]
 		if t.kind[worker] == kind {
 			noise += 1 / float64(n) / float64(len(speeds))
 			jobs += n
--- a/internal/dispatcher/planner/fit_test.go
+++ b/internal/dispatcher/planner/fit_test.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"bytes"
+	"encoding/json"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -140,6 +142,49 @@
 }
 
 // What a capture does not tell, or tells in a way that is not to be trusted, is said.
+// TestRunTimesThatAreAllAlikeAreFitted fits a capture in which each job of a class takes as long as every other one. The fit
+// is printed as JSON, which has no NaN.
+func TestRunTimesThatAreAllAlikeAreFitted(t *testing.T) {
+	s, f := recorded()
+	for i := range s.Attempts {
+		s.Attempts[i].Ended = s.Attempts[i].Started + 100e6
+	}
+	x, err := FitCapture(s, f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := json.Marshal(x); err != nil {
+		t.Error(err)
+	}
+	for _, figure := range x.Figures {
+		if strings.HasPrefix(figure.Name, "distance of") && figure.Value != 0 {
+			t.Errorf("%s is %v", figure.Name, figure.Value)
+		}
+	}
+}
+
+// TestOneCaptureHasOneFit fits a capture again and again: the last digit is the same.
+func TestOneCaptureHasOneFit(t *testing.T) {
+	s, f := recorded()
+	var first []byte
+	for round := range 8 {
+		x, err := FitCapture(s, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := json.Marshal(x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if round == 0 {
+			first = text
+		}
+		if !bytes.Equal(text, first) {
+			t.Fatalf("round %d differs", round)
+		}
+	}
+}
+
 func TestWhatIsNotToldIsSaid(t *testing.T) {
 	said := func(change func(*capture.Set)) string {
 		s, f := recorded()
