--- a/internal/dispatcher/agent/agent_test.go
+++ b/internal/dispatcher/agent/agent_test.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -132,3 +134,21 @@
 	}
 	golden.AssertBytes(t, text.Bytes(), "command.txt")
 }
+
+// TestNamesAreEscapedInCommands sends a command for an instance whose name has signs of URLs.
+func TestNamesAreEscapedInCommands(t *testing.T) {
+	const name = "n 1&x=2#3%"
+	asked := ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = r.FormValue("instance")
+		io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	if err := agent.Command(t.Context(), io.Discard, address, "drain", []string{name}); err != nil {
+		t.Fatal(err)
+	}
+	if asked != name {
+		t.Errorf("asked for %q", asked)
+	}
+}
--- a/internal/dispatcher/agent/command.go
+++ b/internal/dispatcher/agent/command.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"text/tabwriter"
 
@@ -39,8 +40,8 @@
 	}
 	for _, name := range names {
 		var empty struct{}
-		url := "http://" + address + "/" + command + "?instance=" + name
-		if err := fetchJSON(ctx, client, commandBytes, http.MethodPost, url, &empty); err != nil {
+		target := "http://" + address + "/" + command + "?" + url.Values{"instance": {name}}.Encode()
+		if err := fetchJSON(ctx, client, commandBytes, http.MethodPost, target, &empty); err != nil {
 			return fmt.Errorf("%s %s: %w", command, name, err)
 		}
 		fmt.Fprintf(out, "%s: %s\n", name, command)
