--- a/review/.standins/rig/main.go
+++ b/review/.standins/rig/main.go
@@ -28,8 +28,9 @@
 	fronts, stores int
 	play           scenario
 }{
-	"repeat": {4, 4, playRepeat},
-	"lost":   {4, 4, playLost},
+	"repeat":  {4, 4, playRepeat},
+	"lost":    {4, 4, playLost},
+	"stalled": {4, 4, playStalled},
 }
 
 func main() {
