--- a/review/.standins/rig/cluster.go
+++ b/review/.standins/rig/cluster.go
@@ -281,7 +281,7 @@
 
 // await calls a condition until it holds or the time is over, and reports whether it held.
 func await(limit time.Duration, condition func() bool) bool {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if condition() {
 			return true
 		}
--- a/review/.standins/rig/lost.go
+++ b/review/.standins/rig/lost.go
@@ -11,7 +11,7 @@
 
 // Figures of the scenario "lost".
 const (
-	lostMessages = 800
+	lostMessages = 1000
 	lostBytes    = 200 << 10
 	lostDelay    = 80 * time.Second
 	copyLimit    = 5 * time.Second // until the copies of the second store's partitions begin
@@ -64,11 +64,12 @@
 	first.kill()
 	began := time.Now()
 	c.record.note("%s is dark, its disk stays", first.name)
-	if !await(copyLimit, func() bool { return c.copiesFrom(second) > 0 }) {
+	copies := 0
+	if !await(copyLimit, func() bool { copies = c.copiesFrom(second); return copies > 0 }) {
 		return fmt.Errorf("no partition of %s is being copied", second.name)
 	}
-	c.record.note("%d partitions of %s are being copied", c.copiesFrom(second), second.name)
 	second.kill()
+	c.record.note("%d partitions of %s were being copied", copies, second.name)
 	if err := second.loseDisk(); err != nil {
 		return err
 	}
