--- a/review/.standins/rig/main.go
+++ b/review/.standins/rig/main.go
@@ -28,9 +28,9 @@
 	fronts, stores int
 	play           scenario
 }{
-	"repeat":  {4, 4, playRepeat},
-	"lost":    {4, 4, playLost},
-	"stalled": {4, 4, playStalled},
+	"repeat": {4, 4, playRepeat},
+	"lost":   {4, 4, playLost},
+	"halted": {4, 4, playHalted},
 }
 
 func main() {
