Wait for leases that were granted before a restart

What callers saw: nothing yet; the review read this fault in the code. Two stores could deliver one partition at once, so that an ordered message may have run at both.

Cause: a backup keeps the leases that it grants in memory. If it was started again, it waited for none of them: awaitFormerPrimary looked at the stores of the view that the process knew before, and a new process knows none. A primary that the control plane cannot reach and that does not notice the restart counts on such a lease for a second.

Change: a process that has seen no view before, and is promoted under a newer epoch than its log has, delivers only once all leases that it knows of, and all that it may have granted before its start, have ended. A store that starts again as the primary under the same epoch does not wait, as no other store can have led since.

Evidence: before the change the new test fails:

--- FAIL: TestRestartedBackupWaitsForTheLeaseThatItGranted (0.00s) restart_outcomes_test.go:223: assertion failed: both is true: both stores deliver

--- a/internal/messagestore/delivery_fence.go
+++ b/internal/messagestore/delivery_fence.go
@@ -103,14 +103,27 @@
 	return s.holdsLease(s.fence(p.id))
 }
 
-// awaitFormerPrimary delays deliveries of a partition until all known leases of stores in the former view have ended.
-// The caller must hold s.mu.
-func (s *Store) awaitFormerPrimary(p *partition, former cluster.Partition) {
+// awaitFormerPrimary delays deliveries of a partition until all known leases of stores in the former view have ended. A
+// process that has seen no view before has lost the leases that it granted before its start, and waits until these must
+// have ended, unless its log shows that no other store can have led since. The caller must hold s.mu.
+func (s *Store) awaitFormerPrimary(p *partition, former cluster.Partition, formerEpoch uint64) {
 	var until time.Time
-	for _, replica := range former.Replicas {
-		if grantEnd := s.leaseGrants[replica.Store]; grantEnd.After(until) {
-			until = grantEnd
+	if len(former.Replicas) == 0 && formerEpoch < p.epoch && p.epoch > firstEpoch {
+		until = s.opened.Add(backupLease)
+		for _, grantEnd := range s.leaseGrants {
+			until = laterOf(until, grantEnd)
 		}
 	}
+	for _, replica := range former.Replicas {
+		until = laterOf(until, s.leaseGrants[replica.Store])
+	}
 	s.fence(p.id).closedUntil.Store(&until)
 }
+
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/messagestore/delivery_fence_test.go
+++ b/internal/messagestore/delivery_fence_test.go
@@ -299,3 +299,36 @@
 		assert.Assert(t, holdsAll(c, 0, []string{"0-1"}), "acknowledged, but missing on a disk of the view")
 	})
 }
+
+// TestRestartedBackupWaitsForTheLeaseThatItGranted guards against two stores that deliver: a backup grants a lease to a
+// primary that the control plane can't reach, starts again, and is promoted by the first table that it gets.
+func TestRestartedBackupWaitsForTheLeaseThatItGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		id := h.mustPut("0", "key", "x")
+		former := h.primary(id)
+		partition, err := client.PartitionOf(id)
+		assert.NilError(t, err)
+		successor := h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
+		former.noLease.Store(true)
+		time.Sleep(2 * heartbeatInterval)
+		assert.Assert(t, former.store.MayDeliver(partition))
+		h.network.Isolate(former.ip, successor.ip) // the former primary does not notice the restart
+		h.stop(successor.name)
+		former.stopped.Store(true) // it gets no table from now on
+		h.update(func(table *cluster.Table) {
+			view := &table.Partitions[partition]
+			view.Epoch++
+			view.Replicas = []cluster.Replica{h.replica(successor.name)}
+		})
+		h.start(successor.name)
+		for range 40 {
+			synctest.Wait()
+			both := former.store.MayDeliver(partition) && successor.store.MayDeliver(partition)
+			assert.Assert(t, !both, "both stores deliver")
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, successor.store.MayDeliver(partition))
+	})
+}
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -5,6 +5,7 @@
 // Sequence numbers have the epoch in the upper 32 bits and a counter in the lower 32 bits.
 const (
 	epochShift = 32
+	firstEpoch = 1 // of a partition's first view, before which no store has led
 	// restartGap is added to each partition's counter at a start, so that sequence numbers of records that were lost in
 	// a crash are not assigned again.
 	restartGap = 1 << 16
--- a/internal/messagestore/store.go
+++ b/internal/messagestore/store.go
@@ -47,6 +47,7 @@
 	lastReports map[string]time.Time   // by store: when it was last reported
 	leaseGrants map[string]time.Time   // by store: end of the last lease known here that a backup granted to it
 	cachedBytes int64                  // bytes of bodies in memory
+	opened      time.Time              // when Open was called
 	wake        chan struct{}          // wakes maintain; has room for one signal
 	context     context.Context
 	cancel      context.CancelFunc
@@ -63,6 +64,7 @@
 		replicators: make(map[string]*replicator),
 		lastReports: make(map[string]time.Time),
 		leaseGrants: make(map[string]time.Time),
+		opened:      time.Now(),
 		wake:        make(chan struct{}, 1),
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
