Keep outcomes of messages over the restart of a store

Cause: an outcome, like a failed attempt, was appended to the log in memory and synced only with the next message; and a store that becomes primary submitted whatever its own log calls queued, although its backups had synced the outcomes. A caller could also read `completed` from the primary's memory alone.

Change: - records that nobody waits for are synced within syncDelay (5 ms), in groups; - a new primary holds back what its log calls queued until each other replica of its view has told outcomes and numbers of failed attempts, with the inventory that the resync asks for anyway. New messages flow at once, but for those behind a held message of their order key. A replica that is down or suspected and that nobody can replace is awaited for 2 s; - an outcome is tracked like a message until all replicas have synced it, and answered to callers only then.

The inventory call has new optional fields; calls without them are as before.

Before the change the new tests fail:

--- FAIL: TestCompletedMessagesDoNotRunAgainAfterAKill: 10 (int) != 0 (int) --- FAIL: TestOutcomesSurviveTheKillOfAllStoresInAQuietTime: 10 (int) != 0 (int) --- FAIL: TestRestartedPrimaryLearnsFailuresAndDeadLetters: the dead letter runs again --- FAIL: TestMessagesOfBeforeARestartWaitForTheBackup: 1 (int) != 0 (int) --- FAIL: TestCompletedIsAnsweredOnlyOnceItIsDurable: {completed s} --- FAIL: TestNothingRunsAgainAfterAFaultInAQuietTime: 9 of 20 plays, 3 to 10 runs of messages that had ended

--- a/internal/messagestore/backup_lease.go
+++ b/internal/messagestore/backup_lease.go
@@ -40,13 +40,14 @@
 	}
 }
 
-// leaseGrantsRemaining returns the time until the last lease grant that this store knows of has ended, or 0.
-func (s *Store) leaseGrantsRemaining() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// leaseGrantsRemaining returns the time until the last lease grant that this store knows of has ended, or 0. Grants to
+// the store named except do not count. The caller must hold s.mu.
+func (s *Store) leaseGrantsRemaining(except string) time.Duration {
 	longest := time.Duration(0)
-	for _, until := range s.leaseGrants {
-		longest = max(longest, time.Until(until))
+	for store, until := range s.leaseGrants {
+		if store != except {
+			longest = max(longest, time.Until(until))
+		}
 	}
 	return longest
 }
--- a/internal/messagestore/commit.go
+++ b/internal/messagestore/commit.go
@@ -1,16 +1,22 @@
 package messagestore
 
 import (
+	"maps"
+	"slices"
+
 	"go.uber.org/zap"
 
 	"gladepick/internal/messagestore/record"
 )
 
-// pendingWrite is a message that is not committed yet: not all replicas have synced it. Store.mu guards all fields, but
-// waiting for done needs no lock.
+// pendingWrite is a message or an outcome that is not committed yet: not all replicas have synced it. Store.mu guards
+// all fields, but waiting for done needs no lock.
 type pendingWrite struct {
 	id            string
 	entry         *entry
+	partition     int
+	isOutcome     bool
+	appended      bool            // only of an outcome: its record is in this store's log
 	line          []byte          // the record's line
 	body          []byte          // the record's body
 	syncedLocally bool            // this store's disk has synced it
@@ -31,10 +37,13 @@
 	}
 }
 
-// commitIfSynced commits a write once all disks of the view have synced it, and submits its message to the engine. The
-// caller must hold s.mu.
+// commitIfSynced commits a write once all disks of the view have synced it, and submits its message to the engine. An
+// outcome also commits in a view with too few replicas. The caller must hold s.mu.
 func (s *Store) commitIfSynced(p *partition, write *pendingWrite) {
-	if !p.pending[write] || !p.isPrimary || !write.syncedLocally || len(p.view.Replicas) < s.options.ReplicationFactor {
+	if !p.isPrimary || !write.syncedLocally || !p.isPending(write) {
+		return
+	}
+	if !write.isOutcome && len(p.view.Replicas) < s.options.ReplicationFactor {
 		return
 	}
 	for _, replica := range p.backups() {
@@ -42,11 +51,41 @@
 			return
 		}
 	}
+	p.finishWrite(write, nil)
+	if !write.isOutcome {
+		s.submit(p, write.entry)
+	}
+}
+
+// isPending reports whether a write of this partition is not committed yet. The caller must hold Store.mu.
+func (p *partition) isPending(write *pendingWrite) bool { return p.pending[write] || p.endings[write] }
+
+// pendingWrites returns the messages and outcomes that are not committed yet, in unspecified order. The caller must
+// hold Store.mu.
+func (p *partition) pendingWrites() []*pendingWrite {
+	return slices.AppendSeq(slices.Collect(maps.Keys(p.pending)), maps.Keys(p.endings))
+}
+
+// finishWrite ends the wait for a write. The caller must hold Store.mu.
+func (p *partition) finishWrite(write *pendingWrite, err error) {
 	delete(p.pending, write)
-	write.entry.pending = nil
+	delete(p.endings, write)
+	if write.isOutcome {
+		write.entry.ending = nil
+	} else {
+		write.entry.pending = nil
+	}
 	write.line, write.body = nil, nil
+	write.err = err
 	close(write.done)
-	s.engine.Submit(write.entry.message, write.entry.failures)
+}
+
+// newPendingWrite returns a write that no disk has synced yet.
+func newPendingWrite(p *partition, id string, written *entry, line, body []byte) *pendingWrite {
+	return &pendingWrite{
+		id: id, partition: p.id, entry: written, line: line, body: body,
+		syncedOn: make(map[string]bool), sentTo: make(map[string]bool), done: make(chan struct{}),
+	}
 }
 
 // abort fails a write that could not be synced to this store's disk. Backups may already have stored it, so its outcome
@@ -55,15 +94,13 @@
 	if !p.pending[write] {
 		return
 	}
-	delete(p.pending, write)
 	s.cachedBytes -= int64(len(write.entry.body))
 	delete(p.entries, write.id)
-	write.err = err
-	close(write.done)
+	p.finishWrite(write, err)
 }
 
-// appendAndReplicate appends a record to the log and queues it for the backups. It waits for neither. The caller must
-// hold s.mu.
+// appendAndReplicate appends a record to the log, which is synced within about syncDelay, and queues it for the backups.
+// It waits for neither. The caller must hold s.mu.
 func (s *Store) appendAndReplicate(p *partition, r *record.Record) {
 	line, err := r.Encode()
 	if err != nil {
@@ -73,6 +110,7 @@
 	if _, err := s.log.Append(line); err != nil {
 		s.logger.Warn("appending a record failed", zap.Error(err))
 	}
+	s.syncSoon()
 	for _, replica := range p.backups() {
 		s.sendTo(p, replica, line, nil)
 	}
--- a/internal/messagestore/delivery_fence.go
+++ b/internal/messagestore/delivery_fence.go
@@ -120,6 +120,13 @@
 	s.fence(p.id).closedUntil.Store(&until)
 }
 
+// extendClosed delays deliveries of a partition further, until a lease that another replica has granted has ended.
+func (f *deliveryFence) extendClosed(until time.Time) {
+	if closed := f.closedUntil.Load(); closed == nil || until.After(*closed) {
+		f.closedUntil.Store(&until)
+	}
+}
+
 // laterOf returns the later of two times.
 func laterOf(a, b time.Time) time.Time {
 	if b.After(a) {
--- a/internal/messagestore/doc.go
+++ b/internal/messagestore/doc.go
@@ -20,12 +20,15 @@
 //   - A backup is marked as synced, and so may be promoted, only after it has stored every record that it lacked.
 //   - Deliveries that were stopped for a handover resume only after the control plane has definitely rejected the
 //     handover, or after a newer view has arrived.
-//   - An ended message stays ended. Outcomes are replicated without waiting for the backups, so a new primary may run a
-//     message again.
+//   - An ended message stays ended. Outcomes are replicated without waiting for the replicas, and are synced within about
+//     syncDelay. A caller learns an outcome only once every replica of the view has synced it.
+//   - A new primary runs a message that its log calls queued only after every other replica of its view has told how the
+//     messages ended that it knows of, or has left the view (catchUp).
 //
 // # Goroutines
 //
-// Start starts maintain, which resyncs backups, requests leases, drops expired entries and compacts the log. Each disk
+// Start starts maintain, which resyncs backups, requests leases, drops expired entries and compacts the log, and
+// syncInBackground, which syncs records that no caller waits for. Each disk
 // that a primary sends records to has a replicator, which makes one call at a time. Each resync of a backup, handover
 // to the preferred primary, failure report and forwarded outcome runs in a short-lived goroutine. All of these belong
 // to Store.background and end with Store.context, and Close waits for them. Handlers of calls run in goroutines of the
@@ -41,8 +44,8 @@
 //
 // # Where to start reading
 //
-// Start with store.go. put.go and commit.go have the path of a message through the primary, follower.go the backup's
-// side, leadership.go the effects of a new table, delivery_fence.go the rules for deliveries, and resync.go the way a
-// backup catches up. Package record defines the records in the log and between replicas, package protocol the calls.
+// Start with store.go. put.go and commit.go have the path of a message through the primary, background_sync.go that of
+// its outcome, follower.go the backup's side, leadership.go the effects of a new table, delivery_fence.go the rules for
+// deliveries, catch_up.go what a new primary learns from other replicas, and resync.go the way a backup catches up. Package record defines the records in the log and between replicas, package protocol the calls.
 // Fronts use package client. The files model_*_test.go have a model of the protocol.
 package messagestore
--- a/internal/messagestore/engine.go
+++ b/internal/messagestore/engine.go
@@ -89,10 +89,14 @@
 	if e == nil || e.ended() {
 		return
 	}
-	s.cachedBytes -= int64(len(e.body))
-	ended := &record.Record{
+	s.endEntry(p, e, &record.Record{
 		Kind: record.Ended, Partition: p.id, Epoch: p.epoch, ID: id, Outcome: &outcome, EndedAt: time.Now(),
-	}
+	})
+}
+
+// endEntry applies the record of how a message ended and writes it. The caller must hold s.mu.
+func (s *Store) endEntry(p *partition, e *entry, ended *record.Record) {
+	s.cachedBytes -= int64(len(e.body))
 	p.applyEnded(ended)
-	s.appendAndReplicate(p, ended)
+	s.writeOutcome(p, e, ended)
 }
--- a/internal/messagestore/entry.go
+++ b/internal/messagestore/entry.go
@@ -16,6 +16,7 @@
 	outcome  message.Outcome  // State is Queued until the message has ended
 	endedAt  time.Time
 	pending  *pendingWrite // nil once committed, and at a backup
+	ending   *pendingWrite // the write of the outcome; nil once committed, and at a backup
 }
 
 // ended reports whether the message has ended. The caller must hold Store.mu.
--- a/internal/messagestore/harness_test.go
+++ b/internal/messagestore/harness_test.go
@@ -27,18 +27,20 @@
 	testPort              = 7000
 )
 
-// testEngine implements Engine. It records the submitted messages and released partitions.
+// testEngine implements Engine. It records the submitted messages with their failures, and released partitions.
 type testEngine struct {
 	mu        sync.Mutex
 	submitted []*message.Message
+	failed    []int
 	released  []int
 	inFlight  atomic.Int64
 }
 
-func (e *testEngine) Submit(m *message.Message, _ int) {
+func (e *testEngine) Submit(m *message.Message, failures int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.submitted = append(e.submitted, m)
+	e.failed = append(e.failed, failures)
 }
 
 func (e *testEngine) Release(partition int) {
@@ -51,6 +53,13 @@
 func (e *testEngine) ResumePartition(int) {}
 func (e *testEngine) InFlightOf(int) int  { return int(e.inFlight.Load()) }
 
+// failures returns the number of failed attempts of each submitted message.
+func (e *testEngine) failures() []int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.failed)
+}
+
 func (e *testEngine) ids() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/messagestore/leadership.go
+++ b/internal/messagestore/leadership.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// becomePrimary makes this store the partition's primary. It submits the queued messages to the engine and has the
-// backups resynced. The caller must hold s.mu.
+// becomePrimary makes this store the partition's primary. It has the backups resynced, and submits the queued messages
+// to the engine as soon as the backups have told how messages ended that they know of. The caller must hold s.mu.
 func (s *Store) becomePrimary(p *partition) {
 	p.isPrimary, p.paused = true, false
 	s.appendAndReplicate(p, &record.Record{Kind: record.Epoch, Partition: p.id, Epoch: p.epoch})
@@ -83,9 +83,7 @@
 	s.updateFence(p)
 	s.engine.ResumePartition(p.id)
 	queued := p.queued()
-	for _, e := range queued {
-		s.engine.Submit(e.message, e.failures)
-	}
+	s.beginCatchUp(p, queued)
 	s.changes.gained++
 	s.changes.messages += len(queued)
 }
@@ -109,10 +107,11 @@
 		}
 	}
 	s.updateFence(p)
-	for write := range p.pending {
+	for _, write := range p.pendingWrites() {
 		s.sendPending(p, write)
 		s.commitIfSynced(p, write)
 	}
+	s.endCatchUpIfAnswered(p)
 }
 
 // discardConfirmations drops a backup's confirmations of pending writes once per epoch in which the backup is not
@@ -122,7 +121,7 @@
 		return
 	}
 	p.unsyncedSince[diskID] = p.epoch
-	for write := range p.pending {
+	for _, write := range p.pendingWrites() {
 		delete(write.syncedOn, diskID)
 		delete(write.sentTo, diskID)
 	}
@@ -149,11 +148,9 @@
 	s.updateFence(p)
 	s.engine.Release(p.id)
 	clear(p.resync)
-	for write := range p.pending {
-		delete(p.pending, write)
-		write.entry.pending = nil
-		write.err = errSteppedDown
-		close(write.done)
+	p.catchUp = nil
+	for _, write := range p.pendingWrites() {
+		p.finishWrite(write, errSteppedDown)
 	}
 	for _, e := range p.entries {
 		s.cachedBytes -= int64(len(e.body))
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -34,6 +34,18 @@
 	batchBytes = 256 << 10 // approximate limit of the records in one call to a backup
 )
 
+// syncDelay is the longest time that the record of an outcome or of a failed attempt waits for further ones before the
+// disk is synced.
+const syncDelay = 5 * time.Millisecond
+
+// Outcomes that a new primary may lack, and outcomes that callers ask for.
+const (
+	// unreachableReplicaWait is how long a new primary waits for outcomes from a replica that is known to be down or
+	// unreachable but stays in the view.
+	unreachableReplicaWait = 2 * time.Second
+	commitOutcomeTimeout   = 500 * time.Millisecond // of a query for the state of a message whose outcome is not committed
+)
+
 // Resync and replacement of backups.
 const (
 	resyncTimeout       = 5 * time.Second
--- a/internal/messagestore/maintenance.go
+++ b/internal/messagestore/maintenance.go
@@ -24,6 +24,7 @@
 		case <-ticker.C:
 		}
 		s.repairBackups()
+		s.endOverdueCatchUps()
 		if s.options.Control.LeaseRemaining() < backupLeaseMargin && time.Since(lastLeaseRequest) >= heartbeatInterval {
 			lastLeaseRequest = time.Now()
 			s.requestBackupLeases()
--- a/internal/messagestore/missing.go
+++ b/internal/messagestore/missing.go
@@ -133,5 +133,8 @@
 			response.Ended = append(response.Ended, id)
 		}
 	}
+	if request.WantsDetails {
+		s.addDetails(&request, response)
+	}
 	return response, nil, nil
 }
--- a/internal/messagestore/partition.go
+++ b/internal/messagestore/partition.go
@@ -24,6 +24,8 @@
 	entries      map[string]*entry
 	lastSequence uint64                  // the highest sequence number seen
 	pending      map[*pendingWrite]bool  // writes that wait for replicas
+	endings      map[*pendingWrite]bool  // outcomes that wait for replicas
+	catchUp      *catchUp                // nil unless this store is a new primary that may lack outcomes
 	resync       map[string]*resyncState // by disk ID: backups that may lack records
 	// unsyncedSince is, by disk ID, the latest epoch in which a backup was seen as not synced. Confirmations from
 	// earlier epochs do not count: the backup may have left the group in between and dropped its records.
@@ -36,6 +38,7 @@
 		id:            id,
 		entries:       make(map[string]*entry),
 		pending:       make(map[*pendingWrite]bool),
+		endings:       make(map[*pendingWrite]bool),
 		resync:        make(map[string]*resyncState),
 		unsyncedSince: make(map[string]uint64),
 	}
--- a/internal/messagestore/protocol/golden_test.go
+++ b/internal/messagestore/protocol/golden_test.go
@@ -45,6 +45,16 @@
 	checkCall(t, "inventory", InventoryRequest{TargetDiskID: "disk-b", Partition: 1, Epoch: 3})
 	checkCall(t, "inventory-answer", InventoryResponse{Queued: []string{"1-1", "1-2"}, Ended: []string{"1-3"}})
 	checkCall(t, "inventory-empty", InventoryResponse{})
+	checkCall(t, "inventory-details", InventoryRequest{
+		TargetDiskID: "disk-b", Partition: 1, Epoch: 3, From: "store-a", WantsDetails: true,
+	})
+	checkCall(t, "inventory-details-answer", InventoryResponse{
+		Queued: []string{"1-1", "1-2"}, Ended: []string{"1-3"},
+		Outcomes: map[string]EndedMessage{
+			"1-3": {Outcome: message.Outcome{State: message.Completed, Stamp: "stamp"}, EndedAt: goldenTime},
+		},
+		Failures: map[string]int{"1-2": 2}, LeaseGrantsMS: 700,
+	})
 	checkCall(t, "outcome", OutcomeRequest{Partition: 1, ID: "1-1", Outcome: message.Outcome{State: message.DeadLetter}})
 
 	methods := []string{MethodPut, MethodState, MethodBody, MethodReplicate, MethodInventory, MethodOutcome}
--- a/internal/messagestore/protocol/protocol.go
+++ b/internal/messagestore/protocol/protocol.go
@@ -5,7 +5,11 @@
 // state.
 package protocol
 
-import "gladepick/internal/message"
+import (
+	"time"
+
+	"gladepick/internal/message"
+)
 
 // The methods, each with its parameters and its result.
 const (
@@ -59,12 +63,29 @@
 	TargetDiskID string `json:"target"` // the disk that is asked
 	Partition    int    `json:"partition"`
 	Epoch        uint64 `json:"epoch"`
+	From         string `json:"from,omitempty"` // the primary's name; set if WantsDetails is
+	// WantsDetails also asks for what a new primary needs to know before it runs messages again: outcomes, failed
+	// attempts and lease grants.
+	WantsDetails bool `json:"wantsDetails,omitempty"`
 }
 
 // InventoryResponse lists the IDs of a partition's messages at a backup.
 type InventoryResponse struct {
 	Queued []string `json:"live,omitempty"`
 	Ended  []string `json:"ended,omitempty"`
+	// Outcomes and Failures are only in an answer to a request for details. Failures has the queued messages with at
+	// least one failed attempt.
+	Outcomes map[string]EndedMessage `json:"outcomes,omitempty"`
+	Failures map[string]int          `json:"failures,omitempty"`
+	// LeaseGrantsMS is the time in milliseconds for which other stores than the asking one may still count on a lease
+	// that the replica has granted or knows of. It is only in an answer to a request for details.
+	LeaseGrantsMS int64 `json:"grantsMs,omitempty"`
+}
+
+// EndedMessage tells how and when a message ended.
+type EndedMessage struct {
+	Outcome message.Outcome `json:"outcome"`
+	EndedAt time.Time       `json:"endedAt,omitzero"`
 }
 
 // OutcomeRequest tells a partition's primary the outcome of an attempt that a former primary had in flight.
--- a/internal/messagestore/put.go
+++ b/internal/messagestore/put.go
@@ -107,10 +107,7 @@
 		added.body = body
 		s.cachedBytes += int64(len(body))
 	}
-	write := &pendingWrite{
-		id: accepted.ID, entry: added, line: line, body: body,
-		syncedOn: make(map[string]bool), sentTo: make(map[string]bool), done: make(chan struct{}),
-	}
+	write := newPendingWrite(p, accepted.ID, added, line, body)
 	added.pending = write
 	p.entries[accepted.ID] = added
 	p.pending[write] = true
--- a/internal/messagestore/query.go
+++ b/internal/messagestore/query.go
@@ -9,22 +9,45 @@
 )
 
 // handleState answers with a message's state, as a message.Outcome.
-func (s *Store) handleState(_ context.Context, call *rpc.Call) (any, []byte, error) {
+func (s *Store) handleState(ctx context.Context, call *rpc.Call) (any, []byte, error) {
 	var request protocol.QueryRequest
 	if err := call.Decode(&request); err != nil {
 		return nil, nil, err
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	e, err := s.findEntry(&request)
 	if err != nil {
+		s.mu.Unlock()
 		return nil, nil, err
 	}
-	return e.outcome, nil, nil
+	outcome, ending := e.outcome, e.ending
+	s.mu.Unlock()
+	if outcome.State != message.Queued {
+		if err := s.awaitOutcome(ctx, ending); err != nil {
+			return nil, nil, unavailable(err)
+		}
+	}
+	return outcome, nil, nil
+}
+
+// awaitOutcome waits until an outcome that a caller asks for is as durable as a message. ending is the write of the
+// outcome, or nil if it is committed or if this store is a backup, which has the outcome from the primary.
+func (s *Store) awaitOutcome(ctx context.Context, ending *pendingWrite) error {
+	ctx, cancel := context.WithTimeout(ctx, commitOutcomeTimeout)
+	defer cancel()
+	if ending == nil {
+		return s.log.Sync(ctx)
+	}
+	select {
+	case <-ending.done:
+		return ending.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // handleBody answers with the body of a message that has not completed.
-func (s *Store) handleBody(_ context.Context, call *rpc.Call) (any, []byte, error) {
+func (s *Store) handleBody(ctx context.Context, call *rpc.Call) (any, []byte, error) {
 	var request protocol.QueryRequest
 	if err := call.Decode(&request); err != nil {
 		return nil, nil, err
@@ -35,9 +58,12 @@
 		s.mu.Unlock()
 		return nil, nil, err
 	}
-	state, position, body := e.outcome.State, e.position, e.body
+	state, position, body, ending := e.outcome.State, e.position, e.body, e.ending
 	s.mu.Unlock()
 	if state == message.Completed {
+		if err := s.awaitOutcome(ctx, ending); err != nil {
+			return nil, nil, unavailable(err)
+		}
 		return nil, nil, errBodyDropped
 	}
 	if body == nil {
--- a/internal/messagestore/replicator.go
+++ b/internal/messagestore/replicator.go
@@ -122,10 +122,13 @@
 
 // replicateRequest returns the parameters and the body of the call for a batch.
 func (r *replicator) replicateRequest(batch []queuedRecord) (protocol.ReplicateRequest, []byte) {
+	r.store.mu.Lock()
+	grantsRemaining := r.store.leaseGrantsRemaining("")
+	r.store.mu.Unlock()
 	request := protocol.ReplicateRequest{
 		From: r.store.options.Name, TargetDiskID: r.replica.DiskID,
 		WantsLease:    r.store.options.Control.LeaseRemaining() < backupLeaseMargin,
-		LeaseGrantsMS: r.store.leaseGrantsRemaining().Milliseconds(),
+		LeaseGrantsMS: grantsRemaining.Milliseconds(),
 	}
 	var body []byte
 	for i := range batch {
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -73,17 +73,26 @@
 	}
 }
 
-// resync sends a backup the records that it lacks. If the backup was not synced before, or was suspected, the control
+// resync sends a backup the records that it lacks. A new primary learns from the backup's inventory first. If the backup was not synced before, or was suspected, the control
 // plane is then asked to mark it as synced.
 func (s *Store) resync(p *partition, epoch uint64, replica cluster.Replica) error {
 	s.mu.Lock()
 	backup := s.replicator(replica)
+	isCatchingUp := p.catchUp != nil
 	s.mu.Unlock()
 	var inventory protocol.InventoryResponse
-	request := protocol.InventoryRequest{TargetDiskID: replica.DiskID, Partition: p.id, Epoch: epoch}
+	request := protocol.InventoryRequest{
+		TargetDiskID: replica.DiskID, Partition: p.id, Epoch: epoch,
+	}
+	if isCatchingUp {
+		request.From, request.WantsDetails = s.options.Name, true
+	}
 	if err := backup.call(protocol.MethodInventory, inventoryTimeout, request, nil, &inventory); err != nil {
 		return err
 	}
+	if isCatchingUp {
+		s.learn(p, epoch, replica, &inventory)
+	}
 	s.resendPending(p)
 	ctx, cancel := context.WithTimeout(s.context, resyncTimeout)
 	defer cancel()
@@ -112,7 +121,7 @@
 func (s *Store) resendPending(p *partition) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for write := range p.pending {
+	for _, write := range p.pendingWrites() {
 		s.sendPending(p, write)
 	}
 }
--- a/internal/messagestore/store.go
+++ b/internal/messagestore/store.go
@@ -47,6 +47,8 @@
 	lastReports map[string]time.Time   // by store: when it was last reported
 	leaseGrants map[string]time.Time   // by store: end of the last lease known here that a backup granted to it
 	cachedBytes int64                  // bytes of bodies in memory
+	unsynced    []*pendingWrite        // outcomes that this store's disk has not synced yet
+	syncWake    chan struct{}          // wakes syncInBackground; has room for one signal
 	opened      time.Time              // when Open was called
 	wake        chan struct{}          // wakes maintain; has room for one signal
 	context     context.Context
@@ -65,6 +67,7 @@
 		lastReports: make(map[string]time.Time),
 		leaseGrants: make(map[string]time.Time),
 		opened:      time.Now(),
+		syncWake:    make(chan struct{}, 1),
 		wake:        make(chan struct{}, 1),
 	}
 	s.context, s.cancel = context.WithCancel(context.Background())
@@ -101,6 +104,7 @@
 	s.engine = engine
 	s.mu.Unlock()
 	s.background.Go(s.maintain)
+	s.background.Go(s.syncInBackground)
 }
 
 // Close ends the background work, waits for it, and closes the log. Appended records are synced first.
