Wait for a predecessor's lease after a second restart too

What callers saw: nothing yet; the model of partitions found it, once its primaries lose at a restart what they wait for. Two stores could deliver one partition at once.

Cause: a promoted backup waits for the lease that it granted to its predecessor, in memory only. If it started again within that second, it led under the epoch that its log had already, and the former fix took that as a sign that no other store could deliver. A backup that had started again also told its primary that it knew of no leases.

Change: a primary whose predecessors' leases have ended writes a record "settled" for its epoch; a process that leads by its first table waits for a lease's time unless it finds that record. For as long a process on a disk that was in use reports that leases may be out which it does not know of. A primary that only asks for outcomes no longer waits for other replicas' grants: a synced backup was asked for each lease itself.

Evidence: before the change the new test fails:

--- FAIL: TestPromotedStoreWaitsForItsPredecessorAfterARestart (0.00s) delivery_fence_test.go:358: assertion failed: both is true: both stores deliver

--- a/internal/messagestore/backup_lease.go
+++ b/internal/messagestore/backup_lease.go
@@ -41,9 +41,10 @@
 }
 
 // leaseGrantsRemaining returns the time until the last lease grant that this store knows of has ended, or 0. Grants to
-// the store named except do not count. The caller must hold s.mu.
+// the store named except do not count. A former process on this disk may have granted leases that this one does not know
+// of. The caller must hold s.mu.
 func (s *Store) leaseGrantsRemaining(except string) time.Duration {
-	longest := time.Duration(0)
+	longest := max(0, time.Until(s.forgotten))
 	for store, until := range s.leaseGrants {
 		if store != except {
 			longest = max(longest, time.Until(until))
--- a/internal/messagestore/catch_up.go
+++ b/internal/messagestore/catch_up.go
@@ -58,16 +58,13 @@
 	s.engine.Submit(e.message, e.failures)
 }
 
-// learn takes over what a replica's inventory tells of the held messages: outcomes, numbers of failed attempts, and
-// leases that other stores may still count on.
+// learn takes over what a replica's inventory tells of the held messages: outcomes and numbers of failed attempts.
 func (s *Store) learn(p *partition, epoch uint64, replica cluster.Replica, inventory *protocol.InventoryResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !p.isPrimary || p.epoch != epoch || p.catchUp == nil {
 		return
 	}
-	grantsEnd := time.Now().Add(time.Duration(inventory.LeaseGrantsMS) * time.Millisecond)
-	s.fence(p.id).extendClosed(grantsEnd)
 	for _, e := range p.catchUp.held {
 		s.learnEntry(p, e, inventory)
 	}
--- a/internal/messagestore/delivery_fence.go
+++ b/internal/messagestore/delivery_fence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gladepick/internal/cluster"
+	"gladepick/internal/messagestore/record"
 )
 
 // deliveryFence decides whether deliveries of a partition may start. The delivery engine reads it without Store.mu.
@@ -104,15 +105,13 @@
 }
 
 // awaitFormerPrimary delays deliveries of a partition until all known leases of stores in the former view have ended. A
-// process that has seen no view before has lost the leases that it granted before its start, and waits until these must
-// have ended, unless its log shows that no other store can have led since. The caller must hold s.mu.
-func (s *Store) awaitFormerPrimary(p *partition, former cluster.Partition, formerEpoch uint64) {
+// process that has seen no view before does not know the former primary and has lost the leases of before its start; it
+// waits until all of them must have ended, unless its log shows that it led under this epoch after they had. The caller
+// must hold s.mu.
+func (s *Store) awaitFormerPrimary(p *partition, former cluster.Partition) {
 	var until time.Time
-	if len(former.Replicas) == 0 && formerEpoch < p.epoch && p.epoch > firstEpoch {
-		until = s.opened.Add(backupLease)
-		for _, grantEnd := range s.leaseGrants {
-			until = laterOf(until, grantEnd)
-		}
+	if len(former.Replicas) == 0 && p.settledEpoch < p.epoch && p.epoch > firstEpoch {
+		until = time.Now().Add(s.leaseGrantsRemaining(s.options.Name))
 	}
 	for _, replica := range former.Replicas {
 		until = laterOf(until, s.leaseGrants[replica.Store])
@@ -120,10 +119,27 @@
 	s.fence(p.id).closedUntil.Store(&until)
 }
 
-// extendClosed delays deliveries of a partition further, until a lease that another replica has granted has ended.
-func (f *deliveryFence) extendClosed(until time.Time) {
-	if closed := f.closedUntil.Load(); closed == nil || until.After(*closed) {
-		f.closedUntil.Store(&until)
+// settle records in the log under which epoch this store leads without a former primary that may still deliver, so that
+// it does not wait for such a primary after a restart.
+func (s *Store) settle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.partitions {
+		if !p.isPrimary || p.fenced || p.settledEpoch >= p.epoch || p.epoch <= firstEpoch {
+			continue
+		}
+		if until := s.fence(p.id).closedUntil.Load(); until != nil && time.Now().Before(*until) {
+			continue
+		}
+		line, err := (&record.Record{Kind: record.Settled, Partition: p.id, Epoch: p.epoch}).Encode()
+		if err != nil {
+			continue
+		}
+		if _, err := s.log.Append(line); err != nil {
+			continue
+		}
+		p.settledEpoch = p.epoch
+		s.syncSoon()
 	}
 }
 
--- a/internal/messagestore/delivery_fence_test.go
+++ b/internal/messagestore/delivery_fence_test.go
@@ -332,3 +332,37 @@
 		assert.Assert(t, successor.store.MayDeliver(partition))
 	})
 }
+
+// TestPromotedStoreWaitsForItsPredecessorAfterARestart guards against two stores that deliver: a backup is promoted while
+// its predecessor counts on its lease, and forgets at a restart that it waits for the end of that lease.
+func TestPromotedStoreWaitsForItsPredecessorAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		id := h.mustPut("0", "key", "x")
+		former := h.primary(id)
+		partition, err := client.PartitionOf(id)
+		assert.NilError(t, err)
+		successor := h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
+		former.noLease.Store(true)
+		time.Sleep(2 * heartbeatInterval)
+		h.network.Isolate(former.ip, successor.ip)
+		former.stopped.Store(true) // it gets no table from now on
+		h.setView(partition, successor.name)
+		time.Sleep(10 * syncDelay)
+		h.stop(successor.name)
+		h.start(successor.name)
+		for range 40 {
+			synctest.Wait()
+			both := former.store.MayDeliver(partition) && successor.store.MayDeliver(partition)
+			assert.Assert(t, !both, "both stores deliver")
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, successor.store.MayDeliver(partition))
+
+		time.Sleep(time.Second)
+		h.stop(successor.name)
+		h.start(successor.name)
+		assert.Assert(t, successor.store.MayDeliver(partition), "it led without a predecessor before this restart")
+	})
+}
--- a/internal/messagestore/follower.go
+++ b/internal/messagestore/follower.go
@@ -80,7 +80,7 @@
 	if err != nil || decoded.Partition != header.Partition {
 		return errUnreadableRecord
 	}
-	if decoded.Kind == record.Forget {
+	if decoded.Kind == record.Forget || decoded.Kind == record.Settled {
 		return errLocalRecord
 	}
 	position, err := s.log.Append(data)
--- a/internal/messagestore/index_snapshot.go
+++ b/internal/messagestore/index_snapshot.go
@@ -28,6 +28,7 @@
 	ID      int             `json:"id"`
 	Epoch   uint64          `json:"epoch"`
 	Last    uint64          `json:"last"`
+	Settled uint64          `json:"settled,omitempty"`
 	Entries []snapshotEntry `json:"entries"`
 }
 
@@ -74,7 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(id)
-	snapshot := snapshotPartition{ID: p.id, Epoch: p.epoch, Last: p.lastSequence}
+	snapshot := snapshotPartition{ID: p.id, Epoch: p.epoch, Last: p.lastSequence, Settled: p.settledEpoch}
 	for id, e := range p.entries {
 		snapshot.Entries = append(snapshot.Entries, snapshotEntry{
 			ID: id, Message: e.message, Position: e.position, Failures: e.failures,
@@ -92,7 +93,7 @@
 	}
 	for _, restored := range partitions {
 		p := s.partition(restored.ID)
-		p.epoch, p.lastSequence = restored.Epoch, restored.Last
+		p.epoch, p.lastSequence, p.settledEpoch = restored.Epoch, restored.Last, restored.Settled
 		for _, e := range restored.Entries {
 			p.entries[e.ID] = &entry{
 				message: e.Message, position: e.Position, failures: e.Failures,
--- a/internal/messagestore/leadership.go
+++ b/internal/messagestore/leadership.go
@@ -50,7 +50,7 @@
 	}
 	position := view.IndexOf(s.options.Name)
 	p.isReplica = position >= 0 && view.Replicas[position].DiskID == s.options.DiskID
-	former, formerEpoch := p.view, p.epoch
+	former := p.view
 	p.fenced = p.fenced && view.Epoch == p.epoch
 	p.epoch, p.view = view.Epoch, view
 	switch {
@@ -62,7 +62,7 @@
 	case p.isPrimary:
 		s.updateBackups(p, former)
 	default:
-		s.awaitFormerPrimary(p, former, formerEpoch)
+		s.awaitFormerPrimary(p, former)
 		s.becomePrimary(p)
 	}
 	if p.isPrimary {
--- a/internal/messagestore/maintenance.go
+++ b/internal/messagestore/maintenance.go
@@ -25,6 +25,7 @@
 		}
 		s.repairBackups()
 		s.endOverdueCatchUps()
+		s.settle()
 		if s.options.Control.LeaseRemaining() < backupLeaseMargin && time.Since(lastLeaseRequest) >= heartbeatInterval {
 			lastLeaseRequest = time.Now()
 			s.requestBackupLeases()
--- a/internal/messagestore/partition.go
+++ b/internal/messagestore/partition.go
@@ -22,6 +22,7 @@
 	paused       bool // deliveries are stopped for a handover
 	handingOver  bool // handOverToPreferred is running
 	entries      map[string]*entry
+	settledEpoch uint64                  // the newest epoch under which this store has led without former primaries; see settle
 	lastSequence uint64                  // the highest sequence number seen
 	pending      map[*pendingWrite]bool  // writes that wait for replicas
 	endings      map[*pendingWrite]bool  // outcomes that wait for replicas
@@ -79,6 +80,8 @@
 		}
 	case record.Ended:
 		p.applyEnded(r)
+	case record.Settled:
+		p.settledEpoch = max(p.settledEpoch, r.Epoch)
 	case record.Forget:
 		clear(p.entries)
 	}
--- a/internal/messagestore/record/golden_test.go
+++ b/internal/messagestore/record/golden_test.go
@@ -46,8 +46,9 @@
 			Kind: Ended, Partition: 1, Epoch: 3, ID: "1-00000000000000ab",
 			Outcome: &message.Outcome{State: message.DeadLetter}, EndedAt: goldenTime,
 		}, ""},
-		"epoch":  {Record{Kind: Epoch, Partition: 1, Epoch: 3}, ""},
-		"forget": {Record{Kind: Forget, Partition: 1, Epoch: 3}, ""},
+		"epoch":   {Record{Kind: Epoch, Partition: 1, Epoch: 3}, ""},
+		"forget":  {Record{Kind: Forget, Partition: 1, Epoch: 3}, ""},
+		"settled": {Record{Kind: Settled, Partition: 1, Epoch: 3}, ""},
 	}
 	for name, each := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/messagestore/record/record.go
+++ b/internal/messagestore/record/record.go
@@ -17,13 +17,15 @@
 // Kind is the kind of change that a record describes. It determines which fields the record has.
 type Kind string
 
-// The kinds of records. They are encoded alike in the log and between replicas, but replicas do not send Forget.
+// The kinds of records. They are encoded alike in the log and between replicas, but replicas do not send Forget and
+// Settled.
 const (
 	Accepted Kind = "accepted" // a message was accepted: Message, Failures, and the body after the line
 	Failed   Kind = "failed"   // a worker answered an attempt with a failure: ID, Failures
 	Ended    Kind = "ended"    // a message has ended: ID, Outcome, EndedAt
 	Epoch    Kind = "epoch"    // the replica group has entered Epoch
 	Forget   Kind = "forget"   // this store has dropped the partition
+	Settled  Kind = "settled"  // this store leads under Epoch, and no lease of a former primary is valid any more
 )
 
 // Record is one change of a partition. It is encoded as a line of JSON, which for Accepted is followed by the message's
--- a/internal/messagestore/store.go
+++ b/internal/messagestore/store.go
@@ -49,7 +49,7 @@
 	cachedBytes int64                  // bytes of bodies in memory
 	unsynced    []*pendingWrite        // outcomes that this store's disk has not synced yet
 	syncWake    chan struct{}          // wakes syncInBackground; has room for one signal
-	opened      time.Time              // when Open was called
+	forgotten   time.Time              // end of the leases that a former process may have granted on this disk
 	wake        chan struct{}          // wakes maintain; has room for one signal
 	context     context.Context
 	cancel      context.CancelFunc
@@ -66,7 +66,6 @@
 		replicators: make(map[string]*replicator),
 		lastReports: make(map[string]time.Time),
 		leaseGrants: make(map[string]time.Time),
-		opened:      time.Now(),
 		syncWake:    make(chan struct{}, 1),
 		wake:        make(chan struct{}, 1),
 	}
@@ -80,6 +79,9 @@
 		return nil, trace.Wrap(err, "opening the message log")
 	}
 	s.log = log
+	if len(s.partitions) > 0 {
+		s.forgotten = time.Now().Add(backupLease)
+	}
 	for _, p := range s.partitions {
 		p.lastSequence += restartGap
 	}
