Recover a partition from the replicas that it has replaced

Cause: a replica whose store is down is replaced at once by an empty one, and forgotten. Until the copy is done the view has one complete replica; where its disk goes, no store may lead, although the replaced replica has everything.

Change, as docs/replication.md had planned it: - a view lists the replicas that have left the group until as many as there must be are synced (placement/retained.go). It is a field added to the table; golden data stay as they are; - where no synced replica is alive, a view with an unsynced primary asks all that are listed but as many as may be lost (placement/recovery.go). The primary fences them by the new epoch on their disks, takes over outcomes, failures, messages and known leases, and is then marked as synced (messagestore/collection.go). Until then the partition rests, which the JSON form of `partitions`, `status` and two metrics tell; - outcomes are kept while a group is incomplete; a put that is sent again after a failover is acknowledged only once the backups have the message; a replica that may lack outcomes does not call a message queued; - a store tells that it can collect, so that stores of the version before are never asked to; - the model has recoveries as the code has them (they begin again, with any part of the replicas that are left), leases that a process forgets at a restart, and four more spaces. Its numbers changed with it; a store that starts again without waiting for leases of before is found in 2,147 states.

TestDecisionsStayTheSame: the recorded hashes stay, for stores that can't collect and without the added field; two new sequences have recoveries and hash the whole records.

--- a/internal/cluster/golden_test.go
+++ b/internal/cluster/golden_test.go
@@ -23,6 +23,7 @@
 const (
 	goldenMessages = "messages.txt"   // messages and parts of the cluster table, one value a line
 	goldenAdded    = "added.txt"      // the same with the fields that later versions have added
+	goldenRetained = "retained.txt"   // the same with the fields of retained replicas
 	goldenDisk     = "disk"           // a data directory that contains the file of the control group's members
 	goldenBody     = "compressed.bin" // a compressed body
 )
@@ -141,7 +142,9 @@
 
 // addedFields are the suffixes of the paths of fields that later versions have added. goldenValues leaves these fields
 // unset, so that the file of the first version does not change; goldenAddedValues sets them.
-var addedFields = []string{"Replicas.Suspected", "replica.Suspected"}
+var addedFields = []string{
+	"Replicas.Suspected", "replica.Suspected", "Partitions.Retained", "partition.Retained", "CollectsMessages",
+}
 
 func goldenAddedValues() []goldenValue {
 	replica := goldenPartitions()[0].Replicas[0]
@@ -149,6 +152,19 @@
 	return []goldenValue{{"replica", replica}}
 }
 
+// goldenRetainedValues has the fields that were added with retained replicas.
+func goldenRetainedValues() []goldenValue {
+	replica := goldenPartitions()[0].Replicas[0]
+	replica.Suspected = true
+	retained := RetainedReplica{Store: "store-7", DiskID: "d07", Epoch: 1<<63 + 35}
+	partition := goldenPartitions()[0]
+	partition.Replicas = []Replica{replica}
+	partition.Retained = []RetainedReplica{retained}
+	node := goldenNode()
+	node.CollectsMessages = true
+	return []goldenValue{{"partition", partition}, {"retained replica", retained}, {"node", node}}
+}
+
 // isAdded reports whether a later version has added the field with the given path.
 func isAdded(path string) bool {
 	return slices.ContainsFunc(addedFields, func(end string) bool { return strings.HasSuffix(path, end) })
@@ -170,6 +186,11 @@
 		assert.DeepEqual(t, unsetFields(reflect.ValueOf(each.full), each.name), []string(nil))
 	}
 	requireGolden(t, goldenAddedValues(), goldenAdded)
+
+	for _, each := range goldenRetainedValues() {
+		assert.DeepEqual(t, unsetFields(reflect.ValueOf(each.full), each.name), []string(nil))
+	}
+	requireGolden(t, goldenRetainedValues(), goldenRetained)
 }
 
 // requireGolden encodes each value with all fields set and with none, compares the lines with a file, and checks that
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -13,4 +13,6 @@
 	Store           bool   `json:"store,omitempty"`   // it stores messages
 	Draining        bool   `json:"leaving,omitempty"` // it is shutting down gracefully and hands over its partitions
 	DiskFailing     bool   `json:"diskFailing,omitempty"`
+	// CollectsMessages is set by stores whose version can lead a partition without a synced replica (Partition.Retained).
+	CollectsMessages bool `json:"collects,omitempty"`
 }
--- a/internal/cluster/partition.go
+++ b/internal/cluster/partition.go
@@ -4,14 +4,22 @@
 type Replica struct {
 	Store  string `json:"store"`  // the store's name
 	DiskID string `json:"diskId"` // the disk that holds the data; another disk is another replica
-	Synced bool   `json:"synced"` // it holds every committed message and may become primary
+	Synced bool   `json:"synced"` // it holds every committed message, and may lead without collecting messages
 	// Suspected is set while a synced backup does not accept its primary's records although its store responds to
 	// the control plane. It stays a replica, for which commits wait, until another replica is synced in its place.
 	Suspected bool `json:"suspected,omitempty"`
 }
 
+// RetainedReplica is a replica that has left the replica group since the group was last complete. It keeps what it holds,
+// because it may have messages that no current replica has.
+type RetainedReplica struct {
+	Store  string `json:"store"`
+	DiskID string `json:"diskId"`
+	Epoch  uint64 `json:"epoch"` // of the last view that listed the replica
+}
+
 // Partition is the current view of a partition: its ID, its epoch and its replica group. The first replica is the
-// primary. Epoch is the fencing token and grows with every change of the view.
+// primary. Epoch is the fencing token and grows with every change of the replicas.
 type Partition struct {
 	ID       int       `json:"id"`
 	Epoch    uint64    `json:"epoch"`
@@ -19,6 +27,9 @@
 	// PreferredPrimary names the store that should lead the partition, or "" for none. The primary hands over to it once
 	// its replica is synced.
 	PreferredPrimary string `json:"wanted,omitempty"`
+	// Retained is empty once ReplicationFactor replicas are synced. If none is synced and alive, the messages of a
+	// partition are collected from the replicas and the retained replicas: its view then has an unsynced primary.
+	Retained []RetainedReplica `json:"retained,omitempty"`
 }
 
 // Primary returns the replica that leads the partition, and false if the partition has no replicas.
--- a/internal/controlplane/placement/builder.go
+++ b/internal/controlplane/placement/builder.go
@@ -8,7 +8,9 @@
 // The published table is immutable. Replica lists are shared with it, so they are replaced and never changed in place.
 // Every change of the table keeps these invariants:
 //
-//   - only a synced replica becomes a primary, so no partition is led by a store that lacks its data;
+//   - only a synced replica becomes a primary, so no partition is led by a store that lacks its data. If none is left, a
+//     recovery begins (recovery.go): its primary first collects the messages of all other replicas that are left;
+//   - a replica that leaves a group is retained until the group is complete (retained.go);
 //   - a partition's epoch grows with every change of its replicas, which fences the former primary;
 //   - a replica is dropped only while enough others stay, or another store takes its place;
 //   - a store that is listed with another disk is another replica.
--- a/internal/controlplane/placement/diff.go
+++ b/internal/controlplane/placement/diff.go
@@ -63,5 +63,6 @@
 }
 
 func equalPartitions(a, b cluster.Partition) bool {
-	return a.ID == b.ID && a.Epoch == b.Epoch && a.PreferredPrimary == b.PreferredPrimary && slices.Equal(a.Replicas, b.Replicas)
+	return a.ID == b.ID && a.Epoch == b.Epoch && a.PreferredPrimary == b.PreferredPrimary &&
+		slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Retained, b.Retained)
 }
--- a/internal/controlplane/placement/placement.go
+++ b/internal/controlplane/placement/placement.go
@@ -43,8 +43,10 @@
 	}
 }
 
-// setPartition sets a partition's view. All changes of views go through it, because it updates replicaCountByStore.
+// setPartition sets a partition's view, with the replicas that it retains. All changes of views go through it, because
+// it also updates replicaCountByStore.
 func (b *Builder) setPartition(id int, view cluster.Partition) {
+	view.Retained = b.retainedAfter(b.partitions[id], view)
 	if b.replicaCountByStore != nil {
 		for _, replica := range b.partitions[id].Replicas {
 			b.replicaCountByStore[replica.Store]--
--- a/internal/controlplane/placement/placement_test.go
+++ b/internal/controlplane/placement/placement_test.go
@@ -94,9 +94,34 @@
 			assert.Equal(s.t, storesOf(partition), storesOf(known), "the replicas changed and the epoch did not")
 		}
 		primary, _ := partition.Primary()
+		if !primary.Synced {
+			s.checkRecovery(known, partition)
+			continue
+		}
 		was := known.IndexOf(primary.Store)
-		assert.Assert(s.t, primary.Synced && was >= 0, "partition %d is led by %s, which held no synced replica", id, primary.Store)
+		assert.Assert(s.t, was >= 0, "partition %d is led by %s, which held no synced replica", id, primary.Store)
+	}
+}
+
+// checkRecovery checks a view whose primary collects messages: no synced replica is alive, all replicas that are left are
+// in the view, and not more are missing than may be lost.
+func (s *placementSimulation) checkRecovery(known, partition cluster.Partition) {
+	s.t.Helper()
+	if partition.Epoch == known.Epoch {
+		return
 	}
+	builder := NewBuilder(s.current, s.nodes, s.redundancy())
+	builder.UpdateStores()
+	missing := 0
+	for _, candidate := range recoveryCandidates(known) {
+		if !holdsReplica(partition.Replicas, candidate.Store, candidate.DiskID) {
+			assert.Assert(s.t, !builder.alive(candidate), "partition %d does not ask %s", known.ID, candidate.Store)
+			missing++
+		}
+	}
+	assert.Assert(s.t, builder.hasNoSyncedReplica(known), "partition %d has a synced replica", known.ID)
+	assert.Equal(s.t, len(partition.Replicas)+missing, len(known.Replicas)+len(known.Retained))
+	assert.Assert(s.t, missing < s.replicas, "partition %d: %d replicas are missing", known.ID, missing)
 }
 
 func storesOf(partition cluster.Partition) string {
@@ -128,6 +153,10 @@
 		if !s.nodes[primary.Store].Live {
 			continue
 		}
+		if !primary.Synced { // it collects messages
+			s.request(cluster.PartitionRequest{Synced: primary.Store}, partition.ID)
+			continue
+		}
 		for _, replica := range partition.Replicas[1:] {
 			if !replica.Synced && s.nodes[replica.Store].Live {
 				s.request(cluster.PartitionRequest{Synced: replica.Store}, partition.ID)
--- a/internal/controlplane/placement/repair.go
+++ b/internal/controlplane/placement/repair.go
@@ -41,15 +41,24 @@
 }
 
 // repairPartition returns a partition's view after one repair. The view is unchanged if it needs no repair, if one of
-// its stores is expected to restart, or if no replica that may lead is alive.
+// its stores is expected to restart, or if no replica that may lead is alive and too few are for a recovery.
 func (b *Builder) repairPartition(partition cluster.Partition) cluster.Partition {
-	if b.hasDesiredReplicas(partition) || slices.ContainsFunc(partition.Replicas, b.isExpectedBack) {
+	if slices.ContainsFunc(partition.Replicas, b.isExpectedBack) {
+		return partition
+	}
+	if collecting(&partition) {
+		return b.repairCollecting(partition)
+	}
+	if b.hasDesiredReplicas(partition) {
 		return partition
 	}
 	next := partition
 	next.Replicas = slices.Clone(partition.Replicas)
 	if !b.promote(&next) {
-		return partition // unchanged until a replica that may lead is alive
+		if b.leaderless(partition) && b.hasNoSyncedReplica(partition) {
+			partition, _ = b.recoveryView(partition, "")
+		}
+		return partition
 	}
 	b.dropDead(&next)
 	b.addMissing(&next)
--- a/internal/controlplane/placement/request.go
+++ b/internal/controlplane/placement/request.go
@@ -66,7 +66,8 @@
 	return nil
 }
 
-// applySynced marks a backup as synced. The replicas stay the same, and so does the epoch.
+// applySynced marks a backup as synced. The replicas stay the same, and so does the epoch. A primary that collects
+// messages asks for itself once it has those of all other replicas; this begins a new epoch.
 func (b *Builder) applySynced(partition *cluster.Partition, request *cluster.PartitionRequest) error {
 	if request.Synced == "" {
 		return nil
@@ -75,6 +76,12 @@
 	if position < 0 {
 		return &RequestError{Kind: ErrConflict, Message: request.Synced + " is no replica"}
 	}
+	if collecting(partition) {
+		if position != 0 {
+			return &RequestError{Kind: ErrConflict, Message: "the primary collects messages"}
+		}
+		partition.Epoch++
+	}
 	partition.Replicas[position].Synced = true
 	partition.Replicas[position].Suspected = false
 	return nil
@@ -85,7 +92,7 @@
 // therefore no safeguard against a loss of the primary.
 func (b *Builder) applySuspicion(partition *cluster.Partition, request *cluster.PartitionRequest) error {
 	position := partition.IndexOf(request.Drop)
-	if position <= 0 {
+	if position <= 0 || collecting(partition) {
 		return b.applyDrop(partition, request)
 	}
 	others := slices.Delete(slices.Clone(partition.Replicas), position, position+1)
@@ -109,6 +116,9 @@
 	if b.isExpectedBack(partition.Replicas[position]) {
 		return &RequestError{Kind: ErrUnavailable, Message: request.Drop + " is expected back"}
 	}
+	if collecting(partition) {
+		return b.restartRecovery(partition, request.Drop)
+	}
 	if !b.dropBackup(partition, position) {
 		return &RequestError{Kind: ErrUnavailable, Message: "no store can take the place of " + request.Drop}
 	}
--- a/internal/controlplane/tablemanager/decision_trace_test.go
+++ b/internal/controlplane/tablemanager/decision_trace_test.go
@@ -33,24 +33,32 @@
 // TestDecisionsStayTheSame runs a seeded sequence of faults and requests on a simulated clock. It hashes the record of
 // every change of the table that the manager proposes, and the answer to every request. The hashes were recorded once.
 // A different hash means that a decision has changed. The hash is never edited to fit a change of the code.
+//
+// The first sequences are older than retained replicas. Their stores are of a version that can't collect messages, so
+// that no recovery begins, and the retained replicas, a field that was added to the views, are left out of the hash:
+// everything else has to be as it was. The other sequences have recoveries, and hash the whole records.
 func TestDecisionsStayTheSame(t *testing.T) {
 	for _, sequence := range []struct {
 		name          string
 		copies, zones int
 		seed          uint64
 		hash          string
+		collects      bool
 	}{
 		{name: "two copies in two zones", copies: 2, zones: 2, seed: 1, hash: "8aaf08450a1dbf88d9a05486eab8d15483d0270db5e492216d6cafab92dc0273"},
 		{name: "three copies in two zones", copies: 3, zones: 2, seed: 2, hash: "016832afd9fbe8cf252450d6a279b530d44265a1e4749e36ea98db85dc599a10"},
 		{name: "three copies in one zone", copies: 3, zones: 1, seed: 3, hash: "230aa2b2a15389af25ee481ae7881c7f53f88f0a26ba7553830ba95596498a7e"},
 		{name: "two copies in one zone", copies: 2, zones: 1, seed: 4, hash: "c0eb6231f7d5d93fdf329e0878ca873efb5780c41638a03ec9bd5d1b263f9f2d"},
+		{name: "two copies in two zones, with recoveries", copies: 2, zones: 2, seed: 5, collects: true, hash: "983e784ffcda78bdc63fd11c913aef5661b3bb17581bef8dd6ba56657133e000"},
+		{name: "three copies in one zone, with recoveries", copies: 3, zones: 1, seed: 3, collects: true, hash: "d3454d02759897520a43157014deafce93fe8951b35c7079d45ce923e8318949"},
 	} {
 		t.Run(sequence.name, func(t *testing.T) {
-			trace := newDecisionTrace(t, sequence.copies, sequence.zones, sequence.seed)
+			trace := newDecisionTrace(t, sequence.copies, sequence.zones, sequence.seed, sequence.collects)
 			for range traceSteps {
 				trace.step()
 			}
-			t.Logf("%d changes of the table; outcomes: %v", trace.changes, trace.outcomes)
+			t.Logf("%d changes of the table, %d recoveries; outcomes: %v", trace.changes, trace.recoveries, trace.outcomes)
+			assert.Equal(t, trace.recoveries > 0, sequence.collects)
 			assert.Equal(t, hex.EncodeToString(trace.hash.Sum(nil)), sequence.hash)
 		})
 	}
@@ -72,12 +80,15 @@
 	manager  *Manager
 	role     replication.Role
 	stores   []*traceStore
+	collects bool // the stores can collect messages, and the hash includes the retained replicas
 	hash     hash.Hash
 	changes  int
 	outcomes map[string]int
+	// recoveries counts the views with an unsynced primary.
+	recoveries int
 }
 
-func newDecisionTrace(t *testing.T, copies, zones int, seed uint64) *decisionTrace {
+func newDecisionTrace(t *testing.T, copies, zones int, seed uint64, collects bool) *decisionTrace {
 	manager := New(Options{
 		State:      controlstate.NewMachine(),
 		Redundancy: placement.Redundancy{ReplicationFactor: copies, Zones: zones},
@@ -85,13 +96,14 @@
 	manager.options.Leases = lease.NewTable(manager.Wake)
 	trace := &decisionTrace{
 		t: t, random: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1_700_000_000, 0), manager: manager,
-		hash: sha256.New(), outcomes: map[string]int{},
+		collects: collects, hash: sha256.New(), outcomes: map[string]int{},
 	}
 	trace.role = replication.Role{Primary: true, View: replication.View{Primary: "disk-m0", Members: coreMembers()}}
 	for i := range traceStores {
 		trace.stores = append(trace.stores, &traceStore{info: cluster.NodeInfo{
 			Name: fmt.Sprintf("store-%02d", i), Class: "store", Zone: fmt.Sprintf("zone-%d", i%traceZones),
 			Address: fmt.Sprintf("10.0.1.%d:7240", i), DiskID: fmt.Sprintf("disk-%02d", i), Store: true,
+			CollectsMessages: collects,
 		}})
 	}
 	for _, store := range trace.stores[:traceStores-3] {
@@ -267,11 +279,30 @@
 	decided.ID = fmt.Sprintf("trace-%d", d.changes)
 	record, err := (&controlstate.Change{Table: decided}).Encode()
 	assert.NilError(d.t, err)
-	_, _ = d.hash.Write(record)
+	_, _ = d.hash.Write(d.hashed(decided))
+	for _, partition := range decided.Partitions {
+		if !partition.Replicas[0].Synced {
+			d.recoveries++
+		}
+	}
 	assert.NilError(d.t, d.manager.options.State.Apply(record))
 	assert.Equal(d.t, d.manager.options.State.Current().LastChangeID, decided.ID)
 }
 
+// hashed returns the record of a change as it goes into the hash.
+func (d *decisionTrace) hashed(decided *controlstate.TableChange) []byte {
+	change := *decided
+	if !d.collects {
+		change.Partitions = slices.Clone(decided.Partitions)
+		for i := range change.Partitions {
+			change.Partitions[i].Retained = nil
+		}
+	}
+	record, err := (&controlstate.Change{Table: &change}).Encode()
+	assert.NilError(d.t, err)
+	return record
+}
+
 // describeRetire starts the retirement of a store and returns the HTTP status that the operator would receive.
 func describeRetire(builder *placement.Builder, store string) string {
 	err := builder.StartRetire(store, 2*traceTolerated+1)
--- a/internal/messagestore/client/routing.go
+++ b/internal/messagestore/client/routing.go
@@ -43,7 +43,7 @@
 }
 
 // classifyPartitions sets sameZone and otherZones by a table, unless it has done so before. It leaves out partitions
-// whose replica group is incomplete, as these accept no messages. The caller must hold c.mu.
+// whose replica group is incomplete or recovers its messages, as these accept none. The caller must hold c.mu.
 func (c *Client) classifyPartitions(table *cluster.Table) {
 	if c.routedTable == table {
 		return
@@ -52,7 +52,7 @@
 	for _, view := range table.Partitions {
 		primary, found := view.Primary()
 		entry := table.Store(primary.Store)
-		if !found || entry == nil || len(view.Replicas) < table.ReplicationFactor {
+		if !found || !primary.Synced || entry == nil || len(view.Replicas) < table.ReplicationFactor {
 			continue
 		}
 		if entry.Zone == c.zone && entry.State == cluster.StoreActive && view.PreferredPrimary == "" {
--- a/internal/messagestore/delivery_fence.go
+++ b/internal/messagestore/delivery_fence.go
@@ -11,7 +11,7 @@
 
 // deliveryFence decides whether deliveries of a partition may start. The delivery engine reads it without Store.mu.
 type deliveryFence struct {
-	open        atomic.Bool // this store is the primary, not fenced and not paused for a handover
+	open        atomic.Bool // this store is the primary, not fenced, not paused for a handover, and has all messages
 	backups     atomic.Pointer[[]*replicator]
 	closedUntil atomic.Pointer[time.Time] // a former primary may deliver until then; nil if there was none
 
@@ -92,13 +92,13 @@
 		}
 	}
 	fence.backups.Store(&backups)
-	fence.open.Store(p.isPrimary && !p.paused && !p.fenced)
+	fence.open.Store(p.isPrimary && !p.paused && !p.fenced && p.collection == nil)
 }
 
 // isConfirmedPrimary reports whether this store is a partition's primary and no other store can be. The caller must
 // hold s.mu.
 func (s *Store) isConfirmedPrimary(p *partition) bool {
-	if !p.isPrimary || p.fenced {
+	if !p.isPrimary || p.fenced || p.collection != nil {
 		return false
 	}
 	return s.holdsLease(s.fence(p.id))
@@ -125,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.partitions {
-		if !p.isPrimary || p.fenced || p.settledEpoch >= p.epoch || p.epoch <= firstEpoch {
+		if !p.isPrimary || p.fenced || p.collection != nil || p.settledEpoch >= p.epoch || p.epoch <= firstEpoch {
 			continue
 		}
 		if until := s.fence(p.id).closedUntil.Load(); until != nil && time.Now().Before(*until) {
@@ -143,6 +143,13 @@
 	}
 }
 
+// extendClosed delays deliveries of a partition further, until a lease that another replica has granted has ended.
+func (f *deliveryFence) extendClosed(until time.Time) {
+	if closed := f.closedUntil.Load(); closed == nil || until.After(*closed) {
+		f.closedUntil.Store(&until)
+	}
+}
+
 // laterOf returns the later of two times.
 func laterOf(a, b time.Time) time.Time {
 	if b.After(a) {
--- a/internal/messagestore/explorer_test.go
+++ b/internal/messagestore/explorer_test.go
@@ -33,10 +33,14 @@
 		"two replicas, a restart":                           {modelLimits{stores: 3, replicas: 2, messages: 1, views: 3, crashes: 1}, 150000, 10, false},
 		"two replicas, two lost disks in sequence":          {modelLimits{stores: 3, replicas: 2, messages: 1, views: 5, losses: 2}, 150000, 10, false},
 		"three replicas, a lost disk":                       {modelLimits{stores: 4, replicas: 3, messages: 1, views: 3, losses: 1}, 150000, 8, false},
-		"two replicas, an early lost disk":                  {modelLimits{stores: 3, replicas: 2, messages: 1, views: 3, losses: 1, earlyLosses: true}, 150000, 11, false},
+		"two replicas, an early lost disk":                  {modelLimits{stores: 3, replicas: 2, messages: 1, views: 3, losses: 1, earlyLosses: true}, 150000, 10, false},
 		"two replicas, a dropped backup and a lost disk":    {modelLimits{stores: 3, replicas: 2, messages: 1, views: 4, losses: 1}, 150000, 10, false},
 		"two replicas, a suspected backup, two lost disks":  {modelLimits{stores: 4, replicas: 2, messages: 1, views: 6, losses: 2}, 150000, 9, false},
-		"two replicas, overlapping losses":                  {modelLimits{stores: 3, replicas: 2, messages: 1, views: 4, losses: 1, overlappingLosses: true}, 150000, 10, false},
+		"two replicas, overlapping losses":                  {modelLimits{stores: 3, replicas: 2, messages: 1, views: 4, losses: 1, overlappingLosses: true}, 150000, 9, false},
+		"two replicas, recoveries after a restart":          {modelLimits{stores: 3, replicas: 2, messages: 1, views: 4, crashes: 1, overlappingLosses: true}, 150000, 9, false},
+		"two replicas, recoveries and a handover":           {modelLimits{stores: 3, replicas: 2, messages: 1, views: 4, losses: 1, handovers: true, overlappingLosses: true}, 150000, 9, false},
+		"two replicas, recoveries and a decommissioning":    {modelLimits{stores: 4, replicas: 2, messages: 1, views: 5, losses: 1, retirement: true, overlappingLosses: true}, 150000, 8, false},
+		"three replicas, two overlapping losses":            {modelLimits{stores: 4, replicas: 3, messages: 1, views: 4, losses: 2, overlappingLosses: true}, 150000, 7, false},
 		"two replicas, two messages":                        {modelLimits{stores: 3, replicas: 2, messages: 2, views: 3}, 150000, 10, false},
 		"two replicas, a decommissioned store":              {modelLimits{stores: 4, replicas: 2, messages: 1, views: 4, retirement: true}, 150000, 9, false},
 		"two replicas, a decommissioned store, a lost disk": {modelLimits{stores: 4, replicas: 2, messages: 1, views: 5, retirement: true, losses: 1}, 150000, 8, false},
@@ -123,7 +127,7 @@
 				rules.isTarget = func(*partitionView, *modelState, int) bool { return true }
 				rules.maySync = func(stored, knownStored messageSet) bool { return knownStored.contains(stored) }
 			},
-			81671,
+			161464,
 		},
 		"a store is removed before enough others are synced": {
 			modelLimits{stores: 4, replicas: 2, messages: 1, views: 4, retirement: true},
@@ -133,24 +137,29 @@
 		"a disk is lost as soon as an unresponsive backup was dropped": {
 			modelLimits{stores: 3, replicas: 2, messages: 1, views: 3, losses: 1},
 			func(rules *modelRules) { rules.lossWhileReplacing = true },
-			60,
+			70,
 		},
 		"a responding backup is dropped before another is synced": {
 			modelLimits{stores: 3, replicas: 2, messages: 1, views: 3, losses: 1},
 			func(rules *modelRules) { rules.dropsRespondingBackup = true },
-			57,
+			67,
 		},
 		"a recovery does not ask dropped replicas": {
 			overlapping,
 			func(rules *modelRules) { rules.retainsReplicas = false },
-			2540,
+			3839,
 		},
-		"a recovery asks no replica":                  {overlapping, func(rules *modelRules) { rules.skipsCollection = true }, 25628},
-		"a recovery begins without required replicas": {overlapping, func(rules *modelRules) { rules.recoversWithTooFew = true }, 169924},
+		"a recovery asks no replica":                  {overlapping, func(rules *modelRules) { rules.skipsCollection = true }, 56612},
+		"a recovery begins without required replicas": {overlapping, func(rules *modelRules) { rules.recoversWithTooFew = true }, 93149},
 		"a recovery does not collect known grants": {
 			overlapping,
 			func(rules *modelRules) { rules.omitsCollectedGrants = true },
-			82848,
+			230322,
+		},
+		"a store that starts again does not wait for leases of before": {
+			modelLimits{stores: 3, replicas: 2, messages: 1, views: 3, crashes: 1},
+			func(rules *modelRules) { rules.forgetsGrants = true },
+			2147,
 		},
 		"confirmations from before a backup left the group count": {
 			modelLimits{stores: 3, replicas: 2, messages: 1, views: 5},
--- a/internal/messagestore/leadership.go
+++ b/internal/messagestore/leadership.go
@@ -53,6 +53,9 @@
 	former := p.view
 	p.fenced = p.fenced && view.Epoch == p.epoch
 	p.epoch, p.view = view.Epoch, view
+	if p.isPrimary && p.collection == nil && p.mustCollect() {
+		s.stepDown(p) // others have recovered the partition meanwhile
+	}
 	switch {
 	case !p.isReplica:
 		s.stepDown(p)
@@ -80,10 +83,15 @@
 	for _, replica := range p.backups() {
 		s.needResync(p, replica)
 	}
+	if p.mustCollect() {
+		s.beginCollection(p)
+	}
 	s.updateFence(p)
 	s.engine.ResumePartition(p.id)
 	queued := p.queued()
-	s.beginCatchUp(p, queued)
+	if p.collection == nil {
+		s.beginCatchUp(p, queued)
+	}
 	s.changes.gained++
 	s.changes.messages += len(queued)
 }
@@ -106,6 +114,9 @@
 			s.needResync(p, replica)
 		}
 	}
+	if p.collection != nil {
+		s.updateCollection(p, former)
+	}
 	s.updateFence(p)
 	for _, write := range p.pendingWrites() {
 		s.sendPending(p, write)
@@ -148,7 +159,7 @@
 	s.updateFence(p)
 	s.engine.Release(p.id)
 	clear(p.resync)
-	p.catchUp = nil
+	p.catchUp, p.collection = nil, nil
 	for _, write := range p.pendingWrites() {
 		p.finishWrite(write, errSteppedDown)
 	}
@@ -162,7 +173,7 @@
 // forgetIfReplicated drops the messages of a partition once its replica group, to which this store does not belong, is
 // complete and synced. The caller must hold s.mu.
 func (s *Store) forgetIfReplicated(p *partition) {
-	if len(p.entries) == 0 || len(p.view.Replicas) < s.options.ReplicationFactor {
+	if len(p.entries) == 0 || !p.isComplete(s.options.ReplicationFactor) {
 		return
 	}
 	for _, replica := range p.view.Replicas {
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -31,7 +31,8 @@
 	unresponsiveAfter = 150 * time.Millisecond // puts go to other partitions while a call is in flight for longer
 	reportInterval    = 200 * time.Millisecond // between two reports of the same store
 
-	batchBytes = 256 << 10 // approximate limit of the records in one call to a backup
+	batchBytes    = 256 << 10 // approximate limit of the records in one call to a backup
+	recordsAtOnce = 1000      // limit of the messages that one call asks a replica for
 )
 
 // syncDelay is the longest time that the record of an outcome or of a failed attempt waits for further ones before the
--- a/internal/messagestore/maintenance.go
+++ b/internal/messagestore/maintenance.go
@@ -26,6 +26,7 @@
 		s.repairBackups()
 		s.endOverdueCatchUps()
 		s.settle()
+		s.finishCollections()
 		if s.options.Control.LeaseRemaining() < backupLeaseMargin && time.Since(lastLeaseRequest) >= heartbeatInterval {
 			lastLeaseRequest = time.Now()
 			s.requestBackupLeases()
@@ -49,11 +50,15 @@
 	}
 }
 
-// dropExpired removes messages that ended more than Options.StatusRetention ago from the index.
+// dropExpired removes messages that ended more than Options.StatusRetention ago from the index. It keeps those of an
+// incomplete partition: a replica that has left the group may still call them queued, and take part in a recovery.
 func (s *Store) dropExpired(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.partitions {
+		if !p.isComplete(s.options.ReplicationFactor) {
+			continue
+		}
 		for id, e := range p.entries {
 			if e.ended() && now.Sub(e.endedAt) > s.options.StatusRetention {
 				delete(p.entries, id)
--- a/internal/messagestore/model_collect_steps_test.go
+++ b/internal/messagestore/model_collect_steps_test.go
@@ -2,8 +2,9 @@
 
 package messagestore
 
-// This file has the steps of retained replicas, a design of docs/replication.md: acknowledged messages survive
-// overlapping losses as long as no more disks are lost than the service tolerates. The code does not implement it yet.
+// This file has the steps of retained replicas (placement/retained.go) and of recoveries (placement/recovery.go and
+// collection.go): acknowledged messages survive overlapping losses as long as no more disks are lost than the service
+// tolerates.
 
 // retain records in a view which replicas were dropped since the group was last complete. A replica is a store with one
 // disk: a store that is a replica again with the same disk is no longer retained, and a store with another disk has
@@ -36,25 +37,34 @@
 
 // beginRecoverySteps make an unsynced replica the primary if the primary is lost or without a lease and no backup is
 // synced. The new primary collects from all other replicas except as many as may be lost: each message was acknowledged
-// by all replicas of a view, and each view has one replica more than may be lost.
+// by all replicas of a view, and each view has one replica more than may be lost. While the primary collects, the recovery
+// may begin again, with the same primary or another one, and without replicas that do not respond.
 func (m *partitionModel) beginRecoverySteps(state *modelState, add addStep) {
 	view := state.current()
 	former := int(view.primary)
+	isCollecting := !view.synced.has(former)
 	lost := !state.isAvailable(view, former) || m.rules.mayPromote(&state.stores[former])
-	if !m.rules.retainsReplicas || !lost || state.syncedAvailable().without(former) != 0 {
+	if !m.rules.retainsReplicas || !isCollecting && (!lost || state.syncedAvailable().without(former) != 0) {
 		return
 	}
 	members := view.replicas() | view.retained
-	var sources storeSet
+	var available storeSet
 	for store := range modelStores {
-		if store != former && members.has(store) && state.isAvailable(view, store) {
-			sources = sources.with(store)
+		if (store != former || isCollecting) && members.has(store) && state.isAvailable(view, store) {
+			available = available.with(store)
 		}
 	}
-	tooFew := members.count()-sources.count()+int(view.lost) > m.limits.replicas-1
-	if sources == 0 || tooFew && !m.rules.recoversWithTooFew {
-		return
+	for sources := available; sources != 0; sources = (sources - 1) & available {
+		tooFew := members.count()-sources.count()+int(view.lost) > m.limits.replicas-1
+		if !tooFew || m.rules.recoversWithTooFew {
+			m.recoveryViews(state, sources, add)
+		}
 	}
+}
+
+// recoveryViews are the views of a recovery with the given replicas, each with another one as the primary.
+func (m *partitionModel) recoveryViews(state *modelState, sources storeSet, add addStep) {
+	view := state.current()
 	for store := range modelStores {
 		if !sources.has(store) {
 			continue
--- a/internal/messagestore/model_rules_test.go
+++ b/internal/messagestore/model_rules_test.go
@@ -28,6 +28,8 @@
 	dropsRespondingBackup bool
 	// keepsStaleConfirmations counts a backup's confirmations even if it left and rejoined the group since.
 	keepsStaleConfirmations bool
+	// forgetsGrants lets a process that starts again deliver although a lease of before its start may be valid.
+	forgetsGrants bool
 	// omitsGrants leaves backups unaware of the grants that their primary waits for.
 	omitsGrants bool
 	// maySync reports whether a backup may be marked as synced.
--- a/internal/messagestore/model_state_test.go
+++ b/internal/messagestore/model_state_test.go
@@ -26,7 +26,7 @@
 	synced  storeSet           // the synced replicas, which may include the primary
 	disks   [modelStores]uint8 // by replica: modelStore.disk when it joined
 	// retained are the replicas that were dropped since the group was last complete: they may have messages that no
-	// replica has. It is used only with modelRules.retainsReplicas, which the code does not implement yet.
+	// replica has. Together with lost they are cluster.Partition.Retained, which lists stores with their disks.
 	retained storeSet
 	lost     uint8 // number of dropped replicas whose stores are replicas again with other disks
 }
@@ -39,6 +39,7 @@
 	stored  messageSet // messages on the disk
 	removed bool       // decommissioned, or not part of the search
 	epoch   uint8      // the highest epoch seen
+	settled uint8      // the newest epoch under which it has led after all grants of leases to others had ended
 
 	view                    uint8 // number of the newest view applied, counted from 1; 0 after a start
 	isPrimary               bool
@@ -104,6 +105,8 @@
 	retiring     int8 // the store that is being decommissioned, counted from 1; 0 for none
 	recovering   bool // a store was lost or without a lease, and the replicas have not caught up since
 	factor       int8 // replication factor
+
+	forgetsGrants bool // modelRules.forgetsGrants
 }
 
 // current returns the newest view.
@@ -140,6 +143,9 @@
 	if view.epoch < target.epoch {
 		return
 	}
+	if target.isPrimary && s.applied(store).synced.has(store) && !view.synced.has(store) {
+		target.stepDown() // others have recovered the partition meanwhile
+	}
 	target.view, target.epoch = number, view.epoch
 	isPrimary := int(view.primary) == store && s.isAvailable(view, store)
 	switch {
@@ -157,13 +163,21 @@
 	}
 }
 
-// restart drops the state of a store's process. Other stores notice the end of the process and no longer count on
-// leases that it granted.
+// restart drops the state of a store's process. The new process takes for granted that all leases which are valid now
+// are among those that the former one granted or knew of: it waits for as long as a lease lasts.
 func (s *modelState) restart(store int) {
 	s.recovering = true
 	before := s.stores[store]
-	s.stores[store] = modelStore{disk: before.disk, stored: before.stored, epoch: before.epoch, keepsStaleConfirmations: before.keepsStaleConfirmations}
-	for other := range modelStores {
-		s.stores[other].backupLeases = s.stores[other].backupLeases.without(store)
+	s.stores[store] = modelStore{disk: before.disk, stored: before.stored, epoch: before.epoch, settled: before.settled, keepsStaleConfirmations: before.keepsStaleConfirmations}
+	if s.forgetsGrants {
+		return
+	}
+	for former := range modelStores {
+		for granter := range modelStores {
+			if former != store && s.stores[former].backupLeases.has(granter) {
+				known := &s.stores[store].knownGrants[granter]
+				*known = known.with(former)
+			}
+		}
 	}
 }
--- a/internal/messagestore/model_store_steps_test.go
+++ b/internal/messagestore/model_store_steps_test.go
@@ -83,11 +83,22 @@
 		next.restart(store)
 		lost := &next.stores[store]
 		lost.disk++
-		lost.stored, lost.epoch = 0, 0
+		lost.stored, lost.epoch, lost.settled = 0, 0, 0
 		add(next, "%s loses its disk", storeName(store))
 	}
 }
 
+// settleStep records on a primary's disk that all grants of leases to others which it knows of have ended.
+func (m *partitionModel) settleStep(state *modelState, store int, add addStep) {
+	s := &state.stores[store]
+	if m.limits.crashes+m.limits.losses == 0 || s.fenced || s.knownGrants != [modelStores]storeSet{} {
+		return
+	}
+	next := *state
+	next.stores[store].settled = s.epoch
+	add(next, "%s is settled", storeName(store))
+}
+
 // primarySteps are the steps of a primary: it accepts and acknowledges messages, calls its backups and hands over.
 func (m *partitionModel) primarySteps(state *modelState, store int, add addStep) {
 	s := &state.stores[store]
@@ -96,6 +107,7 @@
 		m.collectSteps(state, store, add)
 		return
 	}
+	m.settleStep(state, store, add)
 	for number := range m.limits.messages {
 		if !state.accepted.has(number) && !s.fenced {
 			next := *state
--- a/internal/messagestore/model_test.go
+++ b/internal/messagestore/model_test.go
@@ -21,6 +21,7 @@
 	var state modelState
 	state.count = 1
 	state.factor = int8(m.limits.replicas)
+	state.forgetsGrants = m.rules.forgetsGrants
 	view := partitionView{epoch: 1}
 	for store := range m.limits.replicas {
 		view.synced = view.synced.with(store)
@@ -103,7 +104,10 @@
 // delivers reports whether a store may start deliveries.
 func (m *partitionModel) delivers(state *modelState, store int) bool {
 	s := &state.stores[store]
-	if s.removed || !s.isPrimary || s.fenced || s.paused || s.knownGrants != [modelStores]storeSet{} && !m.rules.ignoresGrants {
+	if s.removed || !s.isPrimary || s.fenced || s.paused {
+		return false
+	}
+	if s.knownGrants != [modelStores]storeSet{} && s.settled != s.epoch && !m.rules.ignoresGrants {
 		return false
 	}
 	view := state.applied(store)
--- a/internal/messagestore/partition.go
+++ b/internal/messagestore/partition.go
@@ -27,6 +27,7 @@
 	pending      map[*pendingWrite]bool  // writes that wait for replicas
 	endings      map[*pendingWrite]bool  // outcomes that wait for replicas
 	catchUp      *catchUp                // nil unless this store is a new primary that may lack outcomes
+	collection   *collection             // nil unless this store is a primary that collects messages in a recovery
 	resync       map[string]*resyncState // by disk ID: backups that may lack records
 	// unsyncedSince is, by disk ID, the latest epoch in which a backup was seen as not synced. Confirmations from
 	// earlier epochs do not count: the backup may have left the group in between and dropped its records.
@@ -53,6 +54,18 @@
 	return p.view.Replicas[1:]
 }
 
+// isComplete reports whether enough replicas of the view are synced, so that no store needs to keep messages for a
+// recovery.
+func (p *partition) isComplete(replicationFactor int) bool {
+	synced := 0
+	for _, replica := range p.view.Replicas {
+		if replica.Synced {
+			synced++
+		}
+	}
+	return synced >= replicationFactor && len(p.view.Retained) == 0
+}
+
 // queued returns the entries that have not ended, in the order of their acceptance.
 func (p *partition) queued() []*entry {
 	var found []*entry
--- a/internal/messagestore/protocol/golden_test.go
+++ b/internal/messagestore/protocol/golden_test.go
@@ -57,8 +57,12 @@
 	})
 	checkCall(t, "outcome", OutcomeRequest{Partition: 1, ID: "1-1", Outcome: message.Outcome{State: message.DeadLetter}})
 
+	checkCall(t, "records", RecordsRequest{TargetDiskID: "disk-b", Partition: 1, Epoch: 3, IDs: []string{"1-1", "1-2"}})
+	checkCall(t, "records-answer", RecordsResponse{Records: []RecordHeader{{Partition: 1, Epoch: 3, Length: 120}}, Handled: 2})
+
 	methods := []string{MethodPut, MethodState, MethodBody, MethodReplicate, MethodInventory, MethodOutcome}
 	golden.AssertBytes(t, []byte(strings.Join(methods, "\n")+"\n"), path.Join("golden", "methods"))
+	golden.AssertBytes(t, []byte(MethodRecords+"\n"), path.Join("golden", "methods-added"))
 }
 
 func checkCall[Message any](t *testing.T, name string, value Message) {
--- a/internal/messagestore/protocol/protocol.go
+++ b/internal/messagestore/protocol/protocol.go
@@ -19,6 +19,7 @@
 	MethodReplicate = "store.replicate" // ReplicateRequest with the records -> ReplicateResponse
 	MethodInventory = "store.inventory" // InventoryRequest -> InventoryResponse
 	MethodOutcome   = "store.outcome"   // OutcomeRequest -> nothing
+	MethodRecords   = "store.records"   // RecordsRequest -> RecordsResponse with the records
 )
 
 // PutRequest asks a partition's primary to store a message, whose body is that of the call. The primary answers once
@@ -88,6 +89,21 @@
 	EndedAt time.Time       `json:"endedAt,omitzero"`
 }
 
+// RecordsRequest asks a replica for the accepted records of messages, with their bodies.
+type RecordsRequest struct {
+	TargetDiskID string   `json:"target"` // the disk that is asked
+	Partition    int      `json:"partition"`
+	Epoch        uint64   `json:"epoch"`
+	IDs          []string `json:"ids"`
+}
+
+// RecordsResponse has the records of the first messages of a request, concatenated in the body of the response. A message
+// that the replica no longer has counts as one without a record.
+type RecordsResponse struct {
+	Records []RecordHeader `json:"records"`
+	Handled int            `json:"handled"` // number of IDs, from the first, that the response covers
+}
+
 // OutcomeRequest tells a partition's primary the outcome of an attempt that a former primary had in flight.
 type OutcomeRequest struct {
 	Partition int             `json:"partition"`
--- a/internal/messagestore/put.go
+++ b/internal/messagestore/put.go
@@ -47,6 +47,9 @@
 		return nil, false, errNotPrimary
 	}
 	if existing := p.entries[submission.Message.ID]; existing != nil {
+		if existing.pending == nil && !p.isCommitted(existing) {
+			return nil, false, errCommitTimeout
+		}
 		return existing.pending, false, nil
 	}
 	if !s.canCommit(p) {
@@ -66,9 +69,16 @@
 	return write, true, nil
 }
 
+// isCommitted reports whether an entry without a pending write is certainly on all replicas. After a change of the
+// primary or a restart the entry may be on this store only, until the resyncs of the backups are done. The caller must
+// hold Store.mu.
+func (p *partition) isCommitted(e *entry) bool {
+	return e.ended() || p.collection == nil && len(p.resync) == 0
+}
+
 // canCommit reports whether another message is likely to be committed in time. The caller must hold s.mu.
 func (s *Store) canCommit(p *partition) bool {
-	return len(p.view.Replicas) >= s.options.ReplicationFactor && !s.log.Failing() && !s.diskFull() &&
+	return p.collection == nil && len(p.view.Replicas) >= s.options.ReplicationFactor && !s.log.Failing() && !s.diskFull() &&
 		!s.hasUnresponsiveBackup(p)
 }
 
--- a/internal/messagestore/query.go
+++ b/internal/messagestore/query.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 
+	"gladepick/internal/cluster"
 	"gladepick/internal/message"
 	"gladepick/internal/messagestore/protocol"
 	"gladepick/internal/rpc"
@@ -86,8 +88,19 @@
 	if e == nil && s.isConfirmedPrimary(p) {
 		return nil, errUnknownMessage
 	}
-	if e == nil || e.message == nil && e.outcome.State == message.Queued {
+	if e == nil || e.message == nil && !e.ended() || !e.ended() && p.mayLackOutcomes(s.options.DiskID) {
 		return nil, errNotHeld
 	}
 	return e, nil
 }
+
+// mayLackOutcomes reports whether a message that this store calls queued may have ended by what other replicas know. The
+// caller must hold Store.mu.
+func (p *partition) mayLackOutcomes(diskID string) bool {
+	if p.isPrimary {
+		return p.catchUp != nil || p.collection != nil
+	}
+	return !slices.ContainsFunc(p.view.Replicas, func(replica cluster.Replica) bool {
+		return replica.DiskID == diskID && replica.Synced
+	})
+}
--- a/internal/messagestore/replicator.go
+++ b/internal/messagestore/replicator.go
@@ -155,15 +155,23 @@
 // call calls the backup at its address in the newest table, and reports the store to the control plane if it can't be
 // reached. It returns rpc.ErrNotSent if the table lists another disk for the store.
 func (r *replicator) call(method string, limit time.Duration, request any, body []byte, response any) error {
+	_, err := r.callForBody(method, limit, request, body, response)
+	return err
+}
+
+// callForBody is call with the body of the response.
+func (r *replicator) callForBody(
+	method string, limit time.Duration, request any, body []byte, response any,
+) ([]byte, error) {
 	r.store.mu.Lock()
 	entry := r.store.table.Store(r.replica.Store)
 	r.store.mu.Unlock()
 	if entry == nil || entry.DiskID != r.replica.DiskID {
-		return rpc.ErrNotSent
+		return nil, rpc.ErrNotSent
 	}
 	ctx, cancel := context.WithTimeout(r.store.context, limit)
 	defer cancel()
-	_, err := r.store.options.Pool.Get(entry.Address).Call(ctx, method, request, body, response)
+	responseBody, err := r.store.options.Pool.Get(entry.Address).Call(ctx, method, request, body, response)
 	if errors.Is(err, rpc.ErrNotSent) || errors.Is(err, rpc.ErrResponseLost) {
 		if ctx.Err() == nil {
 			ended := time.Now()
@@ -171,7 +179,7 @@
 		}
 		r.store.reportUnreachable(r.replica.Store, entry.Address, ctx.Err() == nil)
 	}
-	return err
+	return responseBody, err
 }
 
 // batchResult is the result of the call for a batch.
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -58,12 +58,23 @@
 			if replace {
 				s.requestReplacement(p, epoch, replica)
 			}
-			err := s.resync(p, epoch, replica)
+			err := s.resyncOrCollect(p, epoch, replica)
 			s.finishResync(p, epoch, replica, err)
 		})
 	}
 }
 
+// resyncOrCollect collects the messages of a replica in a recovery; otherwise it sends a backup the records that it lacks.
+func (s *Store) resyncOrCollect(p *partition, epoch uint64, replica cluster.Replica) error {
+	s.mu.Lock()
+	isCollecting := p.collection != nil
+	s.mu.Unlock()
+	if isCollecting {
+		return s.collect(p, epoch, replica)
+	}
+	return s.resync(p, epoch, replica)
+}
+
 // requestReplacement asks the control plane to replace a backup that blocks writes or whose resync keeps failing.
 func (s *Store) requestReplacement(p *partition, epoch uint64, replica cluster.Replica) {
 	err := s.requestChange(cluster.PartitionRequest{Partition: p.id, Epoch: epoch, Drop: replica.Store})
--- a/internal/messagestore/store.go
+++ b/internal/messagestore/store.go
@@ -97,6 +97,7 @@
 	server.Handle(protocol.MethodReplicate, s.handleReplicate)
 	server.Handle(protocol.MethodInventory, s.handleInventory)
 	server.Handle(protocol.MethodOutcome, s.handleOutcome)
+	server.Handle(protocol.MethodRecords, s.handleRecords)
 }
 
 // Start sets the store's delivery engine and starts the background work. It must be called once, before the first
@@ -134,6 +135,8 @@
 	Queued          int   // messages that have not ended
 	QueuedAsPrimary int   // queued messages in partitions that have this store as their primary
 	DeadLetters     int   // messages that ended without success and are not expired
+	Held            int   // queued messages that wait until other replicas have told which messages have ended
+	Collecting      int   // partitions that rest while this store, their primary, collects their messages
 	LogBytes        int64 // size of the log on the disk, including its snapshot
 }
 
@@ -143,6 +146,12 @@
 	defer s.mu.Unlock()
 	stats := Stats{LogBytes: s.log.Size()}
 	for _, p := range s.partitions {
+		if p.catchUp != nil {
+			stats.Held += len(p.catchUp.held)
+		}
+		if p.collection != nil {
+			stats.Collecting++
+		}
 		for _, e := range p.entries {
 			switch e.outcome.State {
 			case message.Queued:
--- a/internal/systemnode/demo/golden_test.go
+++ b/internal/systemnode/demo/golden_test.go
@@ -38,22 +38,27 @@
 		client := workerlist.NewPlatformClient(simulatedNetwork.Host(hostIP))
 		time.Sleep(deliveryTime)
 
-		var transcript, added bytes.Buffer
+		var transcript, added, recovery bytes.Buffer
 		for _, target := range []string{"", "?node=store-2"} {
 			request := newRequest(t, http.MethodGet, control, inspection.PathMetrics+target, "")
 			_, _, text := call(t, client, request)
 			transcript.WriteString("GET " + inspection.PathMetrics + target + "\n")
 			added.WriteString("GET " + inspection.PathMetrics + target + "\n")
+			recovery.WriteString("GET " + inspection.PathMetrics + target + "\n")
 			for line := range strings.Lines(text) {
-				if isAddedMetric(line) {
+				switch {
+				case isMetricOf(addedMetrics, line):
 					added.WriteString(withoutValue(line))
-				} else {
+				case isMetricOf(recoveryMetrics, line):
+					recovery.WriteString(withoutValue(line))
+				default:
 					transcript.WriteString(withoutValue(line))
 				}
 			}
 		}
 		golden.Assert(t, transcript.String(), "metrics.golden")
 		golden.Assert(t, added.String(), "metrics-added.golden")
+		golden.Assert(t, recovery.String(), "metrics-recovery.golden")
 
 		client.CloseIdleConnections()
 		cancel()
@@ -69,10 +74,13 @@
 	"gladepick_memory_bytes", "gladepick_memory_limit_bytes",
 }
 
-// isAddedMetric reports whether a line of the exposition format belongs to one of addedMetrics.
-func isAddedMetric(line string) bool {
+// recoveryMetrics are the metrics of catch-ups and recoveries, which are recorded in metrics-recovery.golden.
+var recoveryMetrics = []string{"gladepick_store_messages_held", "gladepick_store_partitions_collecting"}
+
+// isMetricOf reports whether a line of the exposition format belongs to one of the metrics.
+func isMetricOf(metrics []string, line string) bool {
 	words := strings.Fields(strings.TrimPrefix(strings.TrimPrefix(line, "# HELP "), "# TYPE "))
-	return len(words) > 0 && slices.Contains(addedMetrics, words[0])
+	return len(words) > 0 && slices.Contains(metrics, words[0])
 }
 
 // withoutValue returns a line of the exposition format without its value. It returns HELP and TYPE lines unchanged.
--- a/internal/systemnode/inspection/partitions.go
+++ b/internal/systemnode/inspection/partitions.go
@@ -14,6 +14,11 @@
 	Copying          []string `json:"copying"`             // stores of the backups that are still catching up
 	Suspected        []string `json:"suspected,omitempty"` // stores of the suspected backups, which are also in Synced
 	PreferredPrimary string   `json:"wanted,omitempty"`    // store that should become the primary; empty for none
+	// Collecting is set while the primary collects messages from the other replicas because none was synced any more.
+	// The partition accepts and delivers nothing meanwhile.
+	Collecting bool `json:"collecting,omitempty"`
+	// Retained has the stores of replicas that have left the group since it was last complete.
+	Retained []string `json:"retained,omitempty"`
 }
 
 // NewPartitions lists the partitions of a table by ID. The table may be nil. The list is never nil, so that JSON has []
@@ -37,6 +42,10 @@
 		return partition
 	}
 	partition.Primary = primary.Store
+	partition.Collecting = !primary.Synced
+	for _, replica := range entry.Retained {
+		partition.Retained = append(partition.Retained, replica.Store)
+	}
 	for _, backup := range entry.Replicas[1:] {
 		if backup.Synced {
 			partition.Synced = append(partition.Synced, backup.Store)
--- a/internal/systemnode/store.go
+++ b/internal/systemnode/store.go
@@ -81,6 +81,7 @@
 // announce returns the node info that the agent sends with every renewal of the store's lease.
 func (s *Store) announce() cluster.NodeInfo {
 	info := s.info
+	info.CollectsMessages = true
 	info.Draining = s.draining.Load()
 	info.DiskFailing = s.messages.DiskFailing()
 	return info
--- a/internal/systemnode/storemetrics.go
+++ b/internal/systemnode/storemetrics.go
@@ -31,6 +31,12 @@
 		Name: "gladepick_delivery_service_down", Kind: inspection.Gauge, Help: "Whether no worker answers."}
 	metricDeadLetters = inspection.Metric{
 		Name: "gladepick_store_dead_letters", Kind: inspection.Gauge, Help: "Messages held that ended without success."}
+	metricMessagesHeld = inspection.Metric{
+		Name: "gladepick_store_messages_held", Kind: inspection.Gauge,
+		Help: "Queued messages that wait until other replicas have told which messages have ended."}
+	metricCollecting = inspection.Metric{
+		Name: "gladepick_store_partitions_collecting", Kind: inspection.Gauge,
+		Help: "Partitions that rest while their messages are collected here."}
 	metricLogBytes = inspection.Metric{
 		Name: "gladepick_store_log_bytes", Kind: inspection.Gauge, Help: "Size of the message log on the disk."}
 	metricDiskLimit = inspection.Metric{
@@ -43,6 +49,8 @@
 	messageStats := s.messages.Stats()
 	samples.Add(metricMessages, float64(messageStats.Queued))
 	samples.Add(metricMessagesLed, float64(messageStats.QueuedAsPrimary))
+	samples.Add(metricMessagesHeld, float64(messageStats.Held))
+	samples.Add(metricCollecting, float64(messageStats.Collecting))
 	samples.AddBool(metricDiskFailing, s.messages.DiskFailing())
 	engineStats := s.engine.Stats()
 	samples.Add(metricQueued, float64(engineStats.Queued))
