Acknowledge a put that is sent again by whether this process committed it

A put whose answer was lost is acknowledged when it is sent again if this process has committed the message, also while a backup is resynced; an entry that another process has accepted waits for the resyncs. The number of failed attempts is taken over at one place. TestRepeatedPutIsAcknowledgedOnlyOnceTheBackupsHaveIt covers the put.

--- a/internal/capacity/store_bench_test.go
+++ b/internal/capacity/store_bench_test.go
@@ -135,6 +135,7 @@
 // storePair is a client with two stores: the primary of all partitions and the backup of all partitions.
 type storePair struct {
 	client  *client.Client
+	stores  []*messagestore.Store // the primary and the backup
 	table   *cluster.Table
 	disks   []vfs.FS
 	pool    *rpc.Pool
@@ -145,13 +146,13 @@
 func newStorePair(b *testing.B) *storePair {
 	pair := &storePair{pool: rpc.NewPool(network.TCP{}), table: &cluster.Table{Revision: 1, ReplicationFactor: benchReplicas}}
 	b.Cleanup(pair.pool.Close)
-	stores := []*messagestore.Store{pair.start(b, 0), pair.start(b, 1)}
+	pair.stores = []*messagestore.Store{pair.start(b, 0), pair.start(b, 1)}
 	for id := range benchPartitions {
 		pair.table.Partitions = append(pair.table.Partitions, cluster.Partition{ID: id, Epoch: 1, Replicas: []cluster.Replica{
 			{Store: "store-0", DiskID: "disk-0", Synced: true}, {Store: "store-1", DiskID: "disk-1", Synced: true},
 		}})
 	}
-	for _, store := range stores {
+	for _, store := range pair.stores {
 		store.ApplyTable(pair.table)
 	}
 	pair.client = client.New("a", pair.pool, func() *cluster.Table { return pair.table }, func(cluster.FailureReport) {})
--- a/internal/messagestore/catch_up.go
+++ b/internal/messagestore/catch_up.go
@@ -85,12 +85,18 @@
 		})
 		return
 	}
-	if failures := inventory.Failures[id]; failures > e.failures {
-		e.failures = failures
-		s.appendAndReplicate(p, &record.Record{
-			Kind: record.Failed, Partition: p.id, Epoch: p.epoch, ID: id, Failures: failures,
-		})
+	s.learnFailures(p, id, e, inventory.Failures[id])
+}
+
+// learnFailures takes over the number of failed attempts that another replica knows of. The caller must hold s.mu.
+func (s *Store) learnFailures(p *partition, id string, e *entry, failures int) {
+	if failures <= e.failures {
+		return
 	}
+	e.failures = failures
+	s.appendAndReplicate(p, &record.Record{
+		Kind: record.Failed, Partition: p.id, Epoch: p.epoch, ID: id, Failures: failures,
+	})
 }
 
 // addDetails adds to an inventory what the asking store, a new primary, may lack. The caller must hold s.mu.
--- a/internal/messagestore/collection.go
+++ b/internal/messagestore/collection.go
@@ -133,11 +133,8 @@
 		}
 	}
 	for id, failures := range inventory.Failures {
-		if e := p.entries[id]; e != nil && failures > e.failures {
-			e.failures = failures
-			s.appendAndReplicate(p, &record.Record{
-				Kind: record.Failed, Partition: p.id, Epoch: p.epoch, ID: id, Failures: failures,
-			})
+		if e := p.entries[id]; e != nil {
+			s.learnFailures(p, id, e, failures)
 		}
 	}
 	return p.lacking(inventory), nil
--- a/internal/messagestore/commit.go
+++ b/internal/messagestore/commit.go
@@ -53,6 +53,7 @@
 	}
 	p.finishWrite(write, nil)
 	if !write.isOutcome {
+		write.entry.committed = true
 		s.submit(p, write.entry)
 	}
 }
--- a/internal/messagestore/entry.go
+++ b/internal/messagestore/entry.go
@@ -16,7 +16,9 @@
 	outcome  message.Outcome  // State is Queued until the message has ended
 	endedAt  time.Time
 	pending  *pendingWrite // nil once committed, and at a backup
-	ending   *pendingWrite // the write of the outcome; nil once committed, and at a backup
+	// committed is set once this process has committed the message. Others may be on this store only.
+	committed bool
+	ending    *pendingWrite // the write of the outcome; nil once committed, and at a backup
 }
 
 // ended reports whether the message has ended. The caller must hold Store.mu.
--- a/internal/messagestore/put.go
+++ b/internal/messagestore/put.go
@@ -69,11 +69,10 @@
 	return write, true, nil
 }
 
-// isCommitted reports whether an entry without a pending write is certainly on all replicas. After a change of the
-// primary or a restart the entry may be on this store only, until the resyncs of the backups are done. The caller must
-// hold Store.mu.
+// isCommitted reports whether an entry without a pending write is certainly on all replicas. One that another process has
+// accepted may be on this store only, until the resyncs of the backups are done. The caller must hold Store.mu.
 func (p *partition) isCommitted(e *entry) bool {
-	return e.ended() || p.collection == nil && len(p.resync) == 0
+	return e.committed || e.ended() || p.collection == nil && len(p.resync) == 0
 }
 
 // canCommit reports whether another message is likely to be committed in time. The caller must hold s.mu.
--- a/internal/messagestore/put_test.go
+++ b/internal/messagestore/put_test.go
@@ -105,3 +105,25 @@
 		h.mustPut("r3", "", "z")
 	})
 }
+
+// TestRepeatedPutIsAcknowledgedOnlyOnceTheBackupsHaveIt guards against a put that is sent again after a failover and is
+// acknowledged although the message is on the disk of the new primary only.
+func TestRepeatedPutIsAcknowledgedOnlyOnceTheBackupsHaveIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		h.rejectRequests()
+		assert.NilError(t, h.putAt(0, "m"))
+		view := h.currentTable().Partitions[0]
+		former, successor := view.Replicas[0].Store, view.Replicas[1].Store
+		h.network.Isolate(h.machines[successor].ip, h.machines["c"].ip)
+		h.stop(former)
+		h.setView(0, successor, "c") // c has nothing yet
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, h.putAt(0, "m") != nil)
+		h.network.Heal(h.machines[successor].ip, h.machines["c"].ip)
+		time.Sleep(2 * time.Second)
+		assert.NilError(t, h.putAt(0, "m"))
+		h.start(former)
+	})
+}
