Sync outcomes within 20 ms, and ask a replica only for what is held

An inventory with details had all outcomes of the partition.

Change: the bound is 20 ms, in which the syncs of new messages cover most outcomes, and a new primary asks for the details of the messages that it holds back.

--- a/internal/messagestore/catch_up.go
+++ b/internal/messagestore/catch_up.go
@@ -48,6 +48,20 @@
 	}
 }
 
+// heldIDs returns the IDs of the held messages that have not ended. The catch-up may be nil.
+func (c *catchUp) heldIDs() []string {
+	if c == nil {
+		return nil
+	}
+	var ids []string
+	for _, e := range c.held {
+		if !e.ended() {
+			ids = append(ids, e.message.ID)
+		}
+	}
+	return ids
+}
+
 // submit passes a committed message to the engine, or holds it back behind an earlier message of its order key. The
 // caller must hold s.mu.
 func (s *Store) submit(p *partition, e *entry) {
@@ -103,15 +117,19 @@
 func (s *Store) addDetails(request *protocol.InventoryRequest, response *protocol.InventoryResponse) {
 	p := s.partition(request.Partition)
 	response.LeaseGrantsMS = s.leaseGrantsRemaining(request.From).Milliseconds()
-	response.Outcomes = make(map[string]protocol.EndedMessage, len(response.Ended))
-	for _, id := range response.Ended {
-		e := p.entries[id]
-		response.Outcomes[id] = protocol.EndedMessage{Outcome: e.outcome, EndedAt: e.endedAt}
+	ids := request.DetailsOf
+	if len(ids) == 0 {
+		ids = slices.Concat(response.Queued, response.Ended)
 	}
-	response.Failures = make(map[string]int)
-	for _, id := range response.Queued {
-		if failures := p.entries[id].failures; failures > 0 {
-			response.Failures[id] = failures
+	response.Outcomes, response.Failures = make(map[string]protocol.EndedMessage), make(map[string]int)
+	for _, id := range ids {
+		e := p.entries[id]
+		switch {
+		case e == nil:
+		case e.ended():
+			response.Outcomes[id] = protocol.EndedMessage{Outcome: e.outcome, EndedAt: e.endedAt}
+		case e.failures > 0:
+			response.Failures[id] = e.failures
 		}
 	}
 }
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -37,7 +37,7 @@
 
 // syncDelay is the longest time that the record of an outcome or of a failed attempt waits for further ones before the
 // disk is synced.
-const syncDelay = 5 * time.Millisecond
+const syncDelay = 20 * time.Millisecond
 
 // Outcomes that a new primary may lack, and outcomes that callers ask for.
 const (
--- a/internal/messagestore/protocol/golden_test.go
+++ b/internal/messagestore/protocol/golden_test.go
@@ -48,6 +48,9 @@
 	checkCall(t, "inventory-details", InventoryRequest{
 		TargetDiskID: "disk-b", Partition: 1, Epoch: 3, From: "store-a", WantsDetails: true,
 	})
+	checkCall(t, "inventory-details-of", InventoryRequest{
+		TargetDiskID: "disk-b", Partition: 1, Epoch: 3, From: "store-a", WantsDetails: true, DetailsOf: []string{"1-1"},
+	})
 	checkCall(t, "inventory-details-answer", InventoryResponse{
 		Queued: []string{"1-1", "1-2"}, Ended: []string{"1-3"},
 		Outcomes: map[string]EndedMessage{
--- a/internal/messagestore/protocol/protocol.go
+++ b/internal/messagestore/protocol/protocol.go
@@ -68,6 +68,8 @@
 	// WantsDetails also asks for what a new primary needs to know before it runs messages again: outcomes, failed
 	// attempts and lease grants.
 	WantsDetails bool `json:"wantsDetails,omitempty"`
+	// DetailsOf limits the details to the messages that the primary has queued. If it is empty, all are asked for.
+	DetailsOf []string `json:"detailsOf,omitempty"`
 }
 
 // InventoryResponse lists the IDs of a partition's messages at a backup.
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -90,13 +90,14 @@
 	s.mu.Lock()
 	backup := s.replicator(replica)
 	isCatchingUp := p.catchUp != nil
+	heldIDs := p.catchUp.heldIDs()
 	s.mu.Unlock()
 	var inventory protocol.InventoryResponse
 	request := protocol.InventoryRequest{
 		TargetDiskID: replica.DiskID, Partition: p.id, Epoch: epoch,
 	}
 	if isCatchingUp {
-		request.From, request.WantsDetails = s.options.Name, true
+		request.From, request.WantsDetails, request.DetailsOf = s.options.Name, true, heldIDs
 	}
 	if err := backup.call(protocol.MethodInventory, inventoryTimeout, request, nil, &inventory); err != nil {
 		return err
