Sync a full backlog of the log without waiting for a call of Sync

Cause: a store whose log has 16 MB waiting for the disk refuses records. Calls of a primary, and puts, append before they sync, so all of them failed before they got there, and where no sync was under way nobody began one any more: the source of a collection refused the new epoch for good.

Change: an append that fails for a full backlog begins a sync. A full disk keeps its own retry.

Evidence: before the change

--- FAIL: TestFullBacklogIsSyncedWithoutACallOfSync: wal: too much data is waiting for the disk

(10 s later).

--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -81,12 +81,16 @@
 	return Position{Segment: target.segment.number, Offset: offset, Length: int32(length)}, nil
 }
 
-// checkAppend returns an error if the log accepts no record now. The caller holds the mutex.
+// checkAppend returns an error if the log accepts no record now. If too many bytes wait for the disk, it has them synced:
+// callers that fail here never get to a call of Sync. The caller holds the mutex.
 func (l *Log) checkAppend() error {
 	if err := l.checkUsable(); err != nil {
 		return err
 	}
 	if l.backlog >= maxBacklogBytes || l.diskFull && l.backlog >= maxBacklogBytesOnFullDisk {
+		if !l.diskFull { // a full disk has a retry of its own
+			l.nextBatch()
+		}
 		return ErrBacklogFull
 	}
 	return nil
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -337,3 +337,20 @@
 		assert.Check(t, string(read) == record)
 	}
 }
+
+// TestFullBacklogIsSyncedWithoutACallOfSync guards against a log that refuses records for ever, because the callers whose
+// append fails do not get to a call of Sync.
+func TestFullBacklogIsSyncedWithoutACallOfSync(t *testing.T) {
+	log, err := Open(Options{FS: memfs.New(1).Mount()}, nil, nil)
+	assert.NilError(t, err)
+	record := make([]byte, 1<<20)
+	for err == nil {
+		_, err = log.Append(record)
+	}
+	assert.Assert(t, errors.Is(err, ErrBacklogFull), "%v", err)
+	for deadline := time.Now().Add(10 * time.Second); err != nil && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		_, err = log.Append(record)
+	}
+	assert.NilError(t, err)
+	assert.NilError(t, log.Close())
+}
