Send the body of a dead letter to a replica that only has its outcome

Since outcomes wait for all replicas, a new replica gets the pending ones as soon as it is in the view, often before the primary asks what it lacks. Its inventory then told a dead letter as ended, and the primary never sent the message: after a second loss nobody had the body, and a query for it was answered 503 for good.

An inventory now leaves out a dead letter of which only the outcome is known. A recovery still learns such an outcome.

--- a/internal/messagestore/catch_up.go
+++ b/internal/messagestore/catch_up.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -119,7 +120,7 @@
 	response.LeaseGrantsMS = s.leaseGrantsRemaining(request.From).Milliseconds()
 	ids := request.DetailsOf
 	if len(ids) == 0 {
-		ids = slices.Concat(response.Queued, response.Ended)
+		ids = slices.Collect(maps.Keys(p.entries))
 	}
 	response.Outcomes, response.Failures = make(map[string]protocol.EndedMessage), make(map[string]int)
 	for _, id := range ids {
--- a/internal/messagestore/collection.go
+++ b/internal/messagestore/collection.go
@@ -164,7 +164,7 @@
 		}
 	}
 	for id, ended := range inventory.Outcomes {
-		if ended.Outcome.State == message.DeadLetter && p.entries[id].message == nil {
+		if ended.Outcome.State == message.DeadLetter && p.entries[id].lacksBody() {
 			lacking = append(lacking, id)
 		}
 	}
--- a/internal/messagestore/entry.go
+++ b/internal/messagestore/entry.go
@@ -27,6 +27,10 @@
 // needsBody reports whether the body may still be requested. The caller must hold Store.mu.
 func (e *entry) needsBody() bool { return e.message != nil && e.outcome.State != message.Completed }
 
+// lacksBody reports whether the message is a dead letter of which only the outcome is known. The caller must hold
+// Store.mu.
+func (e *entry) lacksBody() bool { return e.message == nil && e.outcome.State == message.DeadLetter }
+
 // positionOf returns the position of an entry's accepted record in the log.
 func (s *Store) positionOf(e *entry) wal.Position {
 	s.mu.Lock()
--- a/internal/messagestore/missing.go
+++ b/internal/messagestore/missing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"gladepick/internal/message"
 	"gladepick/internal/messagestore/protocol"
 	"gladepick/internal/messagestore/record"
 	"gladepick/internal/rpc"
@@ -111,7 +110,8 @@
 	return records
 }
 
-// handleInventory answers a primary with the IDs of the messages that this store has of a partition.
+// handleInventory answers a primary with the IDs of the messages that this store has of a partition. It leaves out a dead
+// letter of which this store has no body, so that the primary sends its accepted record.
 func (s *Store) handleInventory(_ context.Context, call *rpc.Call) (any, []byte, error) {
 	var request protocol.InventoryRequest
 	if err := call.Decode(&request); err != nil {
@@ -127,9 +127,10 @@
 	}
 	response := &protocol.InventoryResponse{}
 	for id, e := range s.partition(request.Partition).entries {
-		if e.outcome.State == message.Queued {
+		switch {
+		case !e.ended():
 			response.Queued = append(response.Queued, id)
-		} else {
+		case !e.lacksBody():
 			response.Ended = append(response.Ended, id)
 		}
 	}
--- a/internal/messagestore/recovery_test.go
+++ b/internal/messagestore/recovery_test.go
@@ -14,6 +14,7 @@
 	"gladepick/internal/message"
 	"gladepick/internal/messagestore/client"
 	"gladepick/internal/messagestore/protocol"
+	"gladepick/internal/messagestore/record"
 )
 
 // TestReplacementOfALostBackupGetsAllMessages guards against a replacement that lacks messages or outcomes from before
@@ -56,6 +57,54 @@
 	})
 }
 
+// receiveEnded has a machine's store receive the record of how a message ended.
+func (m *machine) receiveEnded(partition int, id string, outcome message.Outcome) error {
+	m.store.mu.Lock()
+	defer m.store.mu.Unlock()
+	ended := &record.Record{Kind: record.Ended, Partition: partition, ID: id, Outcome: &outcome, EndedAt: time.Now()}
+	line, err := ended.Encode()
+	if err != nil {
+		return err
+	}
+	return m.store.appendReceivedRecord(protocol.RecordHeader{Partition: partition, Length: len(line)}, line)
+}
+
+// TestReplacementGetsTheBodiesOfRecentDeadLetters guards against a replacement that gets the outcome of a dead letter,
+// which waits for all replicas, before the primary asks what it lacks, and then never gets the message with its body.
+func TestReplacementGetsTheBodiesOfRecentDeadLetters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		dead := h.mustPut("dead", "key", "body")
+		primary := h.primary(dead)
+		partition, err := client.PartitionOf(dead)
+		assert.NilError(t, err)
+		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		h.onRequest = func(cluster.PartitionRequest) { // the outcome arrives before all else
+			for _, m := range h.machines {
+				if m != primary && m.name != backup {
+					assert.Check(t, m.receiveEnded(partition, dead, message.Outcome{State: message.DeadLetter}) == nil)
+				}
+			}
+		}
+		h.stop(backup)
+		primary.store.Ended(h.messageOf(dead), message.Outcome{State: message.DeadLetter})
+		h.mustPut("after", "key", "body after")
+		time.Sleep(3 * time.Second)
+
+		view := h.currentTable().Partitions[partition]
+		assert.Assert(t, view.Replicas[1].Synced)
+		h.stop(primary.name)
+		h.setView(partition, view.Replicas[1].Store)
+		time.Sleep(time.Second)
+		body, err := h.body(dead)
+		assert.NilError(t, err)
+		assert.Equal(t, body, "body")
+		h.start(backup)
+		h.start(primary.name)
+	})
+}
+
 // TestFormerPrimaryCannotCommit guards against a former primary that acknowledges a message after its backup was
 // promoted.
 func TestFormerPrimaryCannotCommit(t *testing.T) {
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// resync sends a backup the records that it lacks. A new primary learns from the backup's inventory first. If the backup was not synced before, or was suspected, the control
-// plane is then asked to mark it as synced.
+// resync sends a backup the records that it lacks. A new primary learns from the backup's inventory first. If the backup
+// was not synced before, or was suspected, the control plane is then asked to mark it as synced.
 func (s *Store) resync(p *partition, epoch uint64, replica cluster.Replica) error {
 	s.mu.Lock()
 	backup := s.replicator(replica)
