Send records of one epoch of a partition in a call, and model that all messages end

While a view changed, one batch held records of the old and of the new epoch; the backup rejected the old ones, and the primary took the new ones for rejected too and fenced itself under its own epoch.

Change: a batch ends before a record of a partition whose epoch differs from that of an earlier record in it, so that the response means one epoch. A rejection under a former epoch of a primary that still leads no longer has the backup replaced.

--- a/internal/messagestore/replicator.go
+++ b/internal/messagestore/replicator.go
@@ -86,13 +86,20 @@
 }
 
 // nextBatch removes the records for the next call from the queue and returns them: at least one, and further ones up to
-// batchBytes in total. It returns none if the queue is empty.
+// batchBytes in total. It returns none if the queue is empty. All records of a partition in a batch have one epoch, because
+// the backup's response names rejected partitions, not records.
 func (r *replicator) nextBatch() []queuedRecord {
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
 	size, count := 0, 0
+	epochs := make(map[int]uint64)
 	for count < len(r.queue) && (count == 0 || size+r.queue[count].size() <= batchBytes) {
-		size += r.queue[count].size()
+		next := &r.queue[count]
+		if epoch, found := epochs[next.partition]; found && epoch != next.epoch {
+			break
+		}
+		epochs[next.partition] = next.epoch
+		size += next.size()
 		count++
 	}
 	batch := slices.Clone(r.queue[:count])
@@ -205,8 +212,9 @@
 	}
 }
 
-// handleRecordResult handles the result for one record. A rejection fences this store, as the backup knows a newer
-// epoch. After a rejection or an error the backup is resynced. The caller must hold r.store.mu.
+// handleRecordResult handles the result for one record. A rejection under the current epoch fences this store, as the
+// backup knows a newer one. One under a former epoch of this primary says nothing against the backup. After a rejection or
+// an error the backup is resynced. The caller must hold r.store.mu.
 func (r *replicator) handleRecordResult(sent *queuedRecord, result batchResult) {
 	s := r.store
 	p := s.partition(sent.partition)
@@ -219,12 +227,17 @@
 	if isRejected && isCurrent {
 		s.fencePartition(p)
 	}
-	if p.isPrimary && p.view.IndexOf(r.replica.Store) > 0 {
-		if sent.write != nil {
-			delete(sent.write.sentTo, r.replica.DiskID)
-		}
-		s.backupFailed(p, r.replica)
+	if !p.isPrimary || p.view.IndexOf(r.replica.Store) <= 0 {
+		return
+	}
+	if sent.write != nil {
+		delete(sent.write.sentTo, r.replica.DiskID)
+	}
+	if isRejected && !isCurrent {
+		s.needResync(p, r.replica)
+		return
 	}
+	s.backupFailed(p, r.replica)
 }
 
 // handleConfirmation records that the backup has synced a record, and commits the write that waits for it if that was
--- a/internal/modelcheck/model.go
+++ b/internal/modelcheck/model.go
@@ -4,6 +4,8 @@
 type Step[State any] struct {
 	Name  string // what happens; may be empty if the caller did not ask for names
 	State State
+	// External is set for faults and for other events that need not happen. ExploreEndings goes by it.
+	External bool
 }
 
 // Model is a protocol with its transitions, invariants and bounds. A state is a value: two states that compare equal
--- a/internal/modelcheck/modelcheck_test.go
+++ b/internal/modelcheck/modelcheck_test.go
@@ -63,3 +63,31 @@
 	_, missing = Replay(counter{limit: 3}, []string{"two", "two"})
 	assert.Equal(t, missing, "two")
 }
+
+// elevator is a model that goes up by external events and down by itself, except from a floor where it gets stuck.
+type elevator struct {
+	counter
+	stuck int
+}
+
+func (e elevator) Next(state *int, _ bool) []Step[int] {
+	var steps []Step[int]
+	if *state < e.limit {
+		steps = append(steps, Step[int]{State: *state + 1, Name: "up", External: true})
+	}
+	if *state > 0 && *state != e.stuck {
+		steps = append(steps, Step[int]{State: *state - 1, Name: "down"})
+	}
+	return steps
+}
+
+func (e elevator) Ended(state *int) bool { return *state == 0 }
+
+func TestExploreEndingsFindsAStateWithoutAnEnding(t *testing.T) {
+	result := ExploreEndings(elevator{counter: counter{limit: 4}, stuck: -1}, 100)
+	assert.DeepEqual(t, result, Result{States: 5, Depth: 4, Complete: true})
+	result = ExploreEndings(elevator{counter: counter{limit: 4}, stuck: 3}, 100)
+	assert.DeepEqual(t, result.Trace, []string{"up", "up", "up"})
+	assert.Assert(t, result.Violation != "")
+	assert.Assert(t, !ExploreEndings(elevator{counter: counter{limit: 4}, stuck: 3}, 3).Complete)
+}
