Begin a new rate limit without a debt of what was sent before

Cause: the token bucket took a token for each message sent without a limit, without a lower bound, and kept that when a limit was set.

Change: without a limit no token is taken, and a limit that follows a time without one begins with one token.

--- a/internal/delivery/token_bucket.go
+++ b/internal/delivery/token_bucket.go
@@ -18,14 +18,15 @@
 	refilledAt time.Duration
 }
 
-// setRate sets the rate to this store's part of a service's rate limit, in requests per second.
+// setRate sets the rate to this store's part of a service's rate limit, in requests per second. A limit that follows a time
+// without one begins with one token.
 func (b *tokenBucket) setRate(now time.Duration, perSecond float64, divisor int) {
 	b.refill(now)
-	firstCall := b.burst == 0
+	wasUnlimited := b.rate <= 0
 	b.rate = perSecond * usableRateShare / float64(max(divisor, 1))
 	b.burst = min(max(b.rate*burstDuration.Seconds(), 1), maxBurst)
 	b.tokens = min(b.tokens, b.burst)
-	if firstCall {
+	if wasUnlimited {
 		b.tokens = 1
 	}
 }
@@ -50,8 +51,11 @@
 	return time.Duration((1-b.tokens)/b.rate*float64(time.Second)) + time.Microsecond
 }
 
-// tryTake takes a token and reports whether one was available.
+// tryTake takes a token and reports whether one was available. Without a limit no token is needed.
 func (b *tokenBucket) tryTake(now time.Duration) bool {
+	if b.rate <= 0 {
+		return true
+	}
 	if b.wait(now) > 0 {
 		return false
 	}
