Use a static endpoint again after it has answered 421

Cause: a misdirected endpoint is marked as unavailable, and only the list of workers made one available again, which has no static endpoints.

Change: a static endpoint is available again after the same pause of 2 s. TestMisdirectedStaticEndpointIsUsedAgain failed before.

--- a/internal/delivery/service_health.go
+++ b/internal/delivery/service_health.go
@@ -68,7 +68,7 @@
 }
 
 // restoreMisdirected makes an endpoint available again some time after another worker responded at its address, if the
-// endpoint is still on the list. It returns the time at which the next endpoint becomes available.
+// endpoint is static or still on the list. It returns the time at which the next endpoint becomes available.
 func (s *service) restoreMisdirected(now time.Duration) time.Duration {
 	next := never
 	for _, target := range s.endpoints {
@@ -80,6 +80,10 @@
 			continue
 		}
 		target.misdirectedUntil = 0
+		if target.static {
+			target.unavailable.Store(false)
+			s.sendWorkerChange(target)
+		}
 		s.engine.applyWorkers()
 		return now
 	}
@@ -159,9 +163,14 @@
 	case resultMisdirected:
 		target.unavailable.Store(true)
 		target.misdirectedUntil = now + misdirectedPause
-		if s.adapter != nil {
-			s.adapter.sendWorkerChanges([]*endpoint{target})
-		}
+		s.sendWorkerChange(target)
+	}
+}
+
+// sendWorkerChange tells the decision module that an endpoint has become available or unavailable.
+func (s *service) sendWorkerChange(target *endpoint) {
+	if s.adapter != nil {
+		s.adapter.sendWorkerChanges([]*endpoint{target})
 	}
 }
 
--- a/internal/delivery/worker_faults_test.go
+++ b/internal/delivery/worker_faults_test.go
@@ -167,6 +167,23 @@
 	})
 }
 
+// TestMisdirectedStaticEndpointIsUsedAgain guards against a static endpoint that gets no messages for good after it has
+// answered one with status 421.
+func TestMisdirectedStaticEndpointIsUsedAgain(t *testing.T) {
+	withHarness(t, func(h *harness) {
+		fixed := h.addWorker("i-1", "s", "10.0.1.1")
+		fixed.respondWith(inSequence(respondStatus(421), succeedAfter(time.Millisecond)))
+		h.engine.SetConfiguration(table(t, version, []route{{name: "r", service: "s"}},
+			[]service{{name: "s", static: fixed.listed.Address}}))
+		h.submit("m", "r")
+		time.Sleep(time.Second)
+		assert.Equal(t, len(fixed.requests()), 1)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, h.owner.state("m"), message.Completed)
+		assert.Equal(t, len(fixed.requests()), 2)
+	})
+}
+
 // TestConflictWaitsForRunningAttempt checks that after a response with status 409, which says that another attempt is
 // still running, the message waits for the result of that attempt.
 func TestConflictWaitsForRunningAttempt(t *testing.T) {
