Sync the copies of a compaction in steps

Cause: a compaction copied the older half of what the log still needs without a sync in between; beyond 16 MB the log accepts no records, the compaction failed, and its copies stayed in the way.

Change: the copies are synced after each 1 MB. TestCompactionSyncsItsCopiesInSteps failed before with 'too much data is waiting for the disk'.

--- a/internal/messagestore/compaction.go
+++ b/internal/messagestore/compaction.go
@@ -30,12 +30,7 @@
 		return nil
 	}
 	before := segments[len(segments)/compactionShare].Number
-	for _, located := range s.entriesBefore(before) {
-		if err := s.rewriteEntry(located); err != nil {
-			return trace.Wrap(err)
-		}
-	}
-	if err := s.log.Sync(s.context); err != nil {
+	if err := s.rewriteEntries(s.entriesBefore(before)); err != nil {
 		return trace.Wrap(err)
 	}
 	if err := s.writeSnapshot(); err != nil {
@@ -66,31 +61,51 @@
 	return located
 }
 
+// rewriteEntries appends copies of the entries' accepted records to the log and syncs it, each time after at most about
+// compactionBatchBytes, so that the copies leave room for other records.
+func (s *Store) rewriteEntries(entries []locatedEntry) error {
+	unsynced := 0
+	for _, located := range entries {
+		written, err := s.rewriteEntry(located)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if unsynced += written; unsynced < compactionBatchBytes {
+			continue
+		}
+		if err := s.log.Sync(s.context); err != nil {
+			return trace.Wrap(err)
+		}
+		unsynced = 0
+	}
+	return trace.Wrap(s.log.Sync(s.context))
+}
+
 // rewriteEntry appends a copy of an entry's accepted record to the log, so that the entry no longer refers to its old
-// segment.
-func (s *Store) rewriteEntry(located locatedEntry) error {
+// segment. It returns the size of the copy in bytes.
+func (s *Store) rewriteEntry(located locatedEntry) (int, error) {
 	body, err := s.readBody(s.positionOf(located.entry))
 	if err != nil {
-		return trace.Wrap(err)
+		return 0, trace.Wrap(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !located.entry.needsBody() {
-		return nil
+		return 0, nil
 	}
 	line, err := (&record.Record{
 		Kind: record.Accepted, Partition: located.partition.id, Epoch: located.partition.epoch,
 		Message: located.entry.message, Failures: located.entry.failures,
 	}).Encode()
 	if err != nil {
-		return trace.Wrap(err)
+		return 0, trace.Wrap(err)
 	}
 	position, err := s.log.AppendParts(line, body)
 	if err != nil {
-		return trace.Wrap(err)
+		return 0, trace.Wrap(err)
 	}
 	located.entry.position = position
-	return nil
+	return len(line) + len(body), nil
 }
 
 // oldestReferencedSegment returns the lowest number of a segment that an entry refers to, or the given number if that
--- a/internal/messagestore/limits.go
+++ b/internal/messagestore/limits.go
@@ -84,8 +84,11 @@
 	minSegmentsOnDisk   = 24 // segments are small enough for this many to fit on the disk
 	compactionThreshold = 3  // the log is compacted once it takes 1/compactionThreshold of the disk
 	compactionShare     = 2  // one compaction empties 1/compactionShare of the segments
-	fullNumerator       = 9  // no message is accepted while the log takes more than
-	fullDenominator     = 10 // fullNumerator/fullDenominator of the disk
+	// compactionBatchBytes is the number of copied bytes after which a compaction syncs the log, which accepts no records
+	// while too many bytes wait for the disk.
+	compactionBatchBytes = 1 << 20
+	fullNumerator        = 9  // no message is accepted while the log takes more than
+	fullDenominator      = 10 // fullNumerator/fullDenominator of the disk
 )
 
 // segmentBytes returns the size of a segment for a disk of the given size in bytes; 0 means a disk without a limit.
--- a/internal/messagestore/maintenance_test.go
+++ b/internal/messagestore/maintenance_test.go
@@ -51,6 +51,28 @@
 	})
 }
 
+// TestCompactionSyncsItsCopiesInSteps guards against a compaction that fails, and leaves a store that accepts nothing,
+// because its copies fill the memory for records that wait for the disk.
+func TestCompactionSyncsItsCopiesInSteps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b")
+		defer h.close()
+		large := strings.Repeat("x", 1<<20)
+		var ids []string
+		for i := range 48 {
+			ids = append(ids, h.mustPut(fmt.Sprint(i), "key", fmt.Sprint(i, large)))
+		}
+		primary := h.primary(ids[0])
+		assert.NilError(t, primary.store.Compact())
+		h.mustPut("after", "key", "x")
+		for i, id := range ids {
+			body, err := h.body(id)
+			assert.NilError(t, err)
+			assert.Assert(t, body == fmt.Sprint(i, large))
+		}
+	})
+}
+
 // TestSnapshotDoesNotBlockStore guards against a snapshot that blocks the store during its I/O. While the disk is
 // stalled, the store answers calls that need no disk, and a later replay includes the changes made meanwhile.
 func TestSnapshotDoesNotBlockStore(t *testing.T) {
