Commit a put whose caller has gone while the primary syncs

Read in the review: a put whose connection ends while the primary's disk syncs was never marked as synced there. The message was on all disks and stayed pending, undelivered, until the partition changed hands.

Change: the wait for the sync goes on in the background. TestPutIsCommittedAfterItsCallerHasGone failed before: the engine never got the message.

--- a/internal/messagestore/put.go
+++ b/internal/messagestore/put.go
@@ -123,15 +123,25 @@
 	return write
 }
 
-// syncLocally waits until this store's disk has synced a write. If the sync fails, it aborts the write, unless the
-// caller's context has ended.
+// syncLocally waits until this store's disk has synced a write. If the caller's context ends first, the wait goes on in the
+// background, as the write may be on the backups already.
 func (s *Store) syncLocally(ctx context.Context, write *pendingWrite, id int) {
 	err := s.log.Sync(ctx)
+	if err != nil && ctx.Err() != nil {
+		s.background.Go(func() { s.finishLocalSync(write, id, s.log.Sync(s.context)) })
+		return
+	}
+	s.finishLocalSync(write, id, err)
+}
+
+// finishLocalSync handles the result of the sync of a write to this store's disk. It aborts the write if the sync has
+// failed, unless the store closes.
+func (s *Store) finishLocalSync(write *pendingWrite, id int, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(id)
 	if err != nil {
-		if ctx.Err() == nil {
+		if s.context.Err() == nil {
 			s.abort(p, write, err)
 		}
 		return
--- a/internal/messagestore/put_test.go
+++ b/internal/messagestore/put_test.go
@@ -1,6 +1,7 @@
 package messagestore
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"gladepick/internal/message"
 	"gladepick/internal/messagestore/protocol"
+	"gladepick/internal/rpc"
 )
 
 func TestMessageIsStoredAndDelivered(t *testing.T) {
@@ -56,6 +58,34 @@
 	})
 }
 
+// TestPutIsCommittedAfterItsCallerHasGone guards against a message that is on all disks and stays pending for good, because
+// its caller's connection ended while the primary's disk synced it.
+func TestPutIsCommittedAfterItsCallerHasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		time.Sleep(time.Second)
+		primary := h.machines["a"]
+		primary.disk.SetStalled(true)
+		caller := rpc.NewPool(h.network.Host("10.0.1.9"))
+		failed := make(chan error, 1)
+		go func() {
+			request := protocol.PutRequest{Submission: message.Submission{
+				RetentionMS: 90_000, Message: message.Message{Partition: 0, ID: "r1", RequestID: "r1"},
+			}}
+			_, err := caller.Get(h.address("a")).Call(context.Background(), protocol.MethodPut, request, []byte("x"), nil)
+			failed <- err
+		}()
+		time.Sleep(50 * time.Millisecond)
+		caller.Close()
+		assert.Assert(t, <-failed != nil)
+		time.Sleep(50 * time.Millisecond)
+		primary.disk.SetStalled(false)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, primary.engine.ids(), []string{"r1"})
+	})
+}
+
 func TestPutWithTooFewReplicasIsNotAcknowledged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b")
