Keep the bytes of order keys, request IDs and targets that are not UTF-8

Cause: messages travel and are stored as JSON, whose strings hold UTF-8 only.

Change: a message has the bytes of such texts beside them (`exact`, base64), which are put back wherever one is decoded.

TestOrderKeyThatIsNotUTF8IsKept failed before; the new golden file is that of this encoding.

--- a/internal/ingress/submission.go
+++ b/internal/ingress/submission.go
@@ -101,6 +101,7 @@
 	if route.Ordered {
 		submission.Message.OrderKey = r.Header.Get(headerOrderKey)
 	}
+	submission.Message.KeepExactText()
 	return submission, nil
 }
 
--- a/internal/message/golden_test.go
+++ b/internal/message/golden_test.go
@@ -44,6 +44,24 @@
 	assertGolden(t, "outcome-queued.json", message.Outcome{State: message.Queued})
 }
 
+// TestTextsThatAreNotUTF8AreKept guards against order keys, request IDs and targets that reach the worker changed. The file
+// is that of the first version that keeps them.
+func TestTextsThatAreNotUTF8AreKept(t *testing.T) {
+	exact := completeMessage()
+	exact.Target, exact.RequestID, exact.OrderKey, exact.ContentType = "/a\xff", "r\xfc", "k\xe9y", "text/x; c=\xe4"
+	want := exact
+	exact.KeepExactText()
+	encoded, err := json.Marshal(exact)
+	assert.NilError(t, err)
+	golden.AssertBytes(t, encoded, "message-exact.json")
+	var read message.Message
+	assert.NilError(t, json.Unmarshal(golden.Get(t, "message-exact.json"), &read))
+	read.RestoreExactText()
+	assert.DeepEqual(t, read, exact)
+	read.Exact = nil
+	assert.DeepEqual(t, read, want)
+}
+
 // assertGolden checks that a value is encoded as the golden file, and that the golden file is decoded to the value and
 // encoded again without a change.
 func assertGolden[Value any](t *testing.T, file string, value Value) {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -38,6 +38,8 @@
 	ConfigVersion uint64    `json:"configVersion"` // version of the configuration when the front accepted the message
 	DueAt         time.Time `json:"dueAt"`         // earliest time of the first attempt
 	ExpiresAt     time.Time `json:"expiresAt"`     // end of the retention
+	// Exact has the bytes of texts that are not valid UTF-8; nil if there are none.
+	Exact *ExactText `json:"exact,omitempty"`
 }
 
 // Outcome is the state of a message and, once it has completed, the worker's stamp.
--- a/internal/messagestore/index_snapshot.go
+++ b/internal/messagestore/index_snapshot.go
@@ -95,6 +95,9 @@
 		p := s.partition(restored.ID)
 		p.epoch, p.lastSequence, p.settledEpoch = restored.Epoch, restored.Last, restored.Settled
 		for _, e := range restored.Entries {
+			if e.Message != nil {
+				e.Message.RestoreExactText()
+			}
 			p.entries[e.ID] = &entry{
 				message: e.Message, position: e.Position, failures: e.Failures,
 				outcome: e.Outcome, endedAt: e.EndedAt,
--- a/internal/messagestore/put.go
+++ b/internal/messagestore/put.go
@@ -18,6 +18,7 @@
 	if err := call.Decode(&request); err != nil {
 		return nil, nil, err
 	}
+	request.Message.RestoreExactText()
 	write, isNew, err := s.accept(&request.Submission, call.Body)
 	if err != nil || write == nil {
 		return nil, nil, err
--- a/internal/messagestore/put_test.go
+++ b/internal/messagestore/put_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"gladepick/internal/message"
+	"gladepick/internal/messagestore/client"
 	"gladepick/internal/messagestore/protocol"
 	"gladepick/internal/rpc"
 )
@@ -157,3 +158,37 @@
 		h.start(former)
 	})
 }
+
+// TestOrderKeyThatIsNotUTF8IsKept guards against an order key whose bytes change on the way through the store: at the first
+// delivery, at a backup and after a restart with and without a snapshot of the index.
+func TestOrderKeyThatIsNotUTF8IsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		key := "caf\xe9"
+		submission := message.Submission{
+			RetentionMS: 90_000, Message: message.Message{RequestID: "r1", OrderKey: key},
+		}
+		submission.Message.KeepExactText()
+		id, err := h.client().Put(context.Background(), submission, true, []byte("x"))
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		primary := h.primary(id)
+		assert.Equal(t, primary.engine.submitted[0].OrderKey, key)
+		for range 2 {
+			assert.NilError(t, primary.store.log.Sync(context.Background()))
+			h.stop(primary.name)
+			h.start(primary.name)
+			time.Sleep(time.Second)
+			primary = h.primary(id)
+			assert.Equal(t, h.messageOf(id).OrderKey, key)
+			assert.NilError(t, primary.store.writeSnapshot())
+		}
+		partition, err := client.PartitionOf(id)
+		assert.NilError(t, err)
+		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		h.setView(partition, backup)
+		time.Sleep(time.Second)
+		assert.Equal(t, h.messageOf(id).OrderKey, key)
+	})
+}
--- a/internal/messagestore/record/record.go
+++ b/internal/messagestore/record/record.go
@@ -64,5 +64,8 @@
 	if decoded.Kind == Accepted && decoded.Message == nil {
 		return nil, nil, fmt.Errorf("record of kind %q has no message", decoded.Kind)
 	}
+	if decoded.Message != nil {
+		decoded.Message.RestoreExactText()
+	}
 	return decoded, data[end+1:], nil
 }
