Give each member of the dispatchers' membership ballot numbers of its own

Read, not shown by a run: a ballot above one that was promised took the next number, which may be another member's; a voter accepts a proposal under the number that it promised, so that two proposers could each get a majority's votes under one number.

Change: a member goes up within its own numbers. TestMembersNeverShareABallot failed before (ballot 4097 twice).

--- a/internal/dispatcher/membership/coordinator.go
+++ b/internal/dispatcher/membership/coordinator.go
@@ -180,14 +180,11 @@
 // promised or learned from a voter.
 func (m *Machine) startBallot(proposed *change) {
 	v := &m.view
-	v.isPreparing = !m.maySkipPrepare()
-	v.ballot = 1
+	highestKnown := max(v.promised, v.ballotFloor)
+	v.isPreparing = highestKnown > 0 || !m.maySkipPrepare()
+	v.ballot = firstBallot
 	if v.isPreparing {
-		v.ballot = m.ownBallot()
-	}
-	if v.isPreparing || v.promised > 0 || v.ballotFloor > 0 {
-		v.isPreparing = true
-		v.ballot = max(v.ballot, v.promised+1, v.ballotFloor+1)
+		v.ballot = m.ownBallot(highestKnown)
 	}
 	v.ownProposal = encodeCBOR(proposed)
 	v.proposal = v.ownProposal
@@ -210,11 +207,16 @@
 	return v.ranked[0] == m.self.Name && v.Contains(m.self.Name, m.self.Incarnation) && v.ballotAttempts == 0
 }
 
-// ownBallot returns a ballot number that no other member of the view uses.
-func (m *Machine) ownBallot() uint32 {
+// ownBallot returns a ballot number above the given one that no other member of the view uses.
+func (m *Machine) ownBallot(above uint32) uint32 {
+	const step = 2 * ballotsPerAttempt // between two numbers of one member
 	v := &m.view
 	ownIndex := uint32(v.index[m.self.Name])
-	return uint32(v.ballotAttempts)*ballotsPerAttempt*2 + ballotsPerAttempt + ownIndex%ballotsPerAttempt + 1
+	ballot := uint32(v.ballotAttempts)*step + ballotsPerAttempt + ownIndex%ballotsPerAttempt + 1
+	if ballot <= above {
+		ballot += ((above-ballot)/step + 1) * step
+	}
+	return ballot
 }
 
 // joinRanges merges neighbouring indexes into ranges. It returns the first limit ranges at most and drops the rest.
--- a/internal/dispatcher/membership/view.go
+++ b/internal/dispatcher/membership/view.go
@@ -122,6 +122,7 @@
 	resendInterval    = 150 * time.Millisecond
 	maxBodyBytes      = 170 // bytes of the encoded change or records in a datagram
 	maxRanges         = 12  // ranges of removed members in a change
+	firstBallot       = 1   // of the first member by rank, which may begin with accept
 	ballotsPerAttempt = 1 << 12
 )
 
