Have a replica drop queued messages that its primary does not know

What callers would have seen: a store is away while messages complete, their outcomes expire after bounds.status-s, and the store becomes a replica again with its old disk before a table has told it that it was none. It kept the messages as queued, and ran them again as soon as it led.

A message that was accepted under the primary's epoch stays, so that a late record does no harm, and one that is accepted again replaces the earlier entry.

--- a/internal/messagestore/harness_test.go
+++ b/internal/messagestore/harness_test.go
@@ -285,6 +285,17 @@
 	})
 }
 
+// replaceUnsynced replaces a replica by an unsynced one on the given store, whether that store runs or not.
+func (h *harness) replaceUnsynced(id int, dropped, added string) {
+	h.update(func(table *cluster.Table) {
+		view := &table.Partitions[id]
+		replica := h.replica(added)
+		replica.Synced = false
+		view.Epoch++
+		view.Replicas[view.IndexOf(dropped)] = replica
+	})
+}
+
 func (h *harness) ReportFailure(context.Context, cluster.FailureReport) error { return nil }
 
 // machineControl implements Control for the store of one machine.
--- a/internal/messagestore/missing.go
+++ b/internal/messagestore/missing.go
@@ -43,6 +43,27 @@
 	return found
 }
 
+// dropUnknown has a backup drop the queued messages of its inventory that this primary does not know. As it has all
+// acknowledged messages, these were not acknowledged, or have ended so long ago that the outcome has expired.
+func (s *Store) dropUnknown(p *partition, epoch uint64, backup *replicator, inventory *protocol.InventoryResponse) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.isPrimary || p.epoch != epoch || p.collection != nil {
+		return errSteppedDown
+	}
+	for _, id := range inventory.Queued {
+		if p.entries[id] != nil {
+			continue
+		}
+		line, err := (&record.Record{Kind: record.Dropped, Partition: p.id, Epoch: epoch, ID: id}).Encode()
+		if err != nil {
+			return err
+		}
+		backup.enqueue(queuedRecord{partition: p.id, epoch: epoch, line: line})
+	}
+	return nil
+}
+
 // sendMissing sends the missing records to a backup in batches of about batchBytes, and waits until each batch was
 // answered.
 func (s *Store) sendMissing(ctx context.Context, p *partition, backup *replicator, entries []missingEntry) error {
--- a/internal/messagestore/partition.go
+++ b/internal/messagestore/partition.go
@@ -89,6 +89,8 @@
 		}
 	case record.Ended:
 		p.applyEnded(r)
+	case record.Dropped:
+		p.applyDropped(r)
 	case record.Settled:
 		p.settledEpoch = max(p.settledEpoch, r.Epoch)
 	case record.Forget:
@@ -97,12 +99,13 @@
 }
 
 // applyAccepted adds a message to the index. For a known message it updates the position of the body, and adds the
-// details if they are still needed and not known.
+// details if they are still needed and not known. A message that was accepted again has a higher sequence number.
 func (p *partition) applyAccepted(r *record.Record, position wal.Position) {
 	p.lastSequence = max(p.lastSequence, r.Message.Sequence)
 	if e := p.entries[r.Message.ID]; e != nil {
 		e.position = position
-		if e.message == nil && e.outcome.State != message.Completed {
+		isNewer := e.message != nil && e.message.Sequence < r.Message.Sequence
+		if (e.message == nil || isNewer) && e.outcome.State != message.Completed {
 			e.message = r.Message
 		}
 		return
@@ -133,6 +136,15 @@
 	}
 }
 
+// applyDropped removes a queued message that the primary of the record's epoch does not know. A message that has been
+// accepted under that epoch or a later one stays, as the record may arrive after it.
+func (p *partition) applyDropped(r *record.Record) {
+	e := p.entries[r.ID]
+	if e != nil && !e.ended() && e.message.Sequence < r.Epoch<<epochShift {
+		delete(p.entries, r.ID)
+	}
+}
+
 // endedRecord returns the record of how an entry's message ended.
 func (p *partition) endedRecord(id string, e *entry) *record.Record {
 	outcome := e.outcome
--- a/internal/messagestore/record/golden_test.go
+++ b/internal/messagestore/record/golden_test.go
@@ -49,6 +49,7 @@
 		"epoch":   {Record{Kind: Epoch, Partition: 1, Epoch: 3}, ""},
 		"forget":  {Record{Kind: Forget, Partition: 1, Epoch: 3}, ""},
 		"settled": {Record{Kind: Settled, Partition: 1, Epoch: 3}, ""},
+		"dropped": {Record{Kind: Dropped, Partition: 1, Epoch: 3, ID: "1-00000000000000ab"}, ""},
 	}
 	for name, each := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/messagestore/record/record.go
+++ b/internal/messagestore/record/record.go
@@ -26,6 +26,7 @@
 	Epoch    Kind = "epoch"    // the replica group has entered Epoch
 	Forget   Kind = "forget"   // this store has dropped the partition
 	Settled  Kind = "settled"  // this store leads under Epoch, and no lease of a former primary is valid any more
+	Dropped  Kind = "dropped"  // the primary of Epoch does not know a message of an earlier epoch: ID
 )
 
 // Record is one change of a partition. It is encoded as a line of JSON, which for Accepted is followed by the message's
--- a/internal/messagestore/recovery_test.go
+++ b/internal/messagestore/recovery_test.go
@@ -188,3 +188,37 @@
 		h.start("a")
 	})
 }
+
+// TestReturningReplicaDropsMessagesThatItsPrimaryHasForgotten guards against messages that run again: a store is away while
+// they complete and their outcomes expire, and is made a replica again, with its old disk, before any table tells it that
+// it was none.
+func TestReturningReplicaDropsMessagesThatItsPrimaryHasForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		old := h.mustPut("old", "key", "x")
+		primary := h.primary(old)
+		partition, err := client.PartitionOf(old)
+		assert.NilError(t, err)
+		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		h.stop(backup)
+		h.mustPut("after", "key", "y")
+		time.Sleep(3 * time.Second) // the third store replaces the backup
+		primary.store.Ended(h.messageOf(old), message.Outcome{State: message.Completed, Stamp: "s"})
+		time.Sleep(2 * time.Minute) // the outcome expires
+		third := h.currentTable().Partitions[partition].Replicas[1].Store
+		assert.Assert(t, third != backup)
+
+		h.stop(third)
+		h.replaceUnsynced(partition, third, backup)
+		h.start(backup)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, h.currentTable().Partitions[partition].Replicas[1].Synced)
+		h.stop(primary.name)
+		h.setView(partition, backup)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, !slices.Contains(h.machines[backup].engine.ids(), old))
+		h.start(primary.name)
+		h.start(third)
+	})
+}
--- a/internal/messagestore/resync.go
+++ b/internal/messagestore/resync.go
@@ -106,6 +106,9 @@
 		s.learn(p, epoch, replica, &inventory)
 	}
 	s.resendPending(p)
+	if err := s.dropUnknown(p, epoch, backup, &inventory); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(s.context, resyncTimeout)
 	defer cancel()
 	if err := s.sendMissing(ctx, p, backup, s.missing(p, &inventory)); err != nil {
