Let a flush fail if the backup has rejected its record

A flush reported only the error of its call, so it succeeded where the backup had rejected the record for its epoch; its callers checked again by other means. Listed by readers; no caller was found that it misled.

TestFlushFailsIfItsRecordIsRejected failed before.

--- a/internal/messagestore/fencing_test.go
+++ b/internal/messagestore/fencing_test.go
@@ -64,3 +64,22 @@
 		assert.NilError(t, h.putAt(0, "after"))
 	})
 }
+
+// TestFlushFailsIfItsRecordIsRejected guards against a flush that succeeds although the backup has not stored the records
+// before it.
+func TestFlushFailsIfItsRecordIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, "a", "b", "c")
+		defer h.close()
+		h.rejectRequests()
+		time.Sleep(time.Second)
+		backup, primary := h.machines["b"].store, h.machines["a"].store
+		backup.mu.Lock()
+		backup.partition(0).epoch++
+		backup.mu.Unlock()
+		primary.mu.Lock()
+		p, source := primary.partition(0), primary.replicator(h.replica("b"))
+		primary.mu.Unlock()
+		assert.ErrorIs(t, source.flush(t.Context(), p), errStaleEpoch)
+	})
+}
--- a/internal/messagestore/replicator.go
+++ b/internal/messagestore/replicator.go
@@ -196,6 +196,19 @@
 	err              error
 }
 
+// errorFor returns the error of the call, or errStaleEpoch if the backup rejected the record.
+func (b *batchResult) errorFor(sent *queuedRecord) error {
+	if b.err == nil && b.isRejected(sent) {
+		return errStaleEpoch
+	}
+	return b.err
+}
+
+// isRejected reports whether the backup rejected a record for its epoch.
+func (b *batchResult) isRejected(sent *queuedRecord) bool {
+	return slices.Contains(b.rejected, sent.partition)
+}
+
 // handleResult handles the result of the call for a batch, record by record, and calls the records' done functions.
 func (r *replicator) handleResult(batch []queuedRecord, result batchResult) {
 	s := r.store
@@ -207,7 +220,7 @@
 	s.mu.Unlock()
 	for i := range batch {
 		if batch[i].done != nil {
-			batch[i].done(result.err)
+			batch[i].done(result.errorFor(&batch[i]))
 		}
 	}
 }
@@ -219,7 +232,7 @@
 	s := r.store
 	p := s.partition(sent.partition)
 	isCurrent := p.isPrimary && sent.epoch == p.epoch
-	isRejected := slices.Contains(result.rejected, sent.partition)
+	isRejected := result.isRejected(sent)
 	if result.err == nil && !isRejected {
 		r.handleConfirmation(p, sent, isCurrent, result.leaseRequestedAt)
 		return
