Read a settings file again whose reading has failed

Such a file counts as missing now, with one log line until it is read. TestSettingsThatCouldNotBeReadAreReadAgain failed to compile before, as reads can be replaced by tests only now; with the former condition it fails.

--- a/internal/systemnode/settingswatch.go
+++ b/internal/systemnode/settingswatch.go
@@ -27,10 +27,11 @@
 	missing  bool               // the last check failed, and the failure was logged
 	target   settingsTarget
 	logger   *zap.Logger
+	read     func(path string) (*SettingsFile, error) // ReadSettings, except in tests
 }
 
 func newSettingsWatch(file *SettingsFile, target settingsTarget, logger *zap.Logger) *settingsWatch {
-	return &settingsWatch{started: file.Settings, current: file, target: target, logger: logger}
+	return &settingsWatch{started: file.Settings, current: file, target: target, logger: logger, read: ReadSettings}
 }
 
 // run checks the file until the context ends. The first check always reads the file, because it may have changed
@@ -57,7 +58,6 @@
 		w.logMissing(err)
 		return
 	}
-	w.missing = false
 	if !force && w.lastInfo != nil && unchanged(w.lastInfo, info) {
 		return
 	}
@@ -72,7 +72,7 @@
 	return sameContent && os.SameFile(before, after)
 }
 
-// logMissing logs that the file can't be checked. It logs once until a check succeeds again.
+// logMissing logs that the file can't be checked or read. It logs once until a check succeeds again.
 func (w *settingsWatch) logMissing(err error) {
 	w.lastInfo = nil
 	if w.missing {
@@ -83,9 +83,14 @@
 }
 
 // reload reads the file and applies it. If the file is invalid or belongs to another machine, reload logs that and
-// applies nothing.
+// applies nothing. A file that could not be read is read again at the next check.
 func (w *settingsWatch) reload() {
-	next, err := ReadSettings(w.current.Path)
+	next, err := w.read(w.current.Path)
+	if err != nil && !errors.As(err, new(settings.Findings)) {
+		w.logMissing(err)
+		return
+	}
+	w.missing = false
 	if err == nil {
 		err = checkSameMachine(w.started, next)
 	}
--- a/internal/systemnode/settingswatch_test.go
+++ b/internal/systemnode/settingswatch_test.go
@@ -202,3 +202,25 @@
 		assert.DeepEqual(t, w.target.platforms, []string{"10.0.0.8:80"})
 	})
 }
+
+// TestSettingsThatCouldNotBeReadAreReadAgain guards against a change that waits for the next one, because the read after it
+// failed although the check of the file had succeeded.
+func TestSettingsThatCouldNotBeReadAreReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(sampleSettings), 0o600))
+	started, err := ReadSettings(path)
+	assert.NilError(t, err)
+	core, logs := observer.New(zapcore.InfoLevel)
+	target := &fakeTarget{}
+	watch := newSettingsWatch(started, target, zap.New(core))
+	assert.NilError(t, os.WriteFile(path, []byte(strings.ReplaceAll(sampleSettings, "10.0.0.9:80", "10.0.0.8:80")), 0o600))
+	watch.read = func(string) (*SettingsFile, error) {
+		return nil, &os.PathError{Op: "open", Path: path, Err: syscall.EMFILE}
+	}
+	watch.check(false)
+	watch.check(false)
+	assert.Equal(t, logs.FilterMessage("settings not read").Len(), 1)
+	watch.read = ReadSettings
+	watch.check(false)
+	assert.DeepEqual(t, target.platforms, []string{"10.0.0.8:80"})
+}
