Report a search for an order of configuration changes that found none in time

The check of linearizability in the simulated cluster passed over a search that ran into its time limit. It is reported as a broken rule now; the limit stays.

--- a/internal/simcluster/audit_linearizable.go
+++ b/internal/simcluster/audit_linearizable.go
@@ -89,7 +89,10 @@
 		})
 	}
 	result := porcupine.CheckOperationsTimeout(configurationRegister.ToModel(), operations, linearizationTimeout)
-	if result == porcupine.Illegal {
+	switch result {
+	case porcupine.Illegal:
 		a.report(RuleConfiguration, a.End, "the operators' calls are not linearizable")
+	case porcupine.Unknown:
+		a.report(RuleConfiguration, a.End, "no order of the operators' calls was found within %v", linearizationTimeout)
 	}
 }
