--- a/internal/messagestore/doc.go
+++ b/internal/messagestore/doc.go
@@ -16,6 +16,8 @@
 //   - Deliveries of a partition start only while no other store can be its primary (deliveryFence): the store's lease
 //     from the control plane is valid, or every backup has granted it a lease under this epoch within the last second.
 //     A new primary waits until all leases that it, or the primary before it, has granted have ended.
+//   - A fenced primary accepts and delivers nothing. The state ends with a view of a newer epoch, which the primary asks for
+//     if none arrives.
 //   - A confirmation counts only for the disk that gave it: each call names the disk that it is meant for.
 //   - A backup is marked as synced, and so may be promoted, only after it has stored every record that it lacked.
 //   - Deliveries that were stopped for a handover resume only after the control plane has definitely rejected the
@@ -28,11 +30,11 @@
 // # Goroutines
 //
 // Start starts maintain, which resyncs backups, requests leases, drops expired entries and compacts the log, and
-// syncInBackground, which syncs records that no caller waits for. Each disk
-// that a primary sends records to has a replicator, which makes one call at a time. Each resync of a backup, handover
-// to the preferred primary, failure report and forwarded outcome runs in a short-lived goroutine. All of these belong
-// to Store.background and end with Store.context, and Close waits for them. Handlers of calls run in goroutines of the
-// rpc.Server. The engine calls MayDeliver, Body, Failed and Ended from its own goroutines.
+// syncInBackground, which syncs records that no caller waits for. Each disk that a primary sends records to has a
+// replicator, which makes one call at a time. Each resync of a backup, handover to the preferred primary, failure report
+// and forwarded outcome runs in a short-lived goroutine. All of these belong to Store.background and end with
+// Store.context, and Close waits for them. Handlers of calls run in goroutines of the rpc.Server. The engine calls
+// MayDeliver, Body, Failed and Ended from its own goroutines.
 //
 // # Locks
 //
@@ -44,9 +46,17 @@
 //
 // # Where to start reading
 //
-// Start with store.go. put.go and commit.go have the path of a message through the primary, background_sync.go that of
-// its outcome, follower.go the backup's side, leadership.go the effects of a new table, delivery_fence.go the rules for
-// deliveries, catch_up.go and collection.go what a new primary learns from other replicas, and resync.go the way a backup
-// catches up. Package record defines the records in the log and between replicas, package protocol the calls. Fronts use
-// package client. The files model_*_test.go have a model of the protocol.
+// Start with store.go. The other files belong to these parts:
+//
+//   - the log and the index: entry.go, partition.go, index_snapshot.go, compaction.go, background_sync.go
+//   - a message's path: put.go, commit.go, query.go, outcome.go, engine.go
+//   - replication at the primary: replicator.go, batch_result.go, resync.go, missing.go
+//   - replication at a backup: follower.go
+//   - leadership: leadership.go, fencing.go, delivery_fence.go, backup_lease.go, handover.go, drain.go, control.go
+//   - recovery, what a new primary learns from other replicas: catch_up.go, collection.go, collection_source.go
+//   - upkeep: maintenance.go, limits.go, errors.go
+//
+// docs/architecture.md has the path of a message and what follows a failure, with the function of each step. Package record
+// defines the records in the log and between replicas, package protocol the calls. Fronts use package client. The files
+// model_*_test.go have models of the protocol.
 package messagestore
