--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,8 @@
 	grep -v -x -F "$$(go list $(SYNCTEST_PACKAGES))")
 # Tests that KNOWN-RED.txt lists are printed and passed over.
 KNOWN_RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
+# The plan that the soak of real processes plays; docs/soak.md. One takes about 50 s.
+SOAK_SEED ?= 1
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 test: lint build
 	@if test -f KNOWN-RED.txt; then cat KNOWN-RED.txt; fi
@@ -37,6 +39,7 @@
 	go test -count=1 -timeout 10m $(SKIP_KNOWN_RED) $(SYNCTEST_PACKAGES)
 	go test -count=1 -timeout 5m $(SKIP_KNOWN_RED) ./internal/dispatcher/lease ./internal/dispatcher/raftgroup
 	go test -count=1 -timeout 5m $(SKIP_KNOWN_RED) ./internal/dispatcher/faultinjection
+	bin/gladepick-soak --program bin/gladepick-system --seed $(SOAK_SEED)
 
 # One dispatcher, as the NODE_ variables say.
 run: build
--- a/internal/architecture/planes_test.go
+++ b/internal/architecture/planes_test.go
@@ -68,6 +68,8 @@
 	"internal/benchreport":      planeTools,
 	"internal/operatorcli":      planeTools,
 	"internal/simcluster":       planeTools,
+	"internal/soak":             planeTools,
+	"cmd/gladepick-soak":        planeTools,
 	"internal/systemnode/demo":  planeTools,
 
 	"cmd/gladepick":                             planeDispatcher,
