Read what an engine and a control plane have got under their locks in two tests

Under the race detector TestOrderKeyThatIsNotUTF8IsKept failed: it read the test engine's messages without its lock. The second test read the requests of the test's control plane likewise.

--- a/internal/messagestore/fencing_test.go
+++ b/internal/messagestore/fencing_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +36,7 @@
 			assert.NilError(t, <-acknowledged)
 		}
 		assert.Assert(t, primary.store.MayDeliver(0))
-		assert.Assert(t, !slices.ContainsFunc(h.requests, func(request cluster.PartitionRequest) bool { return request.Renew }))
+		assert.Assert(t, !h.hasRequest(func(request cluster.PartitionRequest) bool { return request.Renew }))
 	})
 }
 
--- a/internal/messagestore/harness_test.go
+++ b/internal/messagestore/harness_test.go
@@ -268,6 +268,13 @@
 	return nil
 }
 
+// hasRequest reports whether the control plane has got a request with a property.
+func (h *harness) hasRequest(property func(cluster.PartitionRequest) bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.requests, property)
+}
+
 // replace replaces a replica by an unsynced running store that is not in the group, if there is one.
 func (h *harness) replace(id int, dropped string) {
 	h.update(func(table *cluster.Table) {
--- a/internal/messagestore/put_test.go
+++ b/internal/messagestore/put_test.go
@@ -174,7 +174,7 @@
 		assert.NilError(t, err)
 		time.Sleep(time.Second)
 		primary := h.primary(id)
-		assert.Equal(t, primary.engine.submitted[0].OrderKey, key)
+		assert.Equal(t, h.messageOf(id).OrderKey, key)
 		for range 2 {
 			assert.NilError(t, primary.store.log.Sync(context.Background()))
 			h.stop(primary.name)
