Build records, walk partitions and cut off primaries at one place each

Accepted records were put together at three places and ended ones at four; three places encoded and appended a record by the same lines; maintenance took the lock and walked over all partitions five times a round, now once, and only those that the store leads are looked at. A write knows its partition, so that the sync of a put need not be told. Synced replicas are counted by the view. No behaviour changes.

--- a/internal/controlplane/tablemanager/decision_trace_test.go
+++ b/internal/controlplane/tablemanager/decision_trace_test.go
@@ -281,7 +281,7 @@
 	assert.NilError(d.t, err)
 	_, _ = d.hash.Write(d.hashed(decided))
 	for _, partition := range decided.Partitions {
-		if !partition.Replicas[0].Synced {
+		if partition.Collecting() {
 			d.recoveries++
 		}
 	}
--- a/internal/messagestore/backup_lease_test.go
+++ b/internal/messagestore/backup_lease_test.go
@@ -17,7 +17,7 @@
 		h.leases.Store(false)
 		time.Sleep(2 * time.Second)
 		assert.Assert(t, primary.store.MayDeliver(partition))
-		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		backup := h.backup(partition).name
 		h.rejectRequests()
 		h.network.Isolate(primary.ip, h.machines[backup].ip)
 		time.Sleep(3 * time.Second)
--- a/internal/messagestore/catch_up.go
+++ b/internal/messagestore/catch_up.go
@@ -95,9 +95,7 @@
 	id := e.message.ID
 	if ended, found := inventory.Outcomes[id]; found {
 		p.catchUp.learned++
-		s.endEntry(p, e, &record.Record{
-			Kind: record.Ended, Partition: p.id, Epoch: p.epoch, ID: id, Outcome: &ended.Outcome, EndedAt: ended.EndedAt,
-		})
+		s.endEntry(p, e, p.endedRecord(id, ended.Outcome, ended.EndedAt))
 		return
 	}
 	s.learnFailures(p, id, e, inventory.Failures[id])
@@ -135,15 +133,6 @@
 	}
 }
 
-// endOverdueCatchUps ends the catch-ups that only replicas hold up which are known to be down or unreachable.
-func (s *Store) endOverdueCatchUps() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.partitions {
-		s.endCatchUpIfAnswered(p)
-	}
-}
-
 // endCatchUpIfAnswered ends a catch-up and submits the held messages that have not ended, in their order, once no
 // replica of the view is awaited. The caller must hold s.mu.
 func (s *Store) endCatchUpIfAnswered(p *partition) {
--- a/internal/messagestore/collection.go
+++ b/internal/messagestore/collection.go
@@ -9,7 +9,6 @@
 	"gladepick/internal/cluster"
 	"gladepick/internal/message"
 	"gladepick/internal/messagestore/protocol"
-	"gladepick/internal/messagestore/record"
 )
 
 // collection is the state of an unsynced primary, which collects in a recovery what the other replicas of its view hold.
@@ -137,14 +136,8 @@
 	if e := p.entries[id]; e != nil && e.ended() {
 		return nil
 	}
-	outcome := &record.Record{
-		Kind: record.Ended, Partition: p.id, Epoch: p.epoch, ID: id, Outcome: &ended.Outcome, EndedAt: ended.EndedAt,
-	}
-	line, err := outcome.Encode()
-	if err != nil {
-		return err
-	}
-	if _, err := s.log.Append(line); err != nil {
+	outcome := p.endedRecord(id, ended.Outcome, ended.EndedAt)
+	if err := s.appendRecord(outcome); err != nil {
 		return err
 	}
 	p.collection.outcomes++
@@ -239,12 +232,3 @@
 		}
 	})
 }
-
-// finishCollections asks again for the end of the recoveries whose messages are collected.
-func (s *Store) finishCollections() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.partitions {
-		s.finishIfCollected(p)
-	}
-}
--- a/internal/messagestore/collection_source.go
+++ b/internal/messagestore/collection_source.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"gladepick/internal/messagestore/protocol"
-	"gladepick/internal/messagestore/record"
 	"gladepick/internal/rpc"
 	"gladepick/internal/wal"
 )
@@ -64,8 +63,6 @@
 	if e == nil || e.message == nil {
 		return nil, wal.Position{}, nil
 	}
-	line, err := (&record.Record{
-		Kind: record.Accepted, Partition: p.id, Epoch: p.epoch, Message: e.message, Failures: e.failures,
-	}).Encode()
+	line, err := p.acceptedRecord(e).Encode()
 	return line, e.position, err
 }
--- a/internal/messagestore/collection_test.go
+++ b/internal/messagestore/collection_test.go
@@ -10,7 +10,6 @@
 
 	"gladepick/internal/cluster"
 	"gladepick/internal/message"
-	"gladepick/internal/messagestore/client"
 )
 
 // beginRecovery makes the last machine, which holds nothing of a partition, the unsynced primary beside its backup. The
@@ -45,8 +44,7 @@
 		for i := range 6 {
 			ids = append(ids, h.mustPut(fmt.Sprint(i), "key", fmt.Sprintf("body %d", i)))
 		}
-		partition, err := client.PartitionOf(ids[0])
-		assert.NilError(t, err)
+		partition := h.partitionOf(ids[0])
 		primary := h.primary(ids[0])
 		primary.store.Ended(h.messageOf(ids[0]), message.Outcome{State: message.Completed, Stamp: "s"})
 		primary.store.Ended(h.messageOf(ids[1]), message.Outcome{State: message.DeadLetter})
@@ -78,8 +76,7 @@
 		defer h.close()
 		h.rejectRequests()
 		id := h.mustPut("0", "key", "x")
-		partition, err := client.PartitionOf(id)
-		assert.NilError(t, err)
+		partition := h.partitionOf(id)
 		view := h.currentTable().Partitions[partition]
 		h.network.Isolate(h.machines["c"].ip, h.machines[view.Replicas[1].Store].ip)
 		_, source, collector := h.beginRecovery(partition)
@@ -87,7 +84,7 @@
 		assert.Assert(t, !collector.store.MayDeliver(partition))
 		assert.Equal(t, collector.store.Stats().Collecting, 1)
 		assert.Assert(t, h.putAt(partition, "late") != nil)
-		_, err = h.state(id)
+		_, err := h.state(id)
 		assert.Assert(t, err != nil)
 		assert.Equal(t, len(collector.engine.ids()), 0)
 
@@ -108,15 +105,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
-		id := h.mustPut("0", "key", "x")
-		partition, err := client.PartitionOf(id)
-		assert.NilError(t, err)
-		primary := h.primary(id)
-		primary.noLease.Store(true)
-		time.Sleep(2 * heartbeatInterval)
-		assert.Assert(t, primary.store.MayDeliver(partition))
-		backup := h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
-		h.network.Isolate(primary.ip, backup.ip)
+		partition, _, _ := h.cutOffWithBackupLease()
 		former, _, collector := h.beginRecovery(partition)
 		requireOneDelivers(t, former, collector, partition)
 	})
@@ -129,10 +118,9 @@
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
 		id := h.mustPut("0", "key", "x")
-		partition, err := client.PartitionOf(id)
-		assert.NilError(t, err)
+		partition := h.partitionOf(id)
 		isCollected := func() bool { return h.currentTable().Partitions[partition].Replicas[0].Synced }
-		backup := h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
+		backup := h.backup(partition)
 		backup.disk.SetStalled(true)
 		h.beginRecovery(partition)
 		time.Sleep(resyncGracePeriod)
--- a/internal/messagestore/commit.go
+++ b/internal/messagestore/commit.go
@@ -100,6 +100,17 @@
 	p.finishWrite(write, err)
 }
 
+// appendRecord appends a record to the log. It neither waits for the disk nor queues the record for the backups. The
+// caller must hold s.mu.
+func (s *Store) appendRecord(r *record.Record) error {
+	line, err := r.Encode()
+	if err != nil {
+		return err
+	}
+	_, err = s.log.Append(line)
+	return err
+}
+
 // appendAndReplicate appends a record to the log, which is synced within about syncDelay, and queues it for the backups.
 // It waits for neither. The caller must hold s.mu.
 func (s *Store) appendAndReplicate(p *partition, r *record.Record) {
--- a/internal/messagestore/compaction.go
+++ b/internal/messagestore/compaction.go
@@ -3,8 +3,6 @@
 import (
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
-
-	"gladepick/internal/messagestore/record"
 )
 
 // diskFull reports whether the log is too large to accept further messages.
@@ -93,10 +91,7 @@
 	if !located.entry.needsBody() {
 		return 0, nil
 	}
-	line, err := (&record.Record{
-		Kind: record.Accepted, Partition: located.partition.id, Epoch: located.partition.epoch,
-		Message: located.entry.message, Failures: located.entry.failures,
-	}).Encode()
+	line, err := located.partition.acceptedRecord(located.entry).Encode()
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
--- a/internal/messagestore/delivery_fence.go
+++ b/internal/messagestore/delivery_fence.go
@@ -120,27 +120,19 @@
 }
 
 // settle records in the log under which epoch this store leads without a former primary that may still deliver, so that
-// it does not wait for such a primary after a restart.
-func (s *Store) settle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.partitions {
-		if !p.isPrimary || p.fenced || p.collection != nil || p.settledEpoch >= p.epoch || p.epoch <= firstEpoch {
-			continue
-		}
-		if until := s.fence(p.id).closedUntil.Load(); until != nil && time.Now().Before(*until) {
-			continue
-		}
-		line, err := (&record.Record{Kind: record.Settled, Partition: p.id, Epoch: p.epoch}).Encode()
-		if err != nil {
-			continue
-		}
-		if _, err := s.log.Append(line); err != nil {
-			continue
-		}
-		p.settledEpoch = p.epoch
-		s.syncSoon()
+// it does not wait for such a primary after a restart. The caller must hold s.mu.
+func (s *Store) settle(p *partition) {
+	if !p.isPrimary || p.fenced || p.collection != nil || p.settledEpoch >= p.epoch || p.epoch <= firstEpoch {
+		return
+	}
+	if until := s.fence(p.id).closedUntil.Load(); until != nil && time.Now().Before(*until) {
+		return
+	}
+	if s.appendRecord(&record.Record{Kind: record.Settled, Partition: p.id, Epoch: p.epoch}) != nil {
+		return // the next round tries again
 	}
+	p.settledEpoch = p.epoch
+	s.syncSoon()
 }
 
 // extendClosed delays deliveries of a partition further, until a lease that another replica has granted has ended.
--- a/internal/messagestore/delivery_fence_test.go
+++ b/internal/messagestore/delivery_fence_test.go
@@ -14,7 +14,6 @@
 
 	"gladepick/internal/cluster"
 	"gladepick/internal/message"
-	"gladepick/internal/messagestore/client"
 	"gladepick/internal/messagestore/protocol"
 	"gladepick/internal/rpc"
 )
@@ -86,9 +85,8 @@
 		for range 3 {
 			ids = append(ids, h.mustPut("r", "key", strings.Repeat("x", batchBytes/2)))
 		}
-		partition, err := client.PartitionOf(ids[0])
-		assert.NilError(t, err)
-		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		partition := h.partitionOf(ids[0])
+		backup := h.backup(partition).name
 		added := h.names[slices.IndexFunc(h.names, func(name string) bool {
 			return h.currentTable().Partitions[partition].IndexOf(name) < 0
 		})]
@@ -300,6 +298,20 @@
 	})
 }
 
+// cutOffWithBackupLease puts a message and cuts off its partition's primary from its backup. The primary has no lease from the
+// control plane any more, and counts on that of the backup.
+func (h *harness) cutOffWithBackupLease() (partition int, primary, backup *machine) {
+	h.t.Helper()
+	id := h.mustPut("0", "key", "x")
+	partition, primary = h.partitionOf(id), h.primary(id)
+	backup = h.backup(partition)
+	primary.noLease.Store(true)
+	time.Sleep(2 * heartbeatInterval)
+	assert.Assert(h.t, primary.store.MayDeliver(partition))
+	h.network.Isolate(primary.ip, backup.ip)
+	return partition, primary, backup
+}
+
 // requireOneDelivers checks for some time that two stores never may deliver a partition at once, and that the second one may
 // in the end.
 func requireOneDelivers(t *testing.T, former, successor *machine, partition int) {
@@ -319,15 +331,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
-		id := h.mustPut("0", "key", "x")
-		former := h.primary(id)
-		partition, err := client.PartitionOf(id)
-		assert.NilError(t, err)
-		successor := h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
-		former.noLease.Store(true)
-		time.Sleep(2 * heartbeatInterval)
-		assert.Assert(t, former.store.MayDeliver(partition))
-		h.network.Isolate(former.ip, successor.ip) // the former primary does not notice the restart
+		partition, former, successor := h.cutOffWithBackupLease() // the former primary does not notice the restart
 		h.stop(successor.name)
 		former.stopped.Store(true) // it gets no table from now on
 		h.update(func(table *cluster.Table) {
@@ -346,14 +350,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, "a", "b", "c")
 		defer h.close()
-		id := h.mustPut("0", "key", "x")
-		former := h.primary(id)
-		partition, err := client.PartitionOf(id)
-		assert.NilError(t, err)
-		successor := h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
-		former.noLease.Store(true)
-		time.Sleep(2 * heartbeatInterval)
-		h.network.Isolate(former.ip, successor.ip)
+		partition, former, successor := h.cutOffWithBackupLease()
 		former.stopped.Store(true) // it gets no table from now on
 		h.setView(partition, successor.name)
 		time.Sleep(10 * syncDelay)
--- a/internal/messagestore/engine.go
+++ b/internal/messagestore/engine.go
@@ -89,9 +89,7 @@
 	if e == nil || e.ended() {
 		return
 	}
-	s.endEntry(p, e, &record.Record{
-		Kind: record.Ended, Partition: p.id, Epoch: p.epoch, ID: id, Outcome: &outcome, EndedAt: time.Now(),
-	})
+	s.endEntry(p, e, p.endedRecord(id, outcome, time.Now()))
 }
 
 // endEntry applies the record of how a message ended and writes it. The caller must hold s.mu.
--- a/internal/messagestore/harness_test.go
+++ b/internal/messagestore/harness_test.go
@@ -173,6 +173,15 @@
 }
 
 // close shuts all stores down.
+// startOthers starts all stores but one.
+func (h *harness) startOthers(running *machine) {
+	for _, name := range h.names {
+		if name != running.name {
+			h.start(name)
+		}
+	}
+}
+
 func (h *harness) close() {
 	h.clients.Close()
 	for _, m := range h.machines {
@@ -365,10 +374,21 @@
 
 // primary returns the machine that the table names as the primary of a message's partition.
 func (h *harness) primary(id string) *machine {
+	replica, _ := h.currentTable().Partitions[h.partitionOf(id)].Primary()
+	return h.machines[replica.Store]
+}
+
+// partitionOf returns the partition that a message's ID names.
+func (h *harness) partitionOf(id string) int {
+	h.t.Helper()
 	partition, err := client.PartitionOf(id)
 	assert.NilError(h.t, err)
-	replica, _ := h.currentTable().Partitions[partition].Primary()
-	return h.machines[replica.Store]
+	return partition
+}
+
+// backup returns the machine that the table names as the first backup of a partition.
+func (h *harness) backup(partition int) *machine {
+	return h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
 }
 
 // messageOf returns a message as it was submitted to the primary's engine.
--- a/internal/messagestore/leadership.go
+++ b/internal/messagestore/leadership.go
@@ -173,19 +173,12 @@
 // forgetIfReplicated drops the messages of a partition once its replica group, to which this store does not belong, is
 // complete and synced. The caller must hold s.mu.
 func (s *Store) forgetIfReplicated(p *partition) {
-	if len(p.entries) == 0 || !p.isComplete(s.options.ReplicationFactor) {
+	isSynced := p.view.SyncedReplicas() == len(p.view.Replicas)
+	if len(p.entries) == 0 || !isSynced || !p.isComplete(s.options.ReplicationFactor) {
 		return
 	}
-	for _, replica := range p.view.Replicas {
-		if !replica.Synced {
-			return
-		}
-	}
-	line, err := (&record.Record{Kind: record.Forget, Partition: p.id, Epoch: p.epoch}).Encode()
-	if err != nil {
-		return
-	}
-	if _, err := s.log.Append(line); err != nil {
+	forget := &record.Record{Kind: record.Forget, Partition: p.id, Epoch: p.epoch}
+	if err := s.appendRecord(forget); err != nil {
 		s.logger.Warn("appending a record failed", zap.Error(err))
 		return
 	}
--- a/internal/messagestore/maintenance.go
+++ b/internal/messagestore/maintenance.go
@@ -10,8 +10,8 @@
 	}
 }
 
-// maintain runs until the store closes. Every maintainInterval, and when woken, it starts the resyncs that are due,
-// requests leases from the backups, drops expired messages and compacts the log.
+// maintain runs until the store closes. Every maintainInterval, and when woken, it does what is due in the partitions
+// that it leads, requests leases from the backups, drops expired messages and compacts the log.
 func (s *Store) maintain() {
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
@@ -23,11 +23,7 @@
 		case <-s.wake:
 		case <-ticker.C:
 		}
-		s.repairBackups()
-		s.endOverdueCatchUps()
-		s.settle()
-		s.finishCollections()
-		s.renewFencedEpochs()
+		s.maintainLeadership()
 		if s.options.Control.LeaseRemaining() < backupLeaseMargin && time.Since(lastLeaseRequest) >= heartbeatInterval {
 			lastLeaseRequest = time.Now()
 			s.requestBackupLeases()
@@ -40,14 +36,20 @@
 	}
 }
 
-// repairBackups starts the resyncs of backups that are due, in all partitions that have this store as their primary.
-func (s *Store) repairBackups() {
+// maintainLeadership does what is due in the partitions that have this store as their primary: it resyncs backups, and
+// takes the states of a new or fenced primary to their ends.
+func (s *Store) maintainLeadership() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.partitions {
-		if p.isPrimary && len(p.resync) > 0 {
-			s.startDueResyncs(p)
+		if !p.isPrimary {
+			continue
 		}
+		s.startDueResyncs(p)
+		s.endCatchUpIfAnswered(p)
+		s.settle(p)
+		s.finishIfCollected(p)
+		s.renewFencedEpoch(p)
 	}
 }
 
--- a/internal/messagestore/missing.go
+++ b/internal/messagestore/missing.go
@@ -116,17 +116,14 @@
 func (s *Store) missingRecords(p *partition, missing missingEntry) []*record.Record {
 	var records []*record.Record
 	if missing.needsAccepted && missing.entry.message != nil {
-		records = append(records, &record.Record{
-			Kind: record.Accepted, Partition: p.id, Epoch: p.epoch,
-			Message: missing.entry.message, Failures: missing.entry.failures,
-		})
+		records = append(records, p.acceptedRecord(missing.entry))
 	} else if !missing.entry.ended() && missing.entry.failures > 0 {
 		records = append(records, &record.Record{
 			Kind: record.Failed, Partition: p.id, Epoch: p.epoch, ID: missing.id, Failures: missing.entry.failures,
 		})
 	}
 	if missing.entry.ended() {
-		records = append(records, p.endedRecord(missing.id, missing.entry))
+		records = append(records, p.endedRecord(missing.id, missing.entry.outcome, missing.entry.endedAt))
 	}
 	return records
 }
--- a/internal/messagestore/partition.go
+++ b/internal/messagestore/partition.go
@@ -145,10 +145,16 @@
 	}
 }
 
-// endedRecord returns the record of how an entry's message ended.
-func (p *partition) endedRecord(id string, e *entry) *record.Record {
-	outcome := e.outcome
+// acceptedRecord returns the record by which another replica, or a later segment of the log, gets an entry's message.
+func (p *partition) acceptedRecord(e *entry) *record.Record {
 	return &record.Record{
-		Kind: record.Ended, Partition: p.id, Epoch: p.epoch, ID: id, Outcome: &outcome, EndedAt: e.endedAt,
+		Kind: record.Accepted, Partition: p.id, Epoch: p.epoch, Message: e.message, Failures: e.failures,
+	}
+}
+
+// endedRecord returns the record of how a message ended.
+func (p *partition) endedRecord(id string, outcome message.Outcome, endedAt time.Time) *record.Record {
+	return &record.Record{
+		Kind: record.Ended, Partition: p.id, Epoch: p.epoch, ID: id, Outcome: &outcome, EndedAt: endedAt,
 	}
 }
--- a/internal/messagestore/put.go
+++ b/internal/messagestore/put.go
@@ -24,7 +24,7 @@
 		return nil, nil, err
 	}
 	if isNew {
-		s.syncLocally(ctx, write, request.Message.Partition)
+		s.syncLocally(ctx, write)
 	}
 	select {
 	case <-write.done:
@@ -126,21 +126,21 @@
 
 // syncLocally waits until this store's disk has synced a write. If the caller's context ends first, the wait goes on in the
 // background, as the write may be on the backups already.
-func (s *Store) syncLocally(ctx context.Context, write *pendingWrite, id int) {
+func (s *Store) syncLocally(ctx context.Context, write *pendingWrite) {
 	err := s.log.Sync(ctx)
 	if err != nil && ctx.Err() != nil {
-		s.background.Go(func() { s.finishLocalSync(write, id, s.log.Sync(s.context)) })
+		s.background.Go(func() { s.finishLocalSync(write, s.log.Sync(s.context)) })
 		return
 	}
-	s.finishLocalSync(write, id, err)
+	s.finishLocalSync(write, err)
 }
 
 // finishLocalSync handles the result of the sync of a write to this store's disk. It aborts the write if the sync has
 // failed, unless the store closes.
-func (s *Store) finishLocalSync(write *pendingWrite, id int, err error) {
+func (s *Store) finishLocalSync(write *pendingWrite, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.partition(id)
+	p := s.partition(write.partition)
 	if err != nil {
 		if s.context.Err() == nil {
 			s.abort(p, write, err)
--- a/internal/messagestore/put_test.go
+++ b/internal/messagestore/put_test.go
@@ -11,7 +11,6 @@
 	"gotest.tools/v3/assert"
 
 	"gladepick/internal/message"
-	"gladepick/internal/messagestore/client"
 	"gladepick/internal/messagestore/protocol"
 	"gladepick/internal/rpc"
 )
@@ -184,9 +183,8 @@
 			assert.Equal(t, h.messageOf(id).OrderKey, key)
 			assert.NilError(t, primary.store.writeSnapshot())
 		}
-		partition, err := client.PartitionOf(id)
-		assert.NilError(t, err)
-		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		partition := h.partitionOf(id)
+		backup := h.backup(partition).name
 		h.setView(partition, backup)
 		time.Sleep(time.Second)
 		assert.Equal(t, h.messageOf(id).OrderKey, key)
--- a/internal/messagestore/recovery_test.go
+++ b/internal/messagestore/recovery_test.go
@@ -12,7 +12,6 @@
 
 	"gladepick/internal/cluster"
 	"gladepick/internal/message"
-	"gladepick/internal/messagestore/client"
 	"gladepick/internal/messagestore/protocol"
 	"gladepick/internal/messagestore/record"
 )
@@ -29,9 +28,8 @@
 		}
 		primary := h.primary(ids[0])
 		primary.store.Ended(h.messageOf(ids[0]), message.Outcome{State: message.Completed, Stamp: "s"})
-		partition, err := client.PartitionOf(ids[0])
-		assert.NilError(t, err)
-		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		partition := h.partitionOf(ids[0])
+		backup := h.backup(partition).name
 		h.stop(backup)
 		ids = append(ids, h.mustPut("after", "key", "body after"))
 		time.Sleep(3 * time.Second)
@@ -77,9 +75,8 @@
 		defer h.close()
 		dead := h.mustPut("dead", "key", "body")
 		primary := h.primary(dead)
-		partition, err := client.PartitionOf(dead)
-		assert.NilError(t, err)
-		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		partition := h.partitionOf(dead)
+		backup := h.backup(partition).name
 		h.onRequest = func(cluster.PartitionRequest) { // the outcome arrives before all else
 			for _, m := range h.machines {
 				if m != primary && m.name != backup {
@@ -113,8 +110,7 @@
 		defer h.close()
 		former, successor := h.machines["a"], h.machines["b"]
 		id := h.mustPut("r0", "key", "x")
-		partition, err := client.PartitionOf(id)
-		assert.NilError(t, err)
+		partition := h.partitionOf(id)
 		h.setView(partition, "a", "b")
 		synctest.Wait()
 		next := cluster.Partition{
@@ -131,7 +127,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		submission := message.Submission{Message: message.Message{Partition: partition, ID: "late", RequestID: "late"}}
-		_, err = h.clients.Get(h.address("a")).Call(ctx, protocol.MethodPut, protocol.PutRequest{Submission: submission}, []byte("x"), nil)
+		_, err := h.clients.Get(h.address("a")).Call(ctx, protocol.MethodPut, protocol.PutRequest{Submission: submission}, []byte("x"), nil)
 		assert.Assert(t, err != nil)
 		assert.Assert(t, !slices.Contains(former.engine.ids(), "late"))
 	})
@@ -198,15 +194,14 @@
 		defer h.close()
 		old := h.mustPut("old", "key", "x")
 		primary := h.primary(old)
-		partition, err := client.PartitionOf(old)
-		assert.NilError(t, err)
-		backup := h.currentTable().Partitions[partition].Replicas[1].Store
+		partition := h.partitionOf(old)
+		backup := h.backup(partition).name
 		h.stop(backup)
 		h.mustPut("after", "key", "y")
 		time.Sleep(3 * time.Second) // the third store replaces the backup
 		primary.store.Ended(h.messageOf(old), message.Outcome{State: message.Completed, Stamp: "s"})
 		time.Sleep(2 * time.Minute) // the outcome expires
-		third := h.currentTable().Partitions[partition].Replicas[1].Store
+		third := h.backup(partition).name
 		assert.Assert(t, third != backup)
 
 		h.stop(third)
--- a/internal/messagestore/restart_outcomes_test.go
+++ b/internal/messagestore/restart_outcomes_test.go
@@ -10,7 +10,6 @@
 
 	"gladepick/internal/cluster"
 	"gladepick/internal/message"
-	"gladepick/internal/messagestore/client"
 )
 
 // completeAll stores messages of one order key and reports them as completed by their primary. It returns their IDs and
@@ -60,11 +59,7 @@
 		h.start(primary.name)
 		time.Sleep(unreachableReplicaWait + time.Second)
 		assert.Equal(t, len(primary.engine.ids()), 0)
-		for _, name := range h.names {
-			if name != primary.name {
-				h.start(name)
-			}
-		}
+		h.startOthers(primary)
 	})
 }
 
@@ -98,9 +93,8 @@
 		defer h.close()
 		old := h.mustPut("old", "key", "x")
 		primary := h.primary(old)
-		partition, err := client.PartitionOf(old)
-		assert.NilError(t, err)
-		backup := h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
+		partition := h.partitionOf(old)
+		backup := h.backup(partition)
 		h.stop(primary.name)
 		h.network.Isolate(primary.ip, backup.ip)
 		h.rejectRequests()
@@ -135,11 +129,7 @@
 		h.start(primary.name)
 		time.Sleep(unreachableReplicaWait + maintainInterval)
 		assert.DeepEqual(t, primary.engine.ids(), []string{old})
-		for _, name := range h.names {
-			if name != primary.name {
-				h.start(name)
-			}
-		}
+		h.startOthers(primary)
 	})
 }
 
@@ -152,9 +142,8 @@
 		h.rejectRequests() // the backup is not replaced
 		id := h.mustPut("0", "key", "x")
 		primary := h.primary(id)
-		partition, err := client.PartitionOf(id)
-		assert.NilError(t, err)
-		backup := h.machines[h.currentTable().Partitions[partition].Replicas[1].Store]
+		partition := h.partitionOf(id)
+		backup := h.backup(partition)
 		h.network.Isolate(primary.ip, backup.ip)
 		primary.store.Ended(h.messageOf(id), message.Outcome{State: message.Completed, Stamp: "s"})
 		time.Sleep(time.Second)
@@ -176,8 +165,7 @@
 		defer h.close()
 		old := h.mustPut("old", "key", "x")
 		primary := h.primary(old)
-		partition, err := client.PartitionOf(old)
-		assert.NilError(t, err)
+		partition := h.partitionOf(old)
 		backup := h.currentTable().Partitions[partition].Replicas[1]
 		p := primary.store.partitions[partition]
 		primary.store.mu.Lock()
--- a/internal/simcluster/combinedfaults_test.go
+++ b/internal/simcluster/combinedfaults_test.go
@@ -173,13 +173,7 @@
 // holdsOnlyReplica reports whether a machine is the primary of a partition that has no other synced replica.
 func (c *Cluster) holdsOnlyReplica(machine *Machine) bool {
 	for _, partition := range c.Table().Partitions {
-		synced := 0
-		for _, replica := range partition.Replicas {
-			if replica.Synced {
-				synced++
-			}
-		}
-		if primary, found := partition.Primary(); found && primary.Store == machine.Name && synced == 1 {
+		if primary, found := partition.Primary(); found && primary.Store == machine.Name && partition.SyncedReplicas() == 1 {
 			return true
 		}
 	}
