Declare what stand-ins send to the system once

The platform's list was declared in the demonstration, the simulated cluster and the soak, a configuration in two of them. internal/standin has both now, apart from the types by which the system reads them. The kinds of the soak's troubles are a table in place of three functions, and a search for endings records states' origins by a type of its own in place of one that means hashes. The review's own stand-ins stay as they are.

--- a/internal/architecture/planes_test.go
+++ b/internal/architecture/planes_test.go
@@ -69,6 +69,7 @@
 	"internal/operatorcli":      planeTools,
 	"internal/simcluster":       planeTools,
 	"internal/soak":             planeTools,
+	"internal/standin":          planeTools,
 	"cmd/gladepick-soak":        planeTools,
 	"internal/systemnode/demo":  planeTools,
 
--- a/internal/modelcheck/endings.go
+++ b/internal/modelcheck/endings.go
@@ -1,5 +1,7 @@
 package modelcheck
 
+import "slices"
+
 // EndingModel is a Model whose work comes to an end as soon as no further external event happens.
 type EndingModel[State comparable] interface {
 	Model[State]
@@ -27,30 +29,36 @@
 	return result
 }
 
+// discovery records the step by which a state was first reached.
+type discovery struct {
+	parent int // index of the preceding state
+	step   int // index in the parent's list of steps
+}
+
 // stateGraph has the states of a model in the order of their discovery.
 type stateGraph[State comparable] struct {
 	states       []State
 	indices      map[State]int
-	parents      []origin
+	discoveries  []discovery
 	predecessors [][]int // by state: those that lead to it without an external event
 	depth        int
 }
 
 func newStateGraph[State comparable](model Model[State]) *stateGraph[State] {
 	graph := &stateGraph[State]{indices: make(map[State]int)}
-	graph.add(model.Start(), origin{})
+	graph.add(model.Start(), discovery{})
 	return graph
 }
 
 // add adds a state unless it is known, and returns its index.
-func (g *stateGraph[State]) add(state State, from origin) int {
+func (g *stateGraph[State]) add(state State, from discovery) int {
 	if index, found := g.indices[state]; found {
 		return index
 	}
 	index := len(g.states)
 	g.indices[state] = index
 	g.states = append(g.states, state)
-	g.parents = append(g.parents, from)
+	g.discoveries = append(g.discoveries, from)
 	g.predecessors = append(g.predecessors, nil)
 	return index
 }
@@ -65,7 +73,7 @@
 		}
 		current := g.states[index]
 		for number, step := range model.Next(&current, false) {
-			next := g.add(step.State, origin{parent: uint64(index), step: number})
+			next := g.add(step.State, discovery{parent: index, step: number})
 			if !step.External {
 				g.predecessors[next] = append(g.predecessors[next], index)
 			}
@@ -102,9 +110,12 @@
 
 // stepsTo returns the indices of the steps that lead from the initial state to a state.
 func (g *stateGraph[State]) stepsTo(index int) []int {
-	if index == 0 {
-		return nil
+	var steps []int
+	for index != 0 {
+		from := g.discoveries[index]
+		steps = append(steps, from.step)
+		index = from.parent
 	}
-	from := g.parents[index]
-	return append(g.stepsTo(int(from.parent)), from.step)
+	slices.Reverse(steps)
+	return steps
 }
--- a/internal/simcluster/platform.go
+++ b/internal/simcluster/platform.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"gladepick/internal/standin"
 )
 
 const (
@@ -16,28 +18,9 @@
 	platformRate     = 47 // calls per second
 	platformLag      = 800 * time.Millisecond
 	platformPageSize = 5
-	stateReady       = "ready"
 	stateDraining    = "draining"
 )
 
-// instance is a worker in the platform's list.
-type instance struct {
-	ID       string `json:"id"`
-	Service  string `json:"service"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-	Version  string `json:"version"`
-	Capacity int    `json:"capacity"`
-	State    string `json:"state"`
-	Warmup   int    `json:"warmup-left-ms"`
-}
-
-// listPage is one page of the platform's list.
-type listPage struct {
-	Instances []instance `json:"instances"`
-	NextToken *string    `json:"next-token"`
-}
-
 // Platform simulates the platform's list of workers. The list lags behind the workers by platformLag, is served in
 // pages of platformPageSize, and allows platformRate calls per second.
 type Platform struct {
@@ -45,7 +28,7 @@
 	server  *http.Server
 
 	mutex      sync.Mutex
-	listed     []instance // the list that calls return
+	listed     []standin.Instance // the list that calls return
 	tokens     float64
 	refilledAt time.Time
 	down       bool
@@ -70,7 +53,7 @@
 }
 
 // add lists a worker at once, for workers that run before the system starts.
-func (p *Platform) add(entry instance) {
+func (p *Platform) add(entry standin.Instance) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.listed = append(p.listed, entry)
@@ -78,7 +61,7 @@
 
 // updateAfterLag applies the new entry of a worker to the list after platformLag. An entry with an empty state removes
 // the worker from the list.
-func (p *Platform) updateAfterLag(entry instance) {
+func (p *Platform) updateAfterLag(entry standin.Instance) {
 	p.cluster.background.Go(func() {
 		select {
 		case <-p.cluster.ctx.Done():
@@ -89,10 +72,10 @@
 }
 
 // update replaces or removes the entry of a worker, and records a Departure if the worker is no longer ready.
-func (p *Platform) update(entry instance) {
+func (p *Platform) update(entry standin.Instance) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	kept := make([]instance, 0, len(p.listed)+1)
+	kept := make([]standin.Instance, 0, len(p.listed)+1)
 	for _, other := range p.listed {
 		if other.ID != entry.ID {
 			kept = append(kept, other)
@@ -102,7 +85,7 @@
 		kept = append(kept, entry)
 	}
 	p.listed = kept
-	if entry.State != stateReady {
+	if entry.State != standin.StateReady {
 		recorder := p.cluster.recorder
 		recorder.write(func(history *History) {
 			history.Departures = append(history.Departures, Departure{Worker: entry.ID, ShownAt: recorder.now()})
@@ -126,7 +109,7 @@
 	_, _ = fmt.Sscanf(request.URL.Query().Get("page-token"), "p-%d", &begin)
 	begin = min(begin, len(p.listed))
 	end := min(begin+platformPageSize, len(p.listed))
-	page := listPage{Instances: p.listed[begin:end]}
+	page := standin.InstancePage{Instances: p.listed[begin:end]}
 	if end < len(p.listed) {
 		token := fmt.Sprintf("p-%d", end)
 		page.NextToken = &token
--- a/internal/simcluster/worker.go
+++ b/internal/simcluster/worker.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"gladepick/internal/standin"
 )
 
 const (
@@ -27,7 +29,7 @@
 // Worker simulates one incarnation of a worker. Each start of a worker is a new incarnation with an ID of its own.
 type Worker struct {
 	service *workerService
-	entry   instance
+	entry   standin.Instance
 	number  int // of the service's incarnations, counted from 1
 	ip      string
 	server  *http.Server
@@ -71,9 +73,9 @@
 		slots:   make(chan struct{}, s.Capacity),
 		waiting: make(chan struct{}, s.Capacity*(1+waitingPerSlot)),
 	}
-	started.entry = instance{
+	started.entry = standin.Instance{
 		ID: fmt.Sprintf("i-%s-%d", s.Name, s.started), Service: s.Name, Address: fmt.Sprintf("%s:%d", ip, workerPort),
-		Zone: s.cluster.zone(s.started), Version: "v1", Capacity: s.Capacity, State: stateReady,
+		Zone: s.cluster.zone(s.started), Version: "v1", Capacity: s.Capacity, State: standin.StateReady,
 	}
 	s.workers = append(s.workers, started)
 	s.mutex.Unlock()
--- a/internal/soak/configuration.go
+++ b/internal/soak/configuration.go
@@ -1,6 +1,10 @@
 package soak
 
-import "net/http"
+import (
+	"net/http"
+
+	"gladepick/internal/standin"
+)
 
 // RouteName names one of the routes of a deployment.
 type RouteName string
@@ -31,52 +35,6 @@
 	maxConnections = 110
 )
 
-// route is a route of a configuration.
-type route struct {
-	Name            RouteName `json:"name"`
-	Host            string    `json:"host"`
-	PathPrefix      string    `json:"path-prefix"`
-	RouteType       string    `json:"route-type"`
-	TimeoutMS       int       `json:"timeout-ms"`
-	TargetLatencyMS int       `json:"target-latency-ms"`
-	Priority        int       `json:"priority"`
-	Service         RouteName `json:"service"`
-	MaxAttempts     int       `json:"max-attempts"`
-	Ordered         bool      `json:"ordered"`
-	RetentionS      int       `json:"retention-s"`
-	CallbackURL     bool      `json:"callback-url"`
-	TargetStartMS   int       `json:"target-start-ms"`
-}
-
-// service is a service of a configuration.
-type service struct {
-	Name           RouteName `json:"name"`
-	HealthCheck    string    `json:"health-check"`
-	MaxConnections int       `json:"max-connections"`
-	Protocol       string    `json:"protocol"`
-	TLS            bool      `json:"tls"`
-	RatePerS       float64   `json:"rate-per-s"`
-	Dedup          bool      `json:"dedup"`
-	PullMode       bool      `json:"pull-mode"`
-	StaticEndpoint *string   `json:"static-endpoint"`
-}
-
-// limits are the limits of a configuration.
-type limits struct {
-	MaxHeaderBytes  int `json:"max-header-bytes"`
-	MaxBodyBytes    int `json:"max-body-bytes"`
-	HeaderTimeoutMS int `json:"header-timeout-ms"`
-	IdleTimeoutMS   int `json:"idle-timeout-ms"`
-}
-
-// document is a configuration as the operator sends it.
-type document struct {
-	Version  uint64    `json:"version"`
-	Routes   []route   `json:"routes"`
-	Services []service `json:"services"`
-	Limits   limits    `json:"limits"`
-}
-
 // configurationState is what the operator can change in a play.
 type configurationState struct {
 	version       uint64
@@ -86,10 +44,10 @@
 }
 
 // document returns the configuration.
-func (s *configurationState) document() document {
-	built := document{
+func (s *configurationState) document() standin.Configuration {
+	built := standin.Configuration{
 		Version: s.version,
-		Limits: limits{
+		Limits: standin.Limits{
 			MaxHeaderBytes: 16 << 10, MaxBodyBytes: maxBodyBytes, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15_000,
 		},
 	}
@@ -104,8 +62,8 @@
 	return built
 }
 
-func (s *configurationState) service(name RouteName) service {
-	built := service{Name: name, HealthCheck: healthPath, MaxConnections: maxConnections, Protocol: "h1"}
+func (s *configurationState) service(name RouteName) standin.Service {
+	built := standin.Service{Name: string(name), HealthCheck: healthPath, MaxConnections: maxConnections, Protocol: "h1"}
 	switch name {
 	case Plain:
 		built.RatePerS = s.plainPerS
@@ -115,10 +73,10 @@
 	return built
 }
 
-func newRoute(name, service RouteName) route {
-	return route{
-		Name: name, Host: routeHost, PathPrefix: pathPrefix(name), RouteType: "async", TimeoutMS: routeTimeoutMS,
-		TargetLatencyMS: 80, Priority: 2, Service: service, MaxAttempts: maxAttempts, Ordered: name == Ordered,
+func newRoute(name, service RouteName) standin.Route {
+	return standin.Route{
+		Name: string(name), Host: routeHost, PathPrefix: pathPrefix(name), RouteType: "async", TimeoutMS: routeTimeoutMS,
+		TargetLatencyMS: 80, Priority: 2, Service: string(service), MaxAttempts: maxAttempts, Ordered: name == Ordered,
 		RetentionS: retentionS, TargetStartMS: 500,
 	}
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -110,7 +110,7 @@
 // unplanned reports whether an unplanned trouble was in effect in a span.
 func (j *judge) unplanned(from, until time.Duration) bool {
 	return slices.ContainsFunc(j.history.Faults, func(fault Fault) bool {
-		return !fault.Kind.planned() && fault.From <= until && fault.Until >= from
+		return !propertiesOf[fault.Kind].planned && fault.From <= until && fault.Until >= from
 	})
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,27 +54,24 @@
 	ForMS   int         `json:"for-ms"`
 }
 
-// needsMachine reports whether a trouble names a machine.
-func (k TroubleKind) needsMachine() bool {
-	switch k {
-	case Kill, LoseDisk, Terminate, Freeze, Reload, Retire:
-		return true
-	}
-	return false
-}
-
-// planned reports whether the rules count a trouble as planned work, which excuses less.
-func (k TroubleKind) planned() bool {
-	switch k {
-	case Kill, LoseDisk, KillStores, Freeze, Misdirect:
-		return false
-	}
-	return true
+// troubleProperties is what a plan and the judge need to know of a kind of troubles.
+type troubleProperties struct {
+	needsMachine bool // it names a machine
+	planned      bool // the rules count it as planned work, which excuses less
 }
 
-// known reports whether a kind exists.
-func (k TroubleKind) known() bool {
-	return k.needsMachine() || !k.planned() || k == SetLimit || k == RouteAdded
+// propertiesOf has all kinds of troubles.
+var propertiesOf = map[TroubleKind]troubleProperties{
+	Kill:       {needsMachine: true},
+	LoseDisk:   {needsMachine: true},
+	KillStores: {},
+	Terminate:  {needsMachine: true, planned: true},
+	Freeze:     {needsMachine: true},
+	Reload:     {needsMachine: true, planned: true},
+	Retire:     {needsMachine: true, planned: true},
+	SetLimit:   {planned: true},
+	Misdirect:  {},
+	RouteAdded: {planned: true},
 }
 
 // Limits of a plan.
@@ -130,10 +127,11 @@
 		}
 	}
 	for i, trouble := range p.Troubles {
-		if !trouble.Kind.known() {
+		properties, isKnown := propertiesOf[trouble.Kind]
+		if !isKnown {
 			return trace.BadParameter("troubles[%d].kind: there is no %q", i, trouble.Kind)
 		}
-		if trouble.Kind.needsMachine() && !names[trouble.Machine] {
+		if properties.needsMachine && !names[trouble.Machine] {
 			return trace.BadParameter("troubles[%d].machine: there is no %q", i, trouble.Machine)
 		}
 		if !isWithinPlan(trouble.AtMS) || !isWithinPlan(trouble.ForMS) {
--- a/internal/soak/platform.go
+++ b/internal/soak/platform.go
@@ -9,6 +9,8 @@
 	"github.com/gorilla/mux"
 	"github.com/gravitational/trace"
 	"golang.org/x/time/rate"
+
+	"gladepick/internal/standin"
 )
 
 // platform is a stand-in of the platform's list of workers. It lists every worker on one page.
@@ -19,24 +21,6 @@
 	workers []*worker
 }
 
-// instance is an entry of the list.
-type instance struct {
-	ID           string `json:"id"`
-	Service      string `json:"service"`
-	Address      string `json:"address"`
-	Zone         string `json:"zone"`
-	Version      string `json:"version"`
-	Capacity     int    `json:"capacity"`
-	State        string `json:"state"`
-	WarmupLeftMS int    `json:"warmup-left-ms"`
-}
-
-// instancePage is an answer of the platform.
-type instancePage struct {
-	Instances []instance `json:"instances"`
-	NextToken *string    `json:"next-token"`
-}
-
 func newPlatform() *platform {
 	return &platform{calls: rate.NewLimiter(platformCallsPerS, platformCallsPerS)}
 }
@@ -67,11 +51,11 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	page := instancePage{Instances: []instance{}}
+	page := standin.InstancePage{Instances: []standin.Instance{}}
 	for _, each := range p.workers {
-		page.Instances = append(page.Instances, instance{
+		page.Instances = append(page.Instances, standin.Instance{
 			ID: each.id, Service: each.service, Address: each.address(), Zone: each.zone, Version: "v1",
-			Capacity: each.capacity, State: "ready",
+			Capacity: each.capacity, State: standin.StateReady,
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/systemnode/demo/platform.go
+++ b/internal/systemnode/demo/platform.go
@@ -3,35 +3,22 @@
 import (
 	"encoding/json"
 	"net/http"
-)
 
-// instance is an entry of the platform's worker list.
-type instance struct {
-	ID           string `json:"id"`
-	Service      string `json:"service"`
-	Address      string `json:"address"`
-	Zone         string `json:"zone"`
-	Version      string `json:"version"`
-	Capacity     int    `json:"capacity"`
-	State        string `json:"state"`
-	WarmupLeftMS int    `json:"warmup-left-ms"`
-}
+	"gladepick/internal/standin"
+)
 
 // newWorkerListHandler returns the handler that serves the platform's worker list as a single page.
 func newWorkerListHandler(workers []*worker) http.Handler {
-	page := struct {
-		Instances []instance `json:"instances"`
-		NextToken *string    `json:"next-token"`
-	}{}
+	var page standin.InstancePage
 	for _, worker := range workers {
-		page.Instances = append(page.Instances, instance{
+		page.Instances = append(page.Instances, standin.Instance{
 			ID:       worker.id,
 			Service:  service,
 			Address:  worker.address,
 			Zone:     worker.zone,
 			Version:  workerVersion,
 			Capacity: workerCapacity,
-			State:    "ready",
+			State:    standin.StateReady,
 		})
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
